--- /dev/null
+++ b/internal/kernel/doc.go
@@ -0,0 +1,2 @@
+// Package kernel holds the registry in which plug-ins enter themselves.
+package kernel
