--- a/internal/binding/table.go
+++ b/internal/binding/table.go
@@ -36,7 +36,16 @@
 	Reason  string
 	Status  int
 	Content string // media type
-	Body    []byte
+	Events  [][]byte
+	Hash    uint64 // xxhash64 over the data of all events
+}
+
+// size returns the bytes that the answer occupies.
+func (a Answer) size() (sum int) {
+	for _, event := range a.Events {
+		sum += len(event)
+	}
+	return sum
 }
 
 // Verdict is the table's word on one send.
@@ -192,7 +201,20 @@
 	}
 	h.phase = ended
 	h.answer = answer
-	t.bytes += len(answer.Body)
+	t.bytes += answer.size()
+	close(h.done)
+}
+
+// Never takes a hand-over back of which no byte left the agent, and seals this send.
+func (t *Table) Never(id string, send uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.held[id]
+	if !ok || (h.phase != handed && h.phase != waiting) {
+		return
+	}
+	h.sealed = max(h.sealed, send)
+	h.phase = refused
 	close(h.done)
 }
 
@@ -213,7 +235,7 @@
 			continue
 		}
 		heap.Pop(&t.order)
-		t.bytes -= len(h.answer.Body)
+		t.bytes -= h.answer.size()
 		delete(t.held, h.id)
 	}
 }
--- a/internal/binding/table_test.go
+++ b/internal/binding/table_test.go
@@ -50,11 +50,11 @@
 		joined := table.Open(1, tok, id, 2, 9)
 		assert.Equal(t, Join, joined.Step)
 		assert.True(t, table.Hand(2, tok, id))
-		table.Finish(id, Answer{Outcome: "done", Body: []byte("ok")})
+		table.Finish(id, Answer{Outcome: "done", Events: [][]byte{[]byte("ok")}})
 		<-joined.Done
 		again := table.Open(3, tok, id, 3, 9)
 		assert.Equal(t, Replay, again.Step)
-		assert.Equal(t, "ok", string(again.Answer.Body))
+		assert.Equal(t, "ok", string(again.Answer.Events[0]))
 	})
 	t.Run("a refused send stays refused and a later one runs", func(t *testing.T) {
 		table := NewTable(incarnation, limits)
@@ -151,6 +151,16 @@
 					delete(waiting, id)
 				}
 			},
+			"never": func(t *rapid.T) {
+				send := rapid.Uint32Range(0, 4).Draw(t, "send")
+				for id, tok := range waiting {
+					if table.Hand(now, tok, id) {
+						table.Never(id, send)
+						denied[id] = max(denied[id], send)
+					}
+					delete(waiting, id)
+				}
+			},
 			"finish": func(*rapid.T) {
 				for id := range runs {
 					table.Finish(id, Answer{Outcome: "done"})
