--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,96 @@
+package config
+
+import "carawaypick/pkg/clock"
+
+// Settings holds everything that one process is told at its start.
+type Settings struct {
+	Name     string   `json:"name" jsonschema:"required,maxLength=63,pattern=^[a-z0-9][a-z0-9.-]*$" jsonschema_description:"Name of the process, unique in the instance list"`
+	Zone     string   `json:"zone" jsonschema:"required,maxLength=63,pattern=^[a-z0-9][a-z0-9.-]*$" jsonschema_description:"Availability zone of the instance"`
+	Region   string   `json:"region" jsonschema:"maxLength=63,pattern=^[a-z0-9][a-z0-9.-]*$" jsonschema_description:"Region of the availability zone"`
+	Listen   string   `json:"listen" jsonschema:"required,format=address" jsonschema_description:"IP address and port of the HTTP server: callers on entries and operators on all processes"`
+	Peer     string   `json:"peer" jsonschema:"required,format=address" jsonschema_description:"IP address and port of the gRPC server for the system's own processes"`
+	Seeds    []string `json:"seeds" jsonschema:"format=address" jsonschema_description:"Peer addresses to ask before the instance list is known"`
+	Key      string   `json:"key" jsonschema:"writeOnly=true,minLength=16,maxLength=256" jsonschema_description:"Key shared by the system's own processes; empty for none"`
+	Certs    Certs    `json:"certs" jsonschema_description:"Files for mutual TLS between the system's own processes"`
+	Platform Platform `json:"platform" jsonschema_description:"Addresses of the platform's services"`
+	Backend  Backend  `json:"backend" jsonschema_description:"The backend server beside an agent"`
+	Limits   Limits   `json:"limits" jsonschema_description:"Bounds on what the process holds"`
+	Timing   Timing   `json:"timing" jsonschema_description:"Intervals and lifetimes in milliseconds"`
+	Log      Log      `json:"log" jsonschema_description:"Log output"`
+	Trace    Trace    `json:"trace" jsonschema_description:"Trace output"`
+}
+
+// Certs names the PEM files for mutual TLS; all three or none are set.
+type Certs struct {
+	Cert string `json:"cert" jsonschema:"maxLength=4096" jsonschema_description:"Certificate of the process"`
+	Key  string `json:"key" jsonschema:"maxLength=4096" jsonschema_description:"Private key of the certificate"`
+	Ca   string `json:"ca" jsonschema:"maxLength=4096" jsonschema_description:"Certificates of the authority that signs all processes"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Tickets string `json:"tickets" jsonschema:"required,format=uri" jsonschema_description:"Configuration service that publishes change tickets"`
+	List    string `json:"list" jsonschema:"required,format=uri" jsonschema_description:"Instance list"`
+	Weights string `json:"weights" jsonschema:"format=uri" jsonschema_description:"Weight store"`
+}
+
+// Backend describes the backend server beside an agent.
+type Backend struct {
+	URL     string `json:"url" jsonschema:"format=uri" jsonschema_description:"Base URL of the backend server"`
+	Service string `json:"service" jsonschema:"maxLength=63,pattern=^[a-z0-9][a-z0-9.-]*$" jsonschema_description:"Service that the backend server runs"`
+	Kind    string `json:"kind" jsonschema:"enum=engine,enum=plain" jsonschema_description:"Protocol of the backend server"`
+}
+
+// Limits bounds what one process holds at once.
+type Limits struct {
+	Body        int `json:"body" jsonschema:"minimum=1024,maximum=67108864" jsonschema_description:"Largest request body in bytes"`
+	Calls       int `json:"calls" jsonschema:"minimum=1,maximum=1000000" jsonschema_description:"Most calls in progress"`
+	Queue       int `json:"queue" jsonschema:"minimum=1,maximum=100000" jsonschema_description:"Most requests waiting at an agent"`
+	Event       int `json:"event" jsonschema:"minimum=1024,maximum=4194304" jsonschema_description:"Largest event of a stream in bytes"`
+	Connections int `json:"connections" jsonschema:"minimum=1,maximum=1000000" jsonschema_description:"Most open HTTP connections"`
+}
+
+// Timing holds intervals and lifetimes in milliseconds.
+type Timing struct {
+	TTL    clock.Span `json:"ttl" jsonschema:"minimum=100,maximum=600000" jsonschema_description:"Time in ms that callers keep a located address"`
+	Life   clock.Span `json:"life" jsonschema:"minimum=100,maximum=3600000" jsonschema_description:"Lifetime of a binding in ms, at least ttl"`
+	Keep   clock.Span `json:"keep" jsonschema:"minimum=1000,maximum=86400000" jsonschema_description:"Time in ms that an agent keeps the outcome of a request that may not be repeated, more than life"`
+	Poll   clock.Span `json:"poll" jsonschema:"minimum=10,maximum=60000" jsonschema_description:"Interval in ms between load reports"`
+	Gossip clock.Span `json:"gossip" jsonschema:"minimum=10,maximum=60000" jsonschema_description:"Interval in ms between exchanges with a peer"`
+	Settle clock.Span `json:"settle" jsonschema:"minimum=0,maximum=600000" jsonschema_description:"Time in ms that a new ticket is held for a second content of its number"`
+	Seal   clock.Span `json:"seal" jsonschema:"minimum=1000,maximum=86400000" jsonschema_description:"Time in ms that a condemned content is refused"`
+	Stall  clock.Span `json:"stall" jsonschema:"minimum=10,maximum=600000" jsonschema_description:"Time in ms without progress after which an attempt counts as stalled"`
+	Drain  clock.Span `json:"drain" jsonschema:"minimum=0,maximum=3600000" jsonschema_description:"Longest time in ms that a graceful shutdown waits, at least ttl"`
+}
+
+// Log says where log lines go and which of them.
+type Log struct {
+	Level string `json:"level" jsonschema:"enum=debug,enum=info,enum=warn,enum=error" jsonschema_description:"Lowest level that is written"`
+	File  string `json:"file" jsonschema:"maxLength=4096" jsonschema_description:"File to append to; empty for standard error, - for standard output"`
+}
+
+// Trace says where trace spans go and how many of them.
+type Trace struct {
+	File  string  `json:"file" jsonschema:"maxLength=4096" jsonschema_description:"File to append to; empty for no traces, - for standard output"`
+	Ratio float64 `json:"ratio" jsonschema:"minimum=0,maximum=1" jsonschema_description:"Part of the requests without a sampled parent that are traced"`
+}
+
+// Defaults returns the settings that hold where nothing else is given.
+func Defaults() Settings {
+	return Settings{
+		Limits: Limits{Body: 1 << 20, Calls: 4096, Queue: 256, Event: 64 << 10, Connections: 4096},
+		Timing: Timing{
+			TTL:    5 * clock.Second,
+			Life:   10 * clock.Second,
+			Keep:   10 * clock.Minute,
+			Poll:   clock.Second,
+			Gossip: clock.Second,
+			Settle: clock.Second,
+			Seal:   10 * clock.Minute,
+			Stall:  2 * clock.Second,
+			Drain:  30 * clock.Second,
+		},
+		Log:   Log{Level: "info"},
+		Trace: Trace{Ratio: 0.01},
+	}
+}
