--- /dev/null
+++ b/internal/balance/subset.go
@@ -0,0 +1,58 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Subset returns the agents that the entry self connects to, at most size, the same for each caller with the same lists.
+//
+// Entries are spaced evenly on a ring of agents and each takes the agents that follow its place, as in Finagle's
+// deterministic aperture. The numbers of entries of any two agents differ by at most one, and one entry more or less
+// moves each place by at most len(agents)/len(entries) agents.
+func Subset(self string, entries, agents []string, size int) []string {
+	if size <= 0 || len(agents) == 0 {
+		return nil
+	}
+	if size >= len(agents) {
+		return slices.Clone(agents)
+	}
+	ring := byHash(agents)
+	places := byHash(entries)
+	place := slices.Index(places, self)
+	if place < 0 {
+		place = 0
+	}
+	start := place * len(ring) / max(len(places), 1)
+	subset := make([]string, size)
+	for i := range subset {
+		subset[i] = ring[(start+i)%len(ring)]
+	}
+	return subset
+}
+
+// byHash returns names in the order of their hashes, so that neighbours share no property of their names.
+func byHash(names []string) []string {
+	type hashed struct {
+		name string
+		hash uint64
+	}
+	list := make([]hashed, len(names))
+	for i, name := range names {
+		list[i] = hashed{name: name, hash: xxhash.Sum64String(name)}
+	}
+	slices.SortFunc(list, func(a, b hashed) int {
+		if a.hash != b.hash {
+			return cmp.Compare(a.hash, b.hash)
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	sorted := make([]string, len(list))
+	for i := range list {
+		sorted[i] = list[i].name
+	}
+	return slices.Compact(sorted)
+}
