--- /dev/null
+++ b/internal/ticket/check.go
@@ -0,0 +1,183 @@
+package ticket
+
+import (
+	"math"
+	"strconv"
+)
+
+// States of a zone or backend server.
+const (
+	In  = "in"
+	Out = "out"
+)
+
+// Kinds of service.
+const (
+	ModelService = "model"
+	PlainService = "plain"
+)
+
+// Roles of a backend server.
+const (
+	AnyRole     = ""
+	PrefillRole = "prefill"
+	DecodeRole  = "decode"
+)
+
+// Bounds of single values.
+const (
+	maxStall    = 3600_000 // ms
+	maxBears    = 100_000
+	maxAdapters = 256
+	maxRanks    = 4096
+	maxSlots    = 4096
+)
+
+// Check judges a ticket against the state that it would be folded into, and returns an InvalidError where it is invalid.
+func Check(s *State, t Ticket) error {
+	_, err := s.next(t)
+	return err
+}
+
+// checkTicket judges what the ticket alone tells.
+func checkTicket(t Ticket) error {
+	if t.Number == 0 {
+		return invalid("number", "must be at least 1")
+	}
+	if err := checkName("author", t.Author); err != nil {
+		return err
+	}
+	if err := checkEach("teams", t.Objects.Teams, checkTeam); err != nil {
+		return err
+	}
+	if err := checkEach("zones", t.Objects.Zones, checkZone); err != nil {
+		return err
+	}
+	if err := checkEach("services", t.Objects.Services, checkService); err != nil {
+		return err
+	}
+	if err := checkEach("models", t.Objects.Models, checkModel); err != nil {
+		return err
+	}
+	if err := checkEach("backends", t.Objects.Backends, checkBackend); err != nil {
+		return err
+	}
+	return checkEach("groups", t.Objects.Groups, checkGroup)
+}
+
+// checkEach visits the objects in the order of their names, so that all processes give one reason.
+func checkEach[T any](kind string, objects map[string]*T, check func(field string, o *T) error) error {
+	for _, name := range sortedNames(objects) {
+		if err := checkName(kind, name); err != nil {
+			return err
+		}
+		o := objects[name]
+		if o == nil {
+			continue
+		}
+		if err := check(kind+"."+name, o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkTeam(field string, o *Team) error {
+	if math.IsNaN(o.Share) || math.IsInf(o.Share, 0) || o.Share <= 0 {
+		return invalid(field+".share", "must be finite and above 0")
+	}
+	return nil
+}
+
+func checkZone(field string, o *Zone) error {
+	return checkWord(field+".state", o.State, In, Out)
+}
+
+func checkService(field string, o *Service) error {
+	if err := checkWord(field+".kind", o.Kind, ModelService, PlainService); err != nil {
+		return err
+	}
+	if o.Kind == PlainService && o.Model != "" {
+		return invalid(field+".model", "must be empty for a plain service")
+	}
+	if o.Kind == ModelService && o.Model == "" {
+		return invalid(field+".model", "must be set for a model service")
+	}
+	if o.Stall > maxStall {
+		return invalid(field+".stall", "must be at most "+strconv.Itoa(maxStall)+" ms")
+	}
+	if o.Bears == 0 || o.Bears > maxBears {
+		return invalid(field+".bears", "must be from 1 to "+strconv.Itoa(maxBears))
+	}
+	if o.Cold == 0 || o.Cold > o.Bears {
+		return invalid(field+".cold", "must be from 1 to bears")
+	}
+	return nil
+}
+
+func checkModel(field string, o *Model) error {
+	if err := checkName(field+".version", o.Version); err != nil {
+		return err
+	}
+	return checkNames(field+".adapters", o.Adapters, maxAdapters)
+}
+
+func checkBackend(field string, o *Backend) error {
+	if err := checkWord(field+".state", o.State, In, Out); err != nil {
+		return err
+	}
+	return checkWord(field+".role", o.Role, AnyRole, PrefillRole, DecodeRole)
+}
+
+func checkGroup(field string, o *Group) error {
+	if len(o.Ranks) == 0 {
+		return invalid(field+".ranks", "must not be empty")
+	}
+	if err := checkNames(field+".ranks", o.Ranks, maxRanks); err != nil {
+		return err
+	}
+	if o.Slots < 1 || o.Slots > maxSlots {
+		return invalid(field+".slots", "must be from 1 to "+strconv.Itoa(maxSlots))
+	}
+	return nil
+}
+
+// checkReferences judges what the touched objects and the whole state say of each other.
+func checkReferences(all, touched *Objects) error {
+	if len(touched.Services) > 0 || len(touched.Models) > 0 {
+		if err := checkModels(all); err != nil {
+			return err
+		}
+	}
+	if len(touched.Groups) > 0 {
+		return checkRanks(all)
+	}
+	return nil
+}
+
+func checkModels(all *Objects) error {
+	for _, name := range sortedNames(all.Services) {
+		s := all.Services[name]
+		if s.Kind != ModelService {
+			continue
+		}
+		if _, ok := all.Models[s.Model]; !ok {
+			return invalid("services."+name+".model", "names "+s.Model+", which does not exist")
+		}
+	}
+	return nil
+}
+
+// checkRanks refuses an agent in two groups, as a rank runs in lock-step with one group only.
+func checkRanks(all *Objects) error {
+	owner := make(map[string]string)
+	for _, name := range sortedNames(all.Groups) {
+		for _, rank := range all.Groups[name].Ranks {
+			if other, ok := owner[rank]; ok {
+				return invalid("groups."+name+".ranks", "names "+rank+", which is in group "+other)
+			}
+			owner[rank] = name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ticket/diff.go
@@ -0,0 +1,111 @@
+package ticket
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Line is one field that differs between two states.
+type Line struct {
+	Kind  string `json:"kind"`
+	Name  string `json:"name"`
+	Field string `json:"field"` // empty where the whole object is added or removed
+	From  string `json:"from"`  // JSON, empty where added
+	To    string `json:"to"`    // JSON, empty where removed
+}
+
+// String returns the line as operators read it.
+func (l Line) String() string {
+	place := l.Kind + "." + l.Name
+	if l.Field != "" {
+		place += "." + l.Field
+	}
+	switch {
+	case l.From == "":
+		return "+ " + place + " " + l.To
+	case l.To == "":
+		return "- " + place + " " + l.From
+	}
+	return "~ " + place + " " + l.From + " -> " + l.To
+}
+
+// Render returns one text line for each difference.
+func Render(lines []Line) string {
+	var b strings.Builder
+	for _, l := range lines {
+		b.WriteString(l.String())
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// Diff returns what changes from one state to another, by kind, name and field.
+func Diff(from, to *State) (lines []Line) {
+	lines = diffKind(lines, "teams", from.Objects.Teams, to.Objects.Teams)
+	lines = diffKind(lines, "zones", from.Objects.Zones, to.Objects.Zones)
+	lines = diffKind(lines, "services", from.Objects.Services, to.Objects.Services)
+	lines = diffKind(lines, "models", from.Objects.Models, to.Objects.Models)
+	lines = diffKind(lines, "backends", from.Objects.Backends, to.Objects.Backends)
+	return diffKind(lines, "groups", from.Objects.Groups, to.Objects.Groups)
+}
+
+// Change returns what a ticket would change in a state, or an InvalidError.
+func Change(s *State, t Ticket) (lines []Line, err error) {
+	n, err := s.next(t)
+	if err != nil {
+		return nil, err
+	}
+	return Diff(s, n), nil
+}
+
+func diffKind[T any](lines []Line, kind string, from, to map[string]*T) []Line {
+	names := make(map[string]bool, len(from)+len(to))
+	for name := range from {
+		names[name] = true
+	}
+	for name := range to {
+		names[name] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		lines = diffObject(lines, kind, name, encodeObject(from[name]), encodeObject(to[name]))
+	}
+	return lines
+}
+
+func encodeObject[T any](o *T) []byte {
+	if o == nil {
+		return nil
+	}
+	content, err := json.Marshal(o)
+	if err != nil {
+		return nil
+	}
+	return content
+}
+
+func diffObject(lines []Line, kind, name string, from, to []byte) []Line {
+	if bytes.Equal(from, to) {
+		return lines
+	}
+	if from == nil || to == nil {
+		return append(lines, Line{Kind: kind, Name: name, From: string(from), To: string(to)})
+	}
+	before, after := fieldsOf(from), fieldsOf(to)
+	for _, field := range slices.Sorted(maps.Keys(after)) {
+		if !bytes.Equal(before[field], after[field]) {
+			l := Line{Kind: kind, Name: name, Field: field, From: string(before[field]), To: string(after[field])}
+			lines = append(lines, l)
+		}
+	}
+	return lines
+}
+
+func fieldsOf(content []byte) (fields map[string]json.RawMessage) {
+	if err := json.Unmarshal(content, &fields); err != nil {
+		return nil
+	}
+	return fields
+}
