--- /dev/null
+++ b/internal/backend/dialect.go
@@ -0,0 +1,68 @@
+package backend
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"carawaypick/internal/kernel"
+	"carawaypick/pkg/clock"
+)
+
+// Task is one hand-over to a backend server.
+type Task struct {
+	ID       string
+	Method   string
+	Path     string
+	Body     []byte
+	Priority int32
+	Resume   uint64 // events that the caller already has
+	Limit    int    // most bytes of one event or body
+}
+
+// Piece is one event of an answer.
+type Piece struct {
+	Index uint64 // number of the event, from 0
+	Data  []byte
+}
+
+// End closes a whole answer.
+type End struct {
+	Count   uint64 // events in the whole answer
+	Hash    uint64 // xxhash64 over the data of all events
+	Status  int    // HTTP status
+	Content string // media type
+}
+
+// Load is a backend server's own report.
+type Load struct {
+	Incarnation string     `json:"incarnation"`
+	Running     uint32     `json:"running"`
+	Queued      uint32     `json:"queued"`
+	Tokens      uint64     `json:"tokens"`
+	Age         clock.Span `json:"age"` // milliseconds since the report was made
+}
+
+// Dialect speaks one backend server's protocol.
+type Dialect struct {
+	// Run hands a task over with one write and passes each event to emit in order.
+	// Errors carry ErrNever where no byte was written, otherwise the task may have run.
+	Run func(ctx context.Context, task Task, emit func(Piece) error) (End, error)
+	// Load returns the backend server's report.
+	Load func(ctx context.Context) (Load, error)
+}
+
+// ErrNever marks a hand-over of which no byte left the agent.
+var ErrNever = errors.New("not handed over")
+
+// ErrCut marks an answer that broke off.
+var ErrCut = errors.New("answer broke off")
+
+// ErrForeign marks an answer that belongs to another request.
+var ErrForeign = errors.New("answer belongs to another request")
+
+// ErrStall marks an answer without progress.
+var ErrStall = errors.New("answer makes no progress")
+
+// Dialects holds the constructors of all dialects; each takes the base URL of the backend server.
+var Dialects = kernel.NewRegistry[func(url string) (Dialect, error)]("dialect")
--- /dev/null
+++ b/internal/backend/load.go
@@ -0,0 +1,37 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// load reads the report at /load; a backend server without one counts as a single incarnation.
+func (t transport) load(ctx context.Context) (load Load, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "read load report")
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, reportPeriod.Duration())
+	defer cancel()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI("/load")
+	err = t.exchange(ctx, request, func(response *fasthttp.Response) error {
+		content, err := body(response, reportBytes)
+		if err != nil {
+			return err
+		}
+		if response.StatusCode() == fasthttp.StatusNotFound {
+			return nil
+		}
+		if response.StatusCode() != fasthttp.StatusOK {
+			return errors.Newf("status %d", response.StatusCode())
+		}
+		return json.Unmarshal(content, &load)
+	})
+	return load, err
+}
--- /dev/null
+++ b/internal/backend/report.go
@@ -0,0 +1,54 @@
+package backend
+
+import (
+	"context"
+
+	"carawaypick/internal/peer/peerpb"
+)
+
+// Poll returns the agent's load to an entry.
+func (a *Agent) Poll(_ context.Context, request *peerpb.PollRequest) (*peerpb.Report, error) {
+	a.member.Heard(request.GetDigest(), "")
+	for _, e := range request.GetEvidence() {
+		a.member.AddEvidence(e)
+	}
+	return a.report(request.GetEntry()), nil
+}
+
+// report returns the agent's load with the asking entry's part of the window.
+func (a *Agent) report(entry string) *peerpb.Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	window := a.ramp.Window(now)
+	r := &peerpb.Report{
+		Name:        a.settings.Name,
+		Incarnation: a.incarnation,
+		Clock:       uint64(now),
+		State:       a.standing(),
+		Window:      window,
+		Running:     uint32(len(a.running)),
+		Queued:      uint32(a.queue.Len() + len(a.aside)),
+		Tokens:      a.queue.Tokens() + a.tokens(),
+		Rate:        a.pace.rate(),
+		Load:        a.load.Tokens,
+		Age:         uint64(max(now.Sub(a.loaded)+a.load.Age, 0)),
+		Life:        uint64(a.settings.Timing.Life),
+		Digest:      a.member.Digest(),
+	}
+	if r.State == StateLive {
+		r.Grant = a.grants.Ask(now, entry, window)
+	}
+	a.telemetry.Metrics.Ramp.Set(float64(window))
+	a.telemetry.Metrics.Running.Set(float64(r.Running))
+	a.telemetry.Metrics.Queued.Set(float64(r.Queued))
+	return r
+}
+
+// tokens returns the expected tokens of running work; mu is held.
+func (a *Agent) tokens() (sum uint64) {
+	for w := range a.running {
+		sum += uint64(w.request.GetTokens())
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/backend/transport.go
@@ -0,0 +1,91 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"carawaypick/pkg/clock"
+)
+
+const (
+	dialTimeout  = 500 * clock.Millisecond
+	readerBytes  = 16 << 10
+	reportBytes  = 64 << 10
+	reportPeriod = clock.Second // longest wait for a report
+)
+
+// transport opens one connection for each exchange, so that no stale connection is
+// ever reused and a failed dial proves that nothing was handed over.
+type transport struct {
+	address string
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func newTransport(base string) (t transport, err error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return transport{}, errors.Wrap(err, "parse URL of the backend server")
+	}
+	if u.Scheme != "http" || u.Host == "" {
+		return transport{}, errors.Newf("URL of the backend server must be http://host:port, not %q", base)
+	}
+	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
+	return transport{address: u.Host, dial: dialer.DialContext}, nil
+}
+
+// exchange writes the request once and passes the response to read, which must consume its body.
+// The connection is closed when ctx ends.
+func (t transport) exchange(ctx context.Context, request *fasthttp.Request, read func(*fasthttp.Response) error) (err error) {
+	conn, err := t.dial(ctx, "tcp", t.address)
+	if err != nil {
+		return errors.Wrapf(ErrNever, "dial: %v", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	request.Header.SetConnectionClose()
+	request.SetHost(t.address)
+	if err := write(conn, request); err != nil {
+		return errors.Wrapf(ErrCut, "write: %v", err)
+	}
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	response.StreamBody = true
+	if err := response.ReadLimitBody(bufio.NewReaderSize(conn, readerBytes), 0); err != nil {
+		return errors.Wrapf(ErrCut, "read header: %v", err)
+	}
+	return read(response)
+}
+
+func write(conn net.Conn, request *fasthttp.Request) error {
+	w := bufio.NewWriterSize(conn, len(request.Body())+readerBytes)
+	if err := request.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// body reads the whole body of at most limit bytes.
+func body(response *fasthttp.Response, limit int) (content []byte, err error) {
+	stream := response.BodyStream()
+	if stream == nil {
+		return nil, nil
+	}
+	content, err = io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	if err != nil {
+		return nil, errors.Wrapf(ErrCut, "read body: %v", err)
+	}
+	if len(content) > limit {
+		return nil, errors.Wrapf(ErrCut, "body is over %d bytes", limit)
+	}
+	if want := response.Header.ContentLength(); want >= 0 && want != len(content) {
+		return nil, errors.Wrapf(ErrCut, "body has %d bytes of %d", len(content), want)
+	}
+	return content, nil
+}
--- /dev/null
+++ b/internal/caller/board.go
@@ -0,0 +1,224 @@
+package caller
+
+import (
+	"slices"
+	"sync"
+
+	"carawaypick/internal/balance"
+	"carawaypick/internal/peer/peerpb"
+	"carawaypick/internal/platform"
+	"carawaypick/internal/ticket"
+	"carawaypick/pkg/clock"
+)
+
+const (
+	lostKeep   = 500 * clock.Millisecond // how long an agent that could not be reached is passed over
+	staleAfter = 5                       // polls without a report after which an agent counts as lost
+)
+
+// Target is one agent as an attempt uses it.
+type Target struct {
+	Name    string
+	Zone    string
+	Address string
+}
+
+// view is what the entry knows of one agent.
+type view struct {
+	target      Target
+	service     string
+	listed      bool // live by the instance list
+	report      *peerpb.Report
+	at          clock.Time // when the report came
+	asked       clock.Time // when a report was last asked for
+	lost        clock.Time // until when the agent is passed over
+	outstanding uint32
+	tokens      uint64
+}
+
+// Board holds what the entry knows of its agents; it is safe for many goroutines.
+type Board struct {
+	mu     sync.Mutex
+	clock  clock.Clock
+	poll   clock.Span
+	agents map[string]*view
+}
+
+// NewBoard returns an empty board for reports that come every poll milliseconds.
+func NewBoard(c clock.Clock, poll clock.Span) *Board {
+	return &Board{clock: c, poll: poll, agents: make(map[string]*view)}
+}
+
+// Update takes the agents that this entry serves from the instance list.
+func (b *Board) Update(agents []platform.Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	seen := make(map[string]struct{}, len(agents))
+	for _, i := range agents {
+		seen[i.Name] = struct{}{}
+		v := b.agents[i.Name]
+		if v == nil || v.target.Address != i.Peer {
+			v = &view{}
+			b.agents[i.Name] = v
+		}
+		v.target = Target{Name: i.Name, Zone: i.Zone, Address: i.Peer}
+		v.service = i.Service
+		v.listed = i.State != platform.StateLeaving
+	}
+	for name, v := range b.agents {
+		if _, ok := seen[name]; !ok && v.outstanding == 0 {
+			delete(b.agents, name)
+		} else if !ok {
+			v.listed = false
+		}
+	}
+}
+
+// Heard takes a report in.
+func (b *Board) Heard(r *peerpb.Report) {
+	if r == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := b.agents[r.GetName()]
+	if v == nil {
+		return
+	}
+	if v.report != nil && v.report.GetIncarnation() == r.GetIncarnation() && v.report.GetClock() > r.GetClock() {
+		return
+	}
+	v.report = r
+	v.at = b.clock.Now()
+	v.lost = 0
+}
+
+// Lost passes an agent over for a while.
+func (b *Board) Lost(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if v := b.agents[name]; v != nil {
+		v.lost = b.clock.Now().Add(lostKeep)
+	}
+}
+
+// Begin counts an attempt at an agent, and End takes it off again.
+func (b *Board) Begin(name string, tokens uint32) {
+	b.count(name, 1, int64(tokens))
+}
+
+// End takes an ended attempt off.
+func (b *Board) End(name string, tokens uint32) {
+	b.count(name, -1, -int64(tokens))
+}
+
+func (b *Board) count(name string, calls int32, tokens int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := b.agents[name]
+	if v == nil {
+		return
+	}
+	v.outstanding = uint32(max(int64(v.outstanding)+int64(calls), 0))
+	v.tokens = uint64(max(int64(v.tokens)+tokens, 0))
+}
+
+// Candidates returns the agents of a service in a fixed order, with those that may get no new work marked as down.
+func (b *Board) Candidates(service string, state *ticket.State) (targets []Target, candidates []balance.Candidate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	for _, name := range b.names(service) {
+		v := b.agents[name]
+		targets = append(targets, v.target)
+		candidates = append(candidates, b.candidate(now, v, state))
+	}
+	return targets, candidates
+}
+
+func (b *Board) names(service string) (names []string) {
+	for name, v := range b.agents {
+		if v.service == service {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (b *Board) candidate(now clock.Time, v *view, state *ticket.State) balance.Candidate {
+	c := balance.Candidate{
+		Name:        v.target.Name,
+		Zone:        v.target.Zone,
+		Outstanding: v.outstanding,
+		Tokens:      v.tokens,
+		Down:        !b.usable(now, v, state),
+	}
+	if r := v.report; r != nil {
+		c.Load = r.GetTokens()
+		c.Age = now.Sub(v.at)
+		c.Window = r.GetWindow()
+		c.Grant = r.GetGrant()
+		c.Rate = r.GetRate()
+	}
+	return c
+}
+
+// usable tells whether an agent may get new work as far as the entry knows.
+func (b *Board) usable(now clock.Time, v *view, state *ticket.State) bool {
+	if !v.listed || v.report == nil || now < v.lost || out(state, v.target) {
+		return false
+	}
+	return v.report.GetState() == stateLive && now.Sub(v.at) < staleAfter*b.poll
+}
+
+// stateLive is the state of an agent that takes new work.
+const stateLive = "live"
+
+// out tells whether operators have taken an agent or its availability zone out.
+func out(state *ticket.State, t Target) bool {
+	if z := state.Objects.Zones[t.Zone]; z != nil && z.State == "out" {
+		return true
+	}
+	s := state.Objects.Backends[t.Name]
+	return s != nil && s.State == "out"
+}
+
+// Report returns the last report of an agent and its age in milliseconds.
+func (b *Board) Report(name string) (r *peerpb.Report, age clock.Span, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := b.agents[name]
+	if v == nil || v.report == nil {
+		return nil, 0, false
+	}
+	return v.report, b.clock.Now().Sub(v.at), true
+}
+
+// Target returns the address of a known agent.
+func (b *Board) Target(name string) (t Target, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := b.agents[name]
+	if v == nil {
+		return Target{}, false
+	}
+	return v.target, true
+}
+
+// Due returns the agents from which no report came for a poll, and counts them as asked.
+func (b *Board) Due() (due []Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	for _, v := range b.agents {
+		waited := v.asked != 0 && now.Sub(v.asked) < b.poll
+		fresh := v.report != nil && now.Sub(v.at) < b.poll
+		if waited || fresh {
+			continue
+		}
+		v.asked = max(now, 1)
+		due = append(due, v.target)
+	}
+	return due
+}
