Answer operators and check callers between processes

Cause: operators ask each process what it believes; peers must be told from strangers. Ruled out: asking agents over HTTP from the list, which names no HTTP address of theirs; the gRPC status call serves both roles. Conclusion: either check refuses before the handler is reached.

--- /dev/null
+++ b/internal/operator/ask_test.go
@@ -0,0 +1,125 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+// list serves an instance list and returns its base URL.
+func list(t *testing.T, content string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) { c.SetBodyString(content) }}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(l) }()
+	t.Cleanup(func() {
+		require.NoError(t, server.Shutdown())
+		require.NoError(t, <-done)
+	})
+	return "http://" + l.Addr().String()
+}
+
+func entry(name string, number uint64, hash string) Views {
+	ring := NewRing(4)
+	ring.Add(Decision{
+		Key: "k.1", Attempt: uint32(number), Process: name, Kind: "choose", Backend: "a1",
+		Candidates: []Candidate{{Name: "a1", Zone: "lima-a", Score: 0.5}},
+	})
+	return views(Status{Name: name, Role: "entry", Zone: "lima-a", State: "live", Number: number, Hash: hash}, ring)
+}
+
+func TestAsk(t *testing.T) {
+	first := servedPeer(t, entry("e1", 4, "0a"))
+	second := servedPeer(t, entry("e2", 3, "0b"))
+	c := Client{Dial: plain(), List: list(t, fmt.Sprintf(
+		`{"version":1,"instances":[{"name":"e2","role":"entry","peer":%q,"state":"live"},{"name":"e1","role":"entry","peer":%q,"state":"live"},{"name":"e3","role":"entry","peer":"127.0.0.1:1","state":"live"}]}`,
+		second, first))}
+	processes, err := c.Processes()
+	require.NoError(t, err)
+	t.Run("the table shows every process by name", func(t *testing.T) {
+		var out bytes.Buffer
+		require.NoError(t, WriteStatus(&out, c.Ask(context.Background(), processes, "")))
+		assert.Regexp(t, `(?s)NAME.*\ne1 +entry +lima-a +live +4 +0a .*\ne2 .*\ne3 +entry +unreachable.*cannot reach 127.0.0.1:1`, out.String())
+	})
+	t.Run("the decisions of all processes come in order", func(t *testing.T) {
+		all := Decisions(c.Ask(context.Background(), processes, "k.1"))
+		require.Len(t, all, 2)
+		assert.Equal(t, []string{"e2", "e1"}, []string{all[0].Process, all[1].Process})
+		var out bytes.Buffer
+		require.NoError(t, WriteDecisions(&out, all))
+		assert.Contains(t, out.String(), "zone lima-a, score 0.500")
+	})
+	t.Run("given addresses are asked over HTTP", func(t *testing.T) {
+		given := Client{Asked: []string{served(t, entry("e9", 7, "0c"))}}
+		processes, err := given.Processes()
+		require.NoError(t, err)
+		replies := given.Ask(context.Background(), processes, "")
+		assert.Equal(t, uint64(7), replies[0].Answer.Status.Number)
+		state, err := given.State()
+		require.NoError(t, err)
+		assert.JSONEq(t, `{"number":4}`, string(state))
+	})
+	t.Run("a list that is no list is refused", func(t *testing.T) {
+		bad := Client{List: list(t, `[]`)}
+		_, err := bad.Processes()
+		assert.ErrorContains(t, err, "read instance list")
+		var unreachable *UnreachableError
+		_, err = (&Client{List: "http://127.0.0.1:1"}).Processes()
+		assert.True(t, errors.As(err, &unreachable))
+	})
+}
+
+func reply(name, state string, s *Status, fault string) Reply {
+	return Reply{Process: Process{Name: name, State: state}, Answer: Answer{Status: s}, Fault: fault}
+}
+
+// pending asserts that ticket 4 is held back by exactly these reasons.
+func pending(t *testing.T, replies []Reply, want ...string) {
+	t.Helper()
+	err := inForce(4, replies)
+	if len(want) == 0 {
+		assert.NoError(t, err)
+		return
+	}
+	var p *PendingError
+	require.True(t, errors.As(err, &p))
+	assert.Equal(t, want, p.Pending)
+}
+
+func TestWait(t *testing.T) {
+	at := func(name string, number uint64, hash string) Reply {
+		return reply(name, "live", &Status{Number: number, Hash: hash}, "")
+	}
+	t.Run("every process at the number or above", func(t *testing.T) {
+		pending(t, []Reply{at("e1", 4, "a"), at("e2", 5, "b")})
+	})
+	t.Run("one behind, one missing a ticket", func(t *testing.T) {
+		held := reply("e3", "live", &Status{Number: 2, Missing: &Missing{Number: 3, Held: 900}}, "")
+		pending(t, []Reply{at("e1", 4, "a"), at("e2", 1, "b"), held}, "e2: at ticket 1", "e3: at ticket 2, missing ticket 3 for 900 ms")
+	})
+	t.Run("one number with two hashes", func(t *testing.T) {
+		pending(t, []Reply{at("e1", 4, "a"), at("e2", 4, "b")}, "e2: at ticket 4 with hash b where others have a")
+	})
+	t.Run("silence counts unless the instance is leaving", func(t *testing.T) {
+		pending(t, []Reply{reply("e1", "live", nil, "no answer")}, "e1: no answer")
+		pending(t, []Reply{at("e1", 4, "a"), reply("e2", "leaving", nil, "no answer")})
+		pending(t, nil, "no process is listed")
+	})
+	t.Run("asks again until the time is over", func(t *testing.T) {
+		c := Client{Asked: []string{served(t, entry("e1", 3, "a"))}}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		assert.ErrorContains(t, c.Wait(ctx, 4), "at ticket 3")
+		assert.NoError(t, c.Wait(context.Background(), 3))
+	})
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,132 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/recover"
+
+	"carawaypick/internal/config"
+	"carawaypick/internal/telemetry"
+	"carawaypick/pkg/clock"
+)
+
+// Paths of the operators' calls.
+const (
+	PathMetrics = "/metrics"
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathStatus  = "/v1/status"
+	PathExplain = "/v1/explain"
+	PathState   = "/v1/state"
+)
+
+// Bounds of one operator's call.
+const (
+	maxHeader   = 8 << 10 // bytes
+	readTimeout = 10 * clock.Second
+	idleTimeout = 60 * clock.Second
+	stopTimeout = 2 * clock.Second
+)
+
+// Views are the functions through which operators see a process.
+type Views struct {
+	Status  func() Status
+	Explain func(key string) []Decision
+	Ready   func() error           // nil where the process serves
+	State   func() ([]byte, error) // folded state of the tickets as JSON
+	Metrics *telemetry.Metrics
+}
+
+// Content returns the JSON answer to a status call, or to an explain call where key is not empty.
+func (v Views) Content(key string) (content []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "write status")
+		}
+	}()
+	if key != "" {
+		return json.Marshal(Answer{Decisions: v.Explain(key)})
+	}
+	s := v.Status()
+	return json.Marshal(Answer{Status: &s})
+}
+
+// Register adds the operators' routes to app.
+func Register(app *fiber.App, v Views) {
+	app.Get(PathHealth, func(c *fiber.Ctx) error { return c.SendString("ok\n") })
+	app.Get(PathReady, v.ready)
+	app.Get(PathMetrics, v.metrics)
+	app.Get(PathStatus, func(c *fiber.Ctx) error { return v.answer(c, "") })
+	app.Get(PathExplain, v.explain)
+	app.Get(PathState, v.state)
+}
+
+func (v Views) ready(c *fiber.Ctx) error {
+	if err := v.Ready(); err != nil {
+		return fiber.NewError(fiber.StatusServiceUnavailable, err.Error())
+	}
+	return c.SendString("ready\n")
+}
+
+func (v Views) metrics(c *fiber.Ctx) error {
+	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
+	v.Metrics.Write(c)
+	return nil
+}
+
+func (v Views) explain(c *fiber.Ctx) error {
+	key := c.Query("key")
+	if key == "" {
+		return fiber.NewError(fiber.StatusBadRequest, "key: got nothing, allowed a request id")
+	}
+	return v.answer(c, key)
+}
+
+func (v Views) answer(c *fiber.Ctx, key string) error {
+	content, err := v.Content(key)
+	if err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(content)
+}
+
+func (v Views) state(c *fiber.Ctx) error {
+	content, err := v.State()
+	if err != nil {
+		return fiber.NewError(fiber.StatusServiceUnavailable, err.Error())
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(content)
+}
+
+// Serve answers operators on l until ctx ends; the channel gives the server's end.
+func Serve(ctx context.Context, l net.Listener, limits config.Limits, v Views) <-chan error {
+	app := fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             limits.Body,
+		Concurrency:           limits.Connections,
+		ReadBufferSize:        maxHeader,
+		ReadTimeout:           readTimeout.Duration(),
+		IdleTimeout:           idleTimeout.Duration(),
+	})
+	app.Use(recover.New())
+	Register(app, v)
+	done := make(chan error, 1)
+	stopped := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		stopped <- app.ShutdownWithTimeout(stopTimeout.Duration())
+	})
+	go func() {
+		err := app.Listener(l)
+		if !stop() {
+			err = errors.CombineErrors(err, <-stopped)
+		}
+		done <- errors.Wrap(err, "serve operators")
+	}()
+	return done
+}
--- /dev/null
+++ b/internal/operator/server_test.go
@@ -0,0 +1,122 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"carawaypick/internal/config"
+	"carawaypick/internal/peer/peerpb"
+	"carawaypick/internal/telemetry"
+)
+
+func views(status Status, ring *Ring) Views {
+	return Views{
+		Status:  func() Status { return status },
+		Explain: ring.Find,
+		Ready:   func() error { return nil },
+		State:   func() ([]byte, error) { return []byte(`{"number":4}`), nil },
+		Metrics: telemetry.NewMetrics(),
+	}
+}
+
+// served starts a server for v and returns its address; the test fails unless the server ends with the test.
+func served(t *testing.T, v Views) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := Serve(ctx, l, config.Defaults().Limits, v)
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return l.Addr().String()
+}
+
+func TestServe(t *testing.T) {
+	ring := NewRing(8)
+	ring.Add(Decision{Key: "k.1", Attempt: 1, Kind: "choose", Backend: "a1"})
+	v := views(Status{Name: "e1", Role: "entry", Number: 4, Hash: "00000000000000ff"}, ring)
+	address := served(t, v)
+	t.Run("answers each route", func(t *testing.T) {
+		for path, want := range map[string]string{
+			PathHealth:                "ok",
+			PathReady:                 "ready",
+			PathMetrics:               "carawaypick_ticket_number 0",
+			PathStatus:                `"number":4`,
+			PathExplain + "?key=k.1":  `"backend":"a1"`,
+			PathExplain + "?key=none": `{}`,
+			PathState:                 `{"number":4}`,
+		} {
+			content, err := get("http://" + address + path)
+			require.NoError(t, err, path)
+			assert.Contains(t, string(content), want, path)
+		}
+	})
+	t.Run("refuses an explain call without a key", func(t *testing.T) {
+		_, err := get("http://" + address + PathExplain)
+		assert.ErrorContains(t, err, "Bad Request")
+	})
+	t.Run("says why it is not ready", func(t *testing.T) {
+		v.Ready = func() error { return errors.New("no ticket yet") }
+		_, err := get("http://" + served(t, v) + PathReady)
+		var unreachable *UnreachableError
+		require.True(t, errors.As(err, &unreachable))
+		assert.Contains(t, unreachable.Reason, "Service Unavailable")
+	})
+}
+
+func TestRing(t *testing.T) {
+	r := NewRing(3)
+	for i := range 5 {
+		r.Add(Decision{Key: fmt.Sprint("k", i%2), Attempt: uint32(i)})
+	}
+	attempts := func(key string) (all []uint32) {
+		for _, d := range r.Find(key) {
+			all = append(all, d.Attempt)
+		}
+		return all
+	}
+	assert.Equal(t, []uint32{2, 4}, attempts("k0"))
+	assert.Equal(t, []uint32{3}, attempts("k1"))
+	assert.Empty(t, attempts("k2"))
+}
+
+// peerServer answers the status call over gRPC from views.
+type peerServer struct {
+	peerpb.UnimplementedPeerServer
+	views Views
+}
+
+func (p peerServer) Status(_ context.Context, r *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	content, err := p.views.Content(r.GetKey())
+	return &peerpb.StatusReply{Content: content}, err
+}
+
+// servedPeer returns the address of a gRPC server for v that ends with the test.
+func servedPeer(t *testing.T, v Views) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := grpc.NewServer()
+	peerpb.RegisterPeerServer(s, peerServer{views: v})
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		s.Stop()
+		require.NoError(t, <-done)
+	})
+	return l.Addr().String()
+}
+
+func plain() []grpc.DialOption {
+	return []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}
+}
--- /dev/null
+++ b/internal/peer/secure.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"carawaypick/internal/config"
+)
+
+// keyHeader carries the shared key in the metadata of each call.
+const keyHeader = "key"
+
+// Secured tells whether callers of the gRPC server are checked.
+func Secured(s config.Settings) bool {
+	return s.Key != "" || s.Certs.Cert != ""
+}
+
+// ServerOptions returns the checks of the gRPC server: mutual TLS where certificates are set, the key where one is set.
+func ServerOptions(s config.Settings) (options []grpc.ServerOption, err error) {
+	if s.Certs.Cert != "" {
+		c, err := certificates(s.Certs)
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, grpc.Creds(credentials.NewTLS(c)))
+	}
+	if s.Key != "" {
+		k := sha256.Sum256([]byte(s.Key))
+		options = append(options, grpc.ChainUnaryInterceptor(unaryCheck(k)), grpc.ChainStreamInterceptor(streamCheck(k)))
+	}
+	return options, nil
+}
+
+// DialOptions returns what a caller of the gRPC servers shows: its certificate, the key, both or nothing.
+func DialOptions(s config.Settings) (options []grpc.DialOption, err error) {
+	transport := insecure.NewCredentials()
+	if s.Certs.Cert != "" {
+		c, err := certificates(s.Certs)
+		if err != nil {
+			return nil, err
+		}
+		transport = credentials.NewTLS(c)
+	}
+	options = append(options, grpc.WithTransportCredentials(transport))
+	if s.Key != "" {
+		options = append(options, grpc.WithPerRPCCredentials(sharedKey{s.Key}))
+	}
+	return options, nil
+}
+
+// certificates returns a TLS configuration in which both sides show a certificate of the authority.
+func certificates(c config.Certs) (t *tls.Config, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "read certificates")
+		}
+	}()
+	pair, err := tls.LoadX509KeyPair(c.Cert, c.Key)
+	if err != nil {
+		return nil, err
+	}
+	authority, err := os.ReadFile(c.Ca)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, errors.Newf("%s: no PEM certificate", c.Ca)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
+
+// sharedKey puts the key into the metadata of each call.
+type sharedKey struct {
+	key string
+}
+
+// GetRequestMetadata returns the key.
+func (k sharedKey) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
+	return map[string]string{keyHeader: k.key}, nil
+}
+
+// RequireTransportSecurity is false: the key also serves where there is no TLS.
+func (k sharedKey) RequireTransportSecurity() bool {
+	return false
+}
+
+func unaryCheck(want [sha256.Size]byte) grpc.UnaryServerInterceptor {
+	return func(ctx context.Context, request any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+		if err := checkKey(ctx, want); err != nil {
+			return nil, err
+		}
+		return next(ctx, request)
+	}
+}
+
+func streamCheck(want [sha256.Size]byte) grpc.StreamServerInterceptor {
+	return func(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+		if err := checkKey(stream.Context(), want); err != nil {
+			return err
+		}
+		return next(server, stream)
+	}
+}
+
+// checkKey compares hashes in constant time, so that neither the key nor its length shows.
+func checkKey(ctx context.Context, want [sha256.Size]byte) error {
+	values := metadata.ValueFromIncomingContext(ctx, keyHeader)
+	if len(values) == 1 {
+		got := sha256.Sum256([]byte(values[0]))
+		if subtle.ConstantTimeCompare(got[:], want[:]) == 1 {
+			return nil
+		}
+	}
+	return status.Error(codes.Unauthenticated, "shared key missing or wrong")
+}
--- /dev/null
+++ b/internal/peer/secure_test.go
@@ -0,0 +1,178 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"carawaypick/internal/config"
+	"carawaypick/internal/peer/peerpb"
+)
+
+// server answers status calls and streams, so that both interceptors are met.
+type server struct {
+	peerpb.UnimplementedPeerServer
+	peerpb.UnimplementedAgentServer
+}
+
+func (server) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	return &peerpb.StatusReply{Content: []byte("{}")}, nil
+}
+
+func (server) Run(_ *peerpb.RunRequest, s grpc.ServerStreamingServer[peerpb.RunEvent]) error {
+	return s.Send(&peerpb.RunEvent{Id: "r1"})
+}
+
+// call serves with one settings and calls with the other, by a unary call and a stream.
+func call(t *testing.T, serving, calling config.Settings) (unary, stream error) {
+	t.Helper()
+	options, err := ServerOptions(serving)
+	require.NoError(t, err)
+	dial, err := DialOptions(calling)
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := grpc.NewServer(options...)
+	peerpb.RegisterPeerServer(s, server{})
+	peerpb.RegisterAgentServer(s, server{})
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	defer func() {
+		s.Stop()
+		require.NoError(t, <-done)
+	}()
+	connection, err := grpc.NewClient(l.Addr().String(), dial...)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, connection.Close()) }()
+	_, unary = peerpb.NewPeerClient(connection).Status(context.Background(), &peerpb.StatusRequest{})
+	events, err := peerpb.NewAgentClient(connection).Run(context.Background(), &peerpb.RunRequest{})
+	if err != nil {
+		return unary, err
+	}
+	_, stream = events.Recv()
+	return unary, stream
+}
+
+// passes asserts that both ways of call are answered.
+func passes(t *testing.T, serving, calling config.Settings) {
+	t.Helper()
+	unary, stream := call(t, serving, calling)
+	assert.NoError(t, unary)
+	assert.NoError(t, stream)
+}
+
+// refused asserts that both ways of call end with the code.
+func refused(t *testing.T, serving, calling config.Settings, want codes.Code) {
+	t.Helper()
+	unary, stream := call(t, serving, calling)
+	assert.Equal(t, want, status.Code(unary))
+	assert.Equal(t, want, status.Code(stream))
+}
+
+// authority signs certificates for 127.0.0.1 in its directory.
+type authority struct {
+	dir         string
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{dir: t.TempDir()}
+	a.key, a.certificate = a.sign(t, "ca", true)
+	return a
+}
+
+func (a *authority) sign(t *testing.T, name string, ca bool) (*ecdsa.PrivateKey, *x509.Certificate) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Unix(0, 0), NotAfter: time.Unix(1<<33, 0),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: ca, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	parent, signer := a.certificate, a.key
+	if ca {
+		parent, signer = template, key
+	}
+	content, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	require.NoError(t, err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(t, err)
+	a.write(t, name+".pem", "CERTIFICATE", content)
+	a.write(t, name+".key", "PRIVATE KEY", private)
+	certificate, err := x509.ParseCertificate(content)
+	require.NoError(t, err)
+	return key, certificate
+}
+
+func (a *authority) write(t *testing.T, name, kind string, content []byte) {
+	t.Helper()
+	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content})
+	require.NoError(t, os.WriteFile(filepath.Join(a.dir, name), block, 0o600))
+}
+
+func (a *authority) settings(t *testing.T, name string) config.Settings {
+	t.Helper()
+	a.sign(t, name, false)
+	return config.Settings{Certs: config.Certs{
+		Cert: filepath.Join(a.dir, name+".pem"), Key: filepath.Join(a.dir, name+".key"), Ca: filepath.Join(a.dir, "ca.pem"),
+	}}
+}
+
+func TestSharedKey(t *testing.T) {
+	key := config.Settings{Key: "sixteen letters!"}
+	t.Run("the key is let in", func(t *testing.T) { passes(t, key, key) })
+	t.Run("another key is refused", func(t *testing.T) {
+		refused(t, key, config.Settings{Key: "sixteen letters?"}, codes.Unauthenticated)
+	})
+	t.Run("no key is refused", func(t *testing.T) { refused(t, key, config.Settings{}, codes.Unauthenticated) })
+	t.Run("without a key all are let in", func(t *testing.T) {
+		passes(t, config.Settings{}, config.Settings{})
+		assert.False(t, Secured(config.Settings{}))
+		assert.True(t, Secured(key))
+	})
+}
+
+func TestMutualTLS(t *testing.T) {
+	a := newAuthority(t)
+	e1, a1 := a.settings(t, "e1"), a.settings(t, "a1")
+	t.Run("a certificate of the authority is let in", func(t *testing.T) { passes(t, a1, e1) })
+	t.Run("another authority's is refused", func(t *testing.T) {
+		refused(t, a1, newAuthority(t).settings(t, "e1"), codes.Unavailable)
+	})
+	t.Run("no certificate is refused", func(t *testing.T) { refused(t, a1, config.Settings{}, codes.Unavailable) })
+	t.Run("both checks hold together", func(t *testing.T) {
+		both := a1
+		both.Key = "sixteen letters!"
+		passes(t, both, both)
+		refused(t, both, a1, codes.Unauthenticated)
+	})
+	t.Run("a missing file is said", func(t *testing.T) {
+		broken := e1
+		broken.Certs.Ca += ".none"
+		_, err := DialOptions(broken)
+		assert.ErrorIs(t, err, os.ErrNotExist)
+		_, err = ServerOptions(broken)
+		assert.ErrorIs(t, err, os.ErrNotExist)
+	})
+}
