Check certificates against a stranger's in the test of mutual TLS

Ruled out: trusting the first mutation, which had panicked in the key compare. Change: a caller that trusts the authority but shows no certificate, or a stranger's. Before and after: with client certificates only requested, the new subtest failed; with the key compare always true, 'another key is refused' failed; both pass with the checks on. Conclusion: each check has a test that was red without it.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v2/middleware/recover"
 
 	"carawaypick/internal/config"
+	"carawaypick/internal/kernel"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
@@ -116,17 +117,15 @@
 	})
 	app.Use(recover.New())
 	Register(app, v)
-	done := make(chan error, 1)
 	stopped := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
 		stopped <- app.ShutdownWithTimeout(stopTimeout.Duration())
 	})
-	go func() {
+	return kernel.Start(ctx, func(context.Context) error {
 		err := app.Listener(l)
 		if !stop() {
 			err = errors.CombineErrors(err, <-stopped)
 		}
-		done <- errors.Wrap(err, "serve operators")
-	}()
-	return done
+		return errors.Wrap(err, "serve operators")
+	})
 }
--- a/internal/peer/secure_test.go
+++ b/internal/peer/secure_test.go
@@ -5,6 +5,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -19,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
 	"carawaypick/internal/config"
@@ -42,10 +44,15 @@
 // call serves with one settings and calls with the other, by a unary call and a stream.
 func call(t *testing.T, serving, calling config.Settings) (unary, stream error) {
 	t.Helper()
-	options, err := ServerOptions(serving)
-	require.NoError(t, err)
 	dial, err := DialOptions(calling)
 	require.NoError(t, err)
+	return callWith(t, serving, dial)
+}
+
+func callWith(t *testing.T, serving config.Settings, dial []grpc.DialOption) (unary, stream error) {
+	t.Helper()
+	options, err := ServerOptions(serving)
+	require.NoError(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := grpc.NewServer(options...)
@@ -160,7 +167,19 @@
 	t.Run("another authority's is refused", func(t *testing.T) {
 		refused(t, a1, newAuthority(t).settings(t, "e1"), codes.Unavailable)
 	})
-	t.Run("no certificate is refused", func(t *testing.T) { refused(t, a1, config.Settings{}, codes.Unavailable) })
+	t.Run("no TLS is refused", func(t *testing.T) { refused(t, a1, config.Settings{}, codes.Unavailable) })
+	t.Run("TLS without a certificate of the authority is refused", func(t *testing.T) {
+		stranger, err := certificates(newAuthority(t).settings(t, "e1").Certs)
+		require.NoError(t, err)
+		trusting, err := certificates(e1.Certs)
+		require.NoError(t, err)
+		for _, shown := range [][]tls.Certificate{nil, stranger.Certificates} {
+			trusting.Certificates = shown
+			unary, stream := callWith(t, a1, []grpc.DialOption{grpc.WithTransportCredentials(credentials.NewTLS(trusting))})
+			assert.Equal(t, codes.Unavailable, status.Code(unary))
+			assert.Equal(t, codes.Unavailable, status.Code(stream))
+		}
+	})
 	t.Run("both checks hold together", func(t *testing.T) {
 		both := a1
 		both.Key = "sixteen letters!"
