Plan expert maps and serve plans as JSON lines

Change: pkg/expert plans by best change for the busiest rank with one decay and no estimate of noise; Serve speaks JSON lines; internal/skew draws workloads. Conclusion: correct, not yet even or fast enough.

--- /dev/null
+++ b/internal/skew/replan.go
@@ -0,0 +1,71 @@
+package skew
+
+import (
+	"cmp"
+	"slices"
+
+	"carawaypick/pkg/expert"
+)
+
+// Replan returns a placement of one layer made from nothing: the hottest experts get the spare
+// slots as replicas, and replicas go to the lightest rank with room, heaviest first.
+func Replan(s expert.Shape, shares []float64) [][]int {
+	replicas := spread(s, shares)
+	ranks := make([][]int, s.Ranks)
+	loads := make([]float64, s.Ranks)
+	for _, r := range replicas {
+		best := lightest(s, ranks, loads, r.expert)
+		ranks[best] = append(ranks[best], r.expert)
+		loads[best] += r.load
+	}
+	return ranks
+}
+
+type replica struct {
+	expert int
+	load   float64
+}
+
+// spread returns one replica for each slot, heaviest first.
+func spread(s expert.Shape, shares []float64) []replica {
+	copies := make([]int, s.Experts)
+	for e := range copies {
+		copies[e] = 1
+	}
+	for range s.Ranks*s.Slots - s.Experts {
+		hottest := 0
+		for e := range copies {
+			if copies[e] < s.Ranks && shares[e]/float64(copies[e]) > shares[hottest]/float64(copies[hottest]) {
+				hottest = e
+			}
+		}
+		copies[hottest]++
+	}
+	var all []replica
+	for e, n := range copies {
+		for range n {
+			all = append(all, replica{expert: e, load: shares[e] / float64(n)})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b replica) int { return cmp.Compare(b.load, a.load) })
+	return all
+}
+
+func lightest(s expert.Shape, ranks [][]int, loads []float64, e int) int {
+	best, spare := -1, -1
+	for r := range ranks {
+		if len(ranks[r]) == s.Slots {
+			continue
+		}
+		if spare < 0 || loads[r] < loads[spare] {
+			spare = r
+		}
+		if !slices.Contains(ranks[r], e) && (best < 0 || loads[r] < loads[best]) {
+			best = r
+		}
+	}
+	if best < 0 {
+		return spare
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/expert/expertmap.go
@@ -0,0 +1,124 @@
+package expert
+
+// Map holds the number of the expert in each slot, by layer, rank and slot.
+type Map [][][]int
+
+// Shape is the size of a group's expert maps.
+type Shape struct {
+	Ranks   int
+	Slots   int // expert slots a rank and layer
+	Experts int // experts a layer
+	Layers  int
+}
+
+// RoundRobin returns the map that places experts by number, slot by slot.
+func RoundRobin(s Shape) Map {
+	m := make(Map, s.Layers)
+	for l := range m {
+		m[l] = roundRobinLayer(s)
+	}
+	return m
+}
+
+func roundRobinLayer(s Shape) [][]int {
+	ranks := make([][]int, s.Ranks)
+	for r := range ranks {
+		ranks[r] = make([]int, s.Slots)
+		for i := range ranks[r] {
+			ranks[r][i] = (i*s.Ranks + r) % s.Experts
+		}
+	}
+	return ranks
+}
+
+// Clone returns a copy of m that shares nothing with it.
+func (m Map) Clone() Map {
+	c := make(Map, len(m))
+	for l := range m {
+		c[l] = cloneLayer(m[l])
+	}
+	return c
+}
+
+func cloneLayer(ranks [][]int) [][]int {
+	c := make([][]int, len(ranks))
+	for r := range ranks {
+		c[r] = append([]int(nil), ranks[r]...)
+	}
+	return c
+}
+
+// Check returns a ShapeError unless every rank of m fills its slots and every expert has one.
+func (m Map) Check(s Shape) error {
+	if len(m) != s.Layers {
+		return &ShapeError{Field: "map", Reason: "wrong number of layers"}
+	}
+	for _, ranks := range m {
+		if err := checkLayer(ranks, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkLayer(ranks [][]int, s Shape) error {
+	if len(ranks) != s.Ranks {
+		return &ShapeError{Field: "map", Reason: "wrong number of ranks"}
+	}
+	held := make([]bool, s.Experts)
+	for _, slots := range ranks {
+		if len(slots) != s.Slots {
+			return &ShapeError{Field: "map", Reason: "wrong number of slots"}
+		}
+		for _, e := range slots {
+			if e < 0 || e >= s.Experts {
+				return &ShapeError{Field: "map", Reason: "no such expert"}
+			}
+			held[e] = true
+		}
+	}
+	for _, h := range held {
+		if !h {
+			return &ShapeError{Field: "map", Reason: "an expert without a slot"}
+		}
+	}
+	return nil
+}
+
+// Move is one load of an expert's weights into a slot.
+type Move struct {
+	Layer  int `json:"layer"`
+	Rank   int `json:"rank"`
+	Slot   int `json:"slot"`
+	Expert int `json:"expert"`
+}
+
+// Moves returns the loads that lead from one map to the next; an expert that its rank already holds is none.
+func Moves(from, to Map) []Move {
+	var moves []Move
+	for l := range to {
+		for r := range to[l] {
+			moves = append(moves, rankMoves(from[l][r], to[l][r], l, r)...)
+		}
+	}
+	return moves
+}
+
+func rankMoves(from, to []int, layer, rank int) []Move {
+	var moves []Move
+	for i, e := range to {
+		if !holds(from, e) && !holds(to[:i], e) {
+			moves = append(moves, Move{Layer: layer, Rank: rank, Slot: i, Expert: e})
+		}
+	}
+	return moves
+}
+
+func holds(slots []int, expert int) bool {
+	for _, e := range slots {
+		if e == expert {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/expert/improve.go
@@ -0,0 +1,223 @@
+package expert
+
+import (
+	"math"
+	"slices"
+)
+
+// Stage is a change that is made whole or not at all: one load or an exchange of two experts.
+type Stage struct {
+	Moves []Move
+	Gain  float64 // skew that the stage takes from its layer
+}
+
+// placement is one layer's map under improvement, with loads in units of the mean rank's.
+type placement struct {
+	layer   int
+	ranks   [][]int
+	shares  []float64 // times the number of ranks
+	holders [][]int   // ranks by expert, once for each slot
+	loads   []float64
+	powers  []float64
+	change  []float64 // scratch: change of load by rank
+	touched []int     // scratch: ranks with a change
+}
+
+// candidate is a change under consideration; other is -1 where it is a load and not an exchange.
+type candidate struct {
+	rank, slot   int
+	other, place int
+	expert       int
+	score        float64 // fall of the sum of powers for each load
+}
+
+func newPlacement(layer int, ranks [][]int, shares []float64) *placement {
+	p := &placement{
+		layer:   layer,
+		ranks:   ranks,
+		shares:  make([]float64, len(shares)),
+		holders: make([][]int, len(shares)),
+		loads:   make([]float64, len(ranks)),
+		powers:  make([]float64, len(ranks)),
+		change:  make([]float64, len(ranks)),
+	}
+	for e, s := range shares {
+		p.shares[e] = s * float64(len(ranks))
+	}
+	for r, slots := range ranks {
+		for _, e := range slots {
+			p.holders[e] = append(p.holders[e], r)
+		}
+	}
+	p.sum()
+	return p
+}
+
+func (p *placement) sum() {
+	for r, slots := range p.ranks {
+		load := 0.0
+		for _, e := range slots {
+			load += p.part(e)
+		}
+		p.loads[r] = load
+		p.powers[r] = power(load)
+	}
+}
+
+// part returns the load of one replica of the expert.
+func (p *placement) part(e int) float64 {
+	return p.shares[e] / float64(len(p.holders[e]))
+}
+
+func (p *placement) busiest() int {
+	busiest := 0
+	for r, l := range p.loads {
+		if l > p.loads[busiest] {
+			busiest = r
+		}
+	}
+	return busiest
+}
+
+func (p *placement) skew() float64 {
+	return p.loads[p.busiest()]
+}
+
+// improve makes the best change for the busiest rank, load for load, until the skew reaches the goal,
+// nothing helps or the loads are spent.
+func (p *placement) improve(goal float64, loads int) []Stage {
+	var stages []Stage
+	for p.skew() > goal && loads > 0 {
+		before := p.skew()
+		c, ok := p.best()
+		if !ok {
+			break
+		}
+		moves := p.apply(c)
+		stages = append(stages, Stage{Moves: moves, Gain: before - p.skew()})
+		loads -= len(moves)
+	}
+	return stages
+}
+
+func (p *placement) best() (candidate, bool) {
+	best := candidate{score: 1e-9}
+	found := false
+	busy := p.busiest()
+	keep := func(c candidate) {
+		if c.score > best.score {
+			best = c
+			found = true
+		}
+	}
+	for slot := range p.ranks[busy] {
+		p.exchanges(busy, slot, keep)
+		p.replicas(busy, slot, keep)
+		p.replacements(busy, slot, keep)
+	}
+	return best, found
+}
+
+// exchanges considers trading the expert in a busy slot for a lighter one of another rank.
+func (p *placement) exchanges(busy, slot int, keep func(candidate)) {
+	heavy := p.ranks[busy][slot]
+	for r := range p.ranks {
+		if r == busy || holds(p.ranks[r], heavy) {
+			continue
+		}
+		for i, light := range p.ranks[r] {
+			less := p.part(heavy) - p.part(light)
+			if less <= 0 || p.loads[r]+less >= p.loads[busy] || holds(p.ranks[busy], light) {
+				continue
+			}
+			after := power(p.loads[busy]-less) + power(p.loads[r]+less)
+			fall := p.powers[busy] + p.powers[r] - after
+			keep(candidate{rank: busy, slot: slot, other: r, place: i, expert: light, score: fall / 2})
+		}
+	}
+}
+
+// replicas considers another replica of the expert in a busy slot, in place of a spare replica elsewhere.
+func (p *placement) replicas(busy, slot int, keep func(candidate)) {
+	hot := p.ranks[busy][slot]
+	for r := range p.ranks {
+		if r == busy || p.loads[r] >= p.loads[busy] || holds(p.ranks[r], hot) {
+			continue
+		}
+		for i, spare := range p.ranks[r] {
+			if len(p.holders[spare]) > 1 {
+				keep(candidate{rank: r, slot: i, other: -1, expert: hot, score: p.replaced(r, spare, hot)})
+			}
+		}
+	}
+}
+
+// replacements considers putting any expert in the place of a spare replica in a busy slot.
+func (p *placement) replacements(busy, slot int, keep func(candidate)) {
+	spare := p.ranks[busy][slot]
+	if len(p.holders[spare]) < 2 {
+		return
+	}
+	for e := range p.shares {
+		if e != spare && !holds(p.ranks[busy], e) {
+			keep(candidate{rank: busy, slot: slot, other: -1, expert: e, score: p.replaced(busy, spare, e)})
+		}
+	}
+}
+
+// replaced returns the fall of the sum of powers when the rank loads one expert over another.
+func (p *placement) replaced(rank, out, in int) float64 {
+	fewer := p.shares[out] / float64(len(p.holders[out])-1)
+	more := p.shares[in] / float64(len(p.holders[in])+1)
+	p.touched = p.touched[:0]
+	for _, r := range p.holders[out] {
+		p.shift(r, fewer-p.part(out))
+	}
+	for _, r := range p.holders[in] {
+		p.shift(r, more-p.part(in))
+	}
+	p.shift(rank, more-fewer)
+	fall := 0.0
+	for _, r := range p.touched {
+		fall += p.powers[r] - power(max(p.loads[r]+p.change[r], 0))
+		p.change[r] = 0
+	}
+	return fall
+}
+
+func (p *placement) shift(rank int, by float64) {
+	if p.change[rank] == 0 {
+		p.touched = append(p.touched, rank)
+	}
+	p.change[rank] += by
+	if p.change[rank] == 0 {
+		p.change[rank] = math.SmallestNonzeroFloat64
+	}
+}
+
+func (p *placement) apply(c candidate) []Move {
+	heavy := p.ranks[c.rank][c.slot]
+	moves := []Move{p.put(c.rank, c.slot, c.expert)}
+	if c.other >= 0 {
+		moves = append(moves, p.put(c.other, c.place, heavy))
+	}
+	p.sum()
+	return moves
+}
+
+func (p *placement) put(rank, slot, expert int) Move {
+	old := p.ranks[rank][slot]
+	i := slices.Index(p.holders[old], rank)
+	p.holders[old] = slices.Delete(p.holders[old], i, i+1)
+	p.holders[expert] = append(p.holders[expert], rank)
+	p.ranks[rank][slot] = expert
+	return Move{Layer: p.layer, Rank: rank, Slot: slot, Expert: expert}
+}
+
+// power returns x to the sixteenth power, which stresses the busiest ranks.
+func power(x float64) float64 {
+	x *= x
+	x *= x
+	x *= x
+	return x * x
+}
--- /dev/null
+++ b/pkg/expert/plan_test.go
@@ -0,0 +1,168 @@
+package expert
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"carawaypick/internal/testkit"
+)
+
+func TestRoundRobin(t *testing.T) {
+	m := RoundRobin(Shape{Ranks: 2, Slots: 2, Experts: 3, Layers: 1})
+	assert.Equal(t, Map{{{0, 2}, {1, 0}}}, m)
+}
+
+func TestSkew(t *testing.T) {
+	t.Run("is the mean over layers", func(t *testing.T) {
+		m := Map{{{0}, {1}}, {{0}, {1}}}
+		assert.InDelta(t, 1.25, Skew(m, [][]int64{{3, 1}, {2, 2}}), 1e-9)
+	})
+	t.Run("splits tokens evenly over replicas", func(t *testing.T) {
+		assert.InDelta(t, 1, LayerSkew([][]int{{0, 1}, {0, 2}}, Shares([]int64{8, 1, 1})), 1e-9)
+	})
+	t.Run("is 1 without tokens", func(t *testing.T) {
+		assert.InDelta(t, 1, Skew(Map{{{0}, {1}}}, [][]int64{{0, 0}}), 1e-9)
+	})
+	t.Run("is never below the bound", func(t *testing.T) {
+		testkit.Property(t, func(t *rapid.T) {
+			s := drawShape(t)
+			r := drawReport(t, s, 0)
+			assert.GreaterOrEqual(t, Skew(RoundRobin(s), r.Layers), Bound(s, r.Layers)-1e-6)
+		})
+	})
+}
+
+func TestMoves(t *testing.T) {
+	t.Run("names each load", func(t *testing.T) {
+		moves := Moves(Map{{{0, 1}, {2, 0}}}, Map{{{0, 2}, {2, 1}}})
+		assert.Equal(t, []Move{{Rank: 0, Slot: 1, Expert: 2}, {Rank: 1, Slot: 1, Expert: 1}}, moves)
+	})
+	t.Run("loads nothing for a change of slots within a rank", func(t *testing.T) {
+		assert.Empty(t, Moves(Map{{{0, 1}}}, Map{{{1, 0}}}))
+	})
+}
+
+func TestPlanner(t *testing.T) {
+	t.Run("replicates a hot expert", func(t *testing.T) {
+		s := small()
+		p := NewPlanner(Defaults())
+		r := report(s, 1, 90_000, 10_000, 10_000, 10_000, 10_000, 10_000, 10_000, 10_000)
+		plan := assertNext(t, p, r)
+		require.False(t, plan.Stay)
+		assert.Less(t, Skew(plan.Map, r.Layers), 1.2)
+		assert.Greater(t, Skew(RoundRobin(s), r.Layers), 2.0)
+	})
+	t.Run("stays where ranks are even", func(t *testing.T) {
+		s := Shape{Ranks: 4, Slots: 2, Experts: 8, Layers: 2}
+		p := NewPlanner(Defaults())
+		for step := range uint64(20) {
+			assertStay(t, p, even(s, step, 1000))
+		}
+	})
+	t.Run("stays on counts of zero", func(t *testing.T) {
+		p := NewPlanner(Defaults())
+		for step := range uint64(5) {
+			assertStay(t, p, even(small(), step, 0))
+		}
+	})
+	t.Run("stays on a doubled line", func(t *testing.T) {
+		p := NewPlanner(Defaults())
+		r := report(small(), 1, 9000, 1, 1, 1, 1, 1, 1, 1)
+		assert.False(t, assertNext(t, p, r).Stay)
+		assertStay(t, p, r)
+	})
+	t.Run("stays on a line that is late beyond the window", func(t *testing.T) {
+		p := NewPlanner(Defaults())
+		assertStay(t, p, even(Shape{Ranks: 2, Slots: 1, Experts: 2, Layers: 1}, 500, 1000))
+		assertStay(t, p, report(Shape{Ranks: 2, Slots: 1, Experts: 2, Layers: 1}, 1, 9000, 0))
+	})
+	t.Run("refuses a changed shape", func(t *testing.T) {
+		p := NewPlanner(Defaults())
+		assertNext(t, p, even(small(), 1, 10))
+		_, err := p.Next(even(Shape{Ranks: 4, Slots: 4, Experts: 8, Layers: 2}, 2, 10))
+		assertField(t, err, "slots")
+	})
+}
+
+func TestLines(t *testing.T) {
+	t.Run("late lines lead to the estimate that lines in order lead to", func(t *testing.T) {
+		testkit.Property(t, func(t *rapid.T) {
+			n := rapid.IntRange(2, 12).Draw(t, "lines")
+			order := rapid.Permutation(steps(n)).Draw(t, "order")
+			lines := make([][]int64, n)
+			for i := range lines {
+				lines[i] = rapid.SliceOfN(rapid.Int64Range(1, 100), 4, 4).Draw(t, "counts")
+			}
+			assert.InDeltaSlice(t, shuffled(lines, steps(n)), shuffled(lines, order), 1e-6)
+		})
+	})
+	t.Run("every plan is a whole map and its stages lead to it", func(t *testing.T) {
+		testkit.Property(t, checkPlans)
+	})
+}
+
+func steps(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// shuffled returns the shares that a planner with one decay sees after the lines in the order.
+func shuffled(lines [][]int64, order []int) []float64 {
+	s := Shape{Ranks: 1, Slots: 4, Experts: 4, Layers: 1}
+	p := NewPlanner(Settings{Decays: []float64{0.25}})
+	for _, step := range order {
+		r := report(s, uint64(step), lines[step]...)
+		if !p.started {
+			p.start(r)
+		}
+		p.observe(r)
+	}
+	shares, _ := p.estimates[0].best()
+	return shares
+}
+
+func checkPlans(t *rapid.T) {
+	s := drawShape(t)
+	p := NewPlanner(Defaults())
+	now := RoundRobin(s)
+	for step := range uint64(rapid.IntRange(1, 8).Draw(t, "steps")) {
+		plan := assertNext(t, p, drawReport(t, s, step))
+		if plan.Stay {
+			continue
+		}
+		assert.Equal(t, plan.Moves, Moves(now, plan.Map))
+		for _, stage := range plan.Stages {
+			now = apply(t, now, stage, s)
+		}
+		assert.Equal(t, plan.Map, now)
+	}
+}
+
+func apply(t *rapid.T, m Map, stage Stage, s Shape) Map {
+	next := m.Clone()
+	for _, move := range stage.Moves {
+		next[move.Layer][move.Rank][move.Slot] = move.Expert
+	}
+	require.NoError(t, next.Check(s))
+	return next
+}
+
+func BenchmarkPlan(b *testing.B) {
+	s := Shape{Ranks: 32, Slots: 4, Experts: 64, Layers: 60}
+	counts := make([]int64, s.Experts)
+	for e := range counts {
+		counts[e] = int64(100_000 / (e + 1))
+	}
+	for b.Loop() {
+		p := NewPlanner(Defaults())
+		if plan, err := p.Next(report(s, 1, counts...)); err != nil || plan.Stay {
+			b.Fatal("no plan")
+		}
+	}
+}
