--- a/internal/backend/agent.go
+++ b/internal/backend/agent.go
@@ -12,6 +12,7 @@
 	"carawaypick/internal/binding"
 	"carawaypick/internal/config"
 	"carawaypick/internal/member"
+	"carawaypick/internal/operator"
 	"carawaypick/internal/peer/peerpb"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
@@ -22,6 +23,7 @@
 	suspectKeep  = 5 * clock.Minute        // how long crash evidence holds
 	probePeriod  = 200 * clock.Millisecond // between two reports of the backend server
 	probeFresh   = 50 * clock.Millisecond  // age up to which a report needs no repeat before an idle backend server gets work
+	ringSize     = 4096                    // decisions kept for explain
 	heldRequests = 100_000                 // most identifiers in the binding table
 	heldBytes    = 16 << 20                // most bytes of held answers
 	defaultCold  = 1                       // requests that a cold backend server bears where no ticket says
@@ -49,6 +51,7 @@
 	table       *binding.Table
 	incarnation uint64
 	workers     *pool.Pool
+	ring        *operator.Ring
 
 	mu       sync.Mutex
 	queue    *balance.Queue[*work]
@@ -94,6 +97,7 @@
 		table:       binding.NewTable(incarnation, limits),
 		incarnation: incarnation,
 		workers:     pool.New().WithMaxGoroutines(s.Limits.Calls),
+		ring:        operator.NewRing(ringSize),
 		queue:       balance.NewQueue[*work](s.Limits.Queue),
 		ramp:        balance.NewRamp(defaultCold, defaultWarm),
 		grants:      balance.NewGrants(grantKeep),
--- /dev/null
+++ b/internal/backend/process.go
@@ -0,0 +1,96 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v2"
+
+	"carawaypick/internal/config"
+	"carawaypick/internal/kernel"
+	"carawaypick/internal/node"
+	"carawaypick/internal/operator"
+	"carawaypick/internal/peer/peerpb"
+	"carawaypick/internal/telemetry"
+	"carawaypick/pkg/clock"
+)
+
+// Run serves as the agent of a backend server until ctx ends and all work is finished.
+func Run(ctx context.Context, s config.Settings, t *telemetry.Telemetry) (err error) {
+	n, err := node.Open(s, t)
+	if err != nil {
+		return err
+	}
+	a, err := New(s, n.Clock, t, n.Member)
+	if err != nil {
+		return err
+	}
+	peerpb.RegisterAgentServer(n.Server, a)
+	n.Views = operator.Views{
+		Status:  func() operator.Status { return a.status(n) },
+		Explain: a.ring.Find,
+		Ready:   a.ready,
+		State:   n.State,
+		Metrics: t.Metrics,
+	}
+	app := fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: s.Limits.Body})
+	operator.Register(app, n.Views)
+	err = n.Run(ctx, node.Role{
+		Start: a.Start,
+		HTTP: func(l net.Listener) <-chan error {
+			return kernel.Start(ctx, func(context.Context) error { return app.Listener(l) })
+		},
+		Stop:  func(wait time.Duration) error { return app.ShutdownWithTimeout(wait) },
+		Leave: a.Leave,
+		Idle:  a.Idle,
+	})
+	a.Wait()
+	return err
+}
+
+// ready tells why the agent takes no work, or nil.
+func (a *Agent) ready() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if state := a.standing(); state != StateLive {
+		return errors.New(state)
+	}
+	return nil
+}
+
+func (a *Agent) status(n *node.Node) operator.Status {
+	s := n.Status("agent")
+	r := a.report("")
+	s.Service = a.settings.Backend.Service
+	s.State = r.GetState()
+	s.Window = r.GetWindow()
+	s.Running = r.GetRunning()
+	s.Queued = r.GetQueued()
+	s.Tokens = r.GetTokens()
+	s.Rate = r.GetRate()
+	s.Load = r.GetLoad()
+	s.LoadAge = clock.Span(r.GetAge())
+	s.Bindings = uint64(a.table.Held())
+	return s
+}
+
+// note keeps the end of work for explain.
+func (a *Agent) note(w *work) {
+	reason := ""
+	select {
+	case <-w.done:
+		reason = w.refusal.GetReason()
+	default:
+	}
+	a.ring.Add(operator.Decision{
+		Time:    clock.Wall(),
+		Process: a.settings.Name,
+		Key:     w.request.GetId(),
+		Attempt: w.request.GetAttempt(),
+		Kind:    "run",
+		Reason:  reason,
+		Ticket:  uint64(a.member.State().Number),
+	})
+}
--- a/internal/backend/report.go
+++ b/internal/backend/report.go
@@ -36,7 +36,7 @@
 		Life:        uint64(a.settings.Timing.Life),
 		Digest:      a.member.Digest(),
 	}
-	if r.State == StateLive {
+	if r.State == StateLive && entry != "" {
 		r.Grant = a.grants.Ask(now, entry, window)
 	}
 	a.telemetry.Metrics.Ramp.Set(float64(window))
--- a/internal/caller/http.go
+++ b/internal/caller/http.go
@@ -141,17 +141,17 @@
 
 // stream writes events as they come; where the caller is gone, the run's context ends with this function.
 func (e *Entry) stream(w *bufio.Writer, call *Call, first piece, pieces <-chan piece, ended <-chan outcome) {
-	if writeEvent(w, first) != nil {
+	if writeEvent(w, call.ID, first) != nil {
 		return
 	}
 	for {
 		select {
 		case p := <-pieces:
-			if writeEvent(w, p) != nil {
+			if writeEvent(w, call.ID, p) != nil {
 				return
 			}
 		case o := <-ended:
-			if drain(w, pieces) == nil {
+			if drain(w, call.ID, pieces) == nil {
 				e.closeStream(w, call, o)
 			}
 			return
@@ -159,11 +159,11 @@
 	}
 }
 
-func drain(w *bufio.Writer, pieces <-chan piece) error {
+func drain(w *bufio.Writer, id string, pieces <-chan piece) error {
 	for {
 		select {
 		case p := <-pieces:
-			if err := writeEvent(w, p); err != nil {
+			if err := writeEvent(w, id, p); err != nil {
 				return err
 			}
 		default:
@@ -174,12 +174,13 @@
 
 // text is one event of a stream, as callers read it.
 type text struct {
+	ID    string `json:"id"`
 	Index uint64 `json:"index"`
 	Text  string `json:"text"`
 }
 
-func writeEvent(w *bufio.Writer, p piece) error {
-	content, err := json.Marshal(text{Index: p.index, Text: string(p.data)})
+func writeEvent(w *bufio.Writer, id string, p piece) error {
+	content, err := json.Marshal(text{ID: id, Index: p.index, Text: string(p.data)})
 	if err != nil {
 		return err
 	}
@@ -217,7 +218,7 @@
 		c.Set(fiber.HeaderContentType, "text/event-stream")
 		c.Set(HeaderID, call.ID)
 		c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
-			if drain(w, pieces) == nil {
+			if drain(w, call.ID, pieces) == nil {
 				e.closeStream(w, call, o)
 			}
 		})
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,11 +5,55 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/keepalive"
+
+	"carawaypick/pkg/clock"
 )
 
 // messageBytes is the largest message between the system's own processes.
 const messageBytes = 8 << 20
 
+// Bounds of a connection between two of the system's own processes.
+const (
+	connectTimeout = 1 * clock.Second        // longest wait for a connection
+	connectBase    = 100 * clock.Millisecond // first pause after a failed connection
+	connectMost    = 1 * clock.Second        // longest pause after a failed connection
+	alivePeriod    = 10 * clock.Second       // without traffic before the other side is asked
+	aliveTimeout   = 3 * clock.Second        // longest wait for its answer
+	streamsMost    = 65536                   // calls at once on one connection
+)
+
+// ServerLimits returns the bounds of a gRPC server.
+func ServerLimits() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(messageBytes),
+		grpc.MaxSendMsgSize(messageBytes),
+		grpc.MaxConcurrentStreams(streamsMost),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             (alivePeriod / 2).Duration(),
+			PermitWithoutStream: true,
+		}),
+	}
+}
+
+func dialLimits() []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageBytes), grpc.MaxCallSendMsgSize(messageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: alivePeriod.Duration(), Timeout: aliveTimeout.Duration()}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			MinConnectTimeout: connectTimeout.Duration(),
+			Backoff: backoff.Config{
+				BaseDelay:  connectBase.Duration(),
+				Multiplier: 2,
+				Jitter:     0.2,
+				MaxDelay:   connectMost.Duration(),
+			},
+		}),
+	}
+}
+
 // Pool keeps one connection to each of the system's own processes; it is safe for many goroutines.
 type Pool struct {
 	mu      sync.Mutex
@@ -23,9 +67,7 @@
 
 // NewPool returns an empty pool that connects with the options.
 func NewPool(options ...grpc.DialOption) *Pool {
-	options = append(options,
-		grpc.WithDisableRetry(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageBytes), grpc.MaxCallSendMsgSize(messageBytes)))
+	options = append(options, dialLimits()...)
 	return &Pool{options: options, conns: make(map[string]*grpc.ClientConn)}
 }
 
