Add the stand-ins of the platform, the backend servers and the callers

Cause: the whole path needs its surroundings before it can run. Ruled out: cutting a stream by returning from the writer, which ends the chunked body cleanly, so that a cut could not be told from a short answer; closing the connection at once, which lost events that were already flushed (seen: 2 of 3 events). Conclusion: the outside protocols stand; the order of a map to a rank is {kind: prepare|commit|abort, step, map}.

--- /dev/null
+++ b/internal/standin/caller_test.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// token is one event of a well-formed stream.
+func token(id string, index int, text string) string {
+	return fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"index\":%d,\"text\":%q}\n\n", index, id, index, text)
+}
+
+func final(id string, count int, text string) string {
+	return fmt.Sprintf("event: final\ndata: {\"id\":%q,\"attempt\":1,\"count\":%d,\"hash\":%q}\n\n", id, count, HashText(text))
+}
+
+func answerWith(t *testing.T, handler http.HandlerFunc) Answer {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	c := NewCaller("check", "lima-a", "politics")
+	t.Cleanup(c.Close)
+	return c.Send(t.Context(), Call{ID: "r1", Path: "/"}, strings.TrimPrefix(server.URL, "http://"), "", 1, 1000)
+}
+
+func answerStream(t *testing.T, body string) Answer {
+	t.Helper()
+	return answerWith(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte(body))
+	})
+}
+
+func TestCallerChecksStreams(t *testing.T) {
+	good := token("r1", 0, "one ") + token("r1", 1, "two ")
+	cases := []struct {
+		name, body string
+		outcome    Outcome
+	}{
+		{"whole", good + final("r1", 2, "one two "), Whole},
+		{"short without a word", good, Broken},
+		{"another's event", token("r2", 0, "one ") + final("r1", 1, "one "), Broken},
+		{"another's end", good + final("r2", 2, "one two "), Broken},
+		{"repeated event", token("r1", 0, "a") + token("r1", 0, "a") + final("r1", 2, "aa"), Broken},
+		{"skipped event", token("r1", 1, "a") + final("r1", 1, "a"), Broken},
+		{"wrong count", good + final("r1", 3, "one two "), Broken},
+		{"wrong hash", good + final("r1", 2, "one three "), Broken},
+		{"refusal", good + "event: error\ndata: {\"id\":\"r1\",\"outcome\":\"failed\",\"events\":2}\n\n", Failed},
+		{"refusal that miscounts", good + "event: error\ndata: {\"id\":\"r1\",\"outcome\":\"failed\",\"events\":1}\n\n", Broken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			answer := answerStream(t, c.body)
+			assert.Equal(t, c.outcome, answer.Outcome, answer.Reason)
+		})
+	}
+}
+
+func TestCallerChecksRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		status  int
+		body    string
+		outcome Outcome
+	}{
+		{"notrun", http.StatusServiceUnavailable, `{"id":"r1","outcome":"notrun","reason":"busy","after":50}`, NotRun},
+		{"unknown", http.StatusBadGateway, `{"id":"r1","outcome":"unknown"}`, Unknown},
+		{"failed", http.StatusInternalServerError, `{"id":"r1","outcome":"failed"}`, Failed},
+		{"wrong status", http.StatusInternalServerError, `{"id":"r1","outcome":"notrun"}`, Broken},
+		{"another's", http.StatusServiceUnavailable, `{"id":"r2","outcome":"notrun"}`, Broken},
+		{"untyped", http.StatusServiceUnavailable, `busy`, Broken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			answer := answerWith(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			})
+			assert.Equal(t, c.outcome, answer.Outcome, answer.Reason)
+		})
+	}
+}
+
+func TestCallerSendsAgain(t *testing.T) {
+	sends := []string{}
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sends = append(sends, r.Header.Get("Send")+" "+r.Header.Get("Request-Id")+" "+r.Header.Get("Binding"))
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		_, _ = w.Write([]byte(`{"id":"k.1","result":"x"}`))
+	}))
+	t.Cleanup(good.Close)
+	cutting := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	t.Cleanup(cutting.Close)
+	address := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	c := NewCaller("desk", "lima-a", "politics")
+	t.Cleanup(c.Close)
+	location := Location{Addresses: []string{address(cutting), address(good)}, Binding: "b", Key: "k"}
+	answer := c.DoAt(t.Context(), Call{ID: "k.1", Path: "/x", Sends: 3, Deadline: 5000}, location, c.clock.Now())
+	require.Equal(t, Whole, answer.Outcome, answer.Reason)
+	assert.Equal(t, 2, answer.Sends)
+	assert.Equal(t, []string{"2 k.1 b"}, sends)
+}
--- /dev/null
+++ b/internal/standin/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line of the stand-ins.
+package command
--- /dev/null
+++ b/internal/standin/fault.go
@@ -0,0 +1,65 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"carawaypick/pkg/clock"
+)
+
+// switches holds the fault switches of one stand-in.
+type switches[T any] struct {
+	mutex   sync.Mutex
+	value   T
+	changed func()
+}
+
+func (s *switches[T]) get() T {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.value
+}
+
+func (s *switches[T]) set(change func(*T)) {
+	s.mutex.Lock()
+	change(&s.value)
+	s.mutex.Unlock()
+	if s.changed != nil {
+		s.changed()
+	}
+}
+
+// route serves POST /fault, which sets the fields in the body and leaves the others.
+func (s *switches[T]) route(app *fiber.App) {
+	app.Post("/fault", func(c *fiber.Ctx) error {
+		var err error
+		s.set(func(value *T) { err = json.Unmarshal(c.Body(), value) })
+		if err != nil {
+			return fiber.NewError(fiber.StatusBadRequest, err.Error())
+		}
+		return c.JSON(s.get())
+	})
+	app.Get("/fault", func(c *fiber.Ctx) error { return c.JSON(s.get()) })
+}
+
+func sleep(ctx context.Context, span clock.Span) bool {
+	if span <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := newTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func newTimer(span clock.Span) *time.Timer {
+	return time.NewTimer(span.Duration())
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,368 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"carawaypick/pkg/clock"
+)
+
+const patience = 10 * time.Second
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, patience, 2*time.Millisecond, what)
+}
+
+func get(t *testing.T, target string, value any) int {
+	t.Helper()
+	response, err := http.Get(target)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	if response.StatusCode == http.StatusOK && value != nil {
+		require.NoError(t, json.Unmarshal(content, value))
+	}
+	return response.StatusCode
+}
+
+func post(t *testing.T, target, body string) int {
+	t.Helper()
+	response, err := http.Post(target, "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+// drawn is what came of one direct call to an engine.
+type drawn struct {
+	ids   []string
+	text  string
+	end   *EndEvent
+	cut   bool
+	first int
+}
+
+func generate(t *testing.T, e *Engine, id, prompt string, tokens, resume int) drawn {
+	t.Helper()
+	body, err := json.Marshal(Prompt{Prompt: prompt, Tokens: tokens})
+	require.NoError(t, err)
+	request, err := http.NewRequest(http.MethodPost, e.URL()+"/generate", bytes.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Resume", strconv.Itoa(resume))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return drawn{cut: true}
+	}
+	defer func() { _ = response.Body.Close() }()
+	return draw(response.Body)
+}
+
+func draw(body io.Reader) drawn {
+	result := drawn{first: -1}
+	lines := bufio.NewScanner(body)
+	ending := false
+	for lines.Scan() {
+		line := lines.Text()
+		ending = ending || line == "event: end"
+		data, found := strings.CutPrefix(line, "data: ")
+		if !found {
+			continue
+		}
+		if ending {
+			result.end = &EndEvent{}
+			_ = json.Unmarshal([]byte(data), result.end)
+			continue
+		}
+		var event TokenEvent
+		_ = json.Unmarshal([]byte(data), &event)
+		if result.first < 0 {
+			result.first = event.Index
+		}
+		result.text += event.Text
+		result.ids = append(result.ids, event.ID)
+	}
+	result.cut = lines.Err() != nil
+	return result
+}
+
+func startEngine(t *testing.T, change func(*EngineFault)) *Engine {
+	t.Helper()
+	e, err := NewEngine("")
+	require.NoError(t, err)
+	t.Cleanup(e.Stop)
+	e.SetFault(func(f *EngineFault) {
+		f.Interval = 1
+		change(f)
+	})
+	return e
+}
+
+func none(*EngineFault) {}
+
+func TestEngineText(t *testing.T) {
+	const prompt = "Hat der Stadtrat die Gebühr am 3. Mai beschlossen?"
+	e, other := startEngine(t, none), startEngine(t, none)
+	whole := generate(t, e, "a", prompt, 9, 0)
+	t.Run("is the same on each engine and each time", func(t *testing.T) {
+		assert.Equal(t, whole.text, generate(t, other, "b", prompt, 9, 0).text)
+		assert.Equal(t, NewWriter(prompt).Whole(9), whole.text)
+	})
+	t.Run("differs by prompt", func(t *testing.T) {
+		assert.NotEqual(t, whole.text, generate(t, other, "b", prompt+" ", 9, 0).text)
+	})
+	t.Run("ends with count and hash", func(t *testing.T) {
+		assert.Equal(t, &EndEvent{ID: "a", Count: 9, Hash: HashText(whole.text)}, whole.end)
+	})
+	t.Run("resumes where it stood with the hash of the whole", func(t *testing.T) {
+		rest := generate(t, other, "a", prompt, 9, 4)
+		assert.Equal(t, 4, rest.first)
+		assert.Equal(t, whole.text, NewWriter(prompt).Whole(4)+rest.text)
+		assert.Equal(t, whole.end, rest.end)
+	})
+}
+
+func TestEngineFaults(t *testing.T) {
+	t.Run("a marked prompt ends the process and its neighbours", func(t *testing.T) {
+		e := startEngine(t, func(f *EngineFault) { f.Crash = "BOOM"; f.Interval = 20 })
+		neighbour := make(chan drawn, 1)
+		go func() { neighbour <- generate(t, e, "n", "good", 200, 0) }()
+		eventually(t, "neighbour runs", func() bool { return len(e.Record().Requests) == 1 })
+		before := e.Record().Incarnation
+		assert.True(t, generate(t, e, "c", "a BOOM b", 4, 0).cut)
+		assert.True(t, (<-neighbour).cut)
+		assert.Equal(t, 1, e.Record().Crashes)
+		assert.NotEqual(t, before, e.Record().Incarnation)
+	})
+	t.Run("falls over above what it bears and warms with completed requests", func(t *testing.T) {
+		e := startEngine(t, func(f *EngineFault) { f.Bears = 2; f.Cold = 1; f.Interval = 20 })
+		pair := func() []drawn {
+			results := make(chan drawn, 2)
+			for _, id := range []string{"a", "b"} {
+				go func() { results <- generate(t, e, id, "p", 5, 0) }()
+			}
+			return []drawn{<-results, <-results}
+		}
+		pair()
+		assert.Equal(t, 1, e.Record().Overload)
+		assert.NotNil(t, generate(t, e, "c", "p", 1, 0).end)
+		for _, d := range pair() {
+			assert.NotNil(t, d.end)
+		}
+		assert.Equal(t, 1, e.Record().Overload)
+	})
+	t.Run("cuts a stream before an event", func(t *testing.T) {
+		e := startEngine(t, func(f *EngineFault) { f.Cut = 3; f.Cuts = 1 })
+		d := generate(t, e, "a", "p", 5, 0)
+		assert.True(t, d.cut)
+		assert.Len(t, d.ids, 3)
+		assert.NotNil(t, generate(t, e, "a", "p", 5, 3).end)
+	})
+	t.Run("stalls without closing", func(t *testing.T) {
+		e := startEngine(t, func(f *EngineFault) { f.Stall = true })
+		result := make(chan drawn, 1)
+		go func() { result <- generate(t, e, "a", "p", 3, 0) }()
+		eventually(t, "running", func() bool { return len(e.Record().Requests) == 1 })
+		assert.Zero(t, e.Record().Requests[0].Sent)
+		e.SetFault(func(f *EngineFault) { f.Stall = false })
+		assert.NotNil(t, (<-result).end)
+	})
+	t.Run("cancels by id", func(t *testing.T) {
+		e := startEngine(t, func(f *EngineFault) { f.Stall = true })
+		result := make(chan drawn, 1)
+		go func() { result <- generate(t, e, "a", "p", 3, 0) }()
+		eventually(t, "running", func() bool { return len(e.Record().Requests) == 1 })
+		assert.Equal(t, http.StatusOK, post(t, e.URL()+"/cancel", `{"id":"a"}`))
+		assert.True(t, (<-result).cut)
+		assert.Equal(t, "cancel", e.Record().Requests[0].End)
+	})
+	t.Run("is cold after a restart", func(t *testing.T) {
+		e := startEngine(t, none)
+		before := e.Record().Incarnation
+		assert.Equal(t, http.StatusOK, post(t, e.URL()+"/restart", ""))
+		assert.NotEqual(t, before, e.Record().Incarnation)
+	})
+}
+
+func TestEngineReports(t *testing.T) {
+	t.Run("load is late", func(t *testing.T) {
+		e := startEngine(t, func(f *EngineFault) { f.Stall = true; f.Lag = 150 })
+		go func() { generate(t, e, "a", "p", 3, 0) }()
+		eventually(t, "running", func() bool { return len(e.Record().Requests) == 1 })
+		var report Load
+		get(t, e.URL()+"/load", &report)
+		assert.Zero(t, report.Running)
+		assert.Equal(t, 150*clock.Millisecond, report.Age)
+		eventually(t, "shown", func() bool {
+			get(t, e.URL()+"/load", &report)
+			return report.Running == 1 && report.Tokens == 3
+		})
+	})
+	t.Run("cache events have gaps", func(t *testing.T) {
+		e := startEngine(t, func(f *EngineFault) { f.Memory = 1; f.Gap = 2 })
+		generate(t, e, "a", "first", 1, 0)
+		generate(t, e, "b", "second", 1, 0)
+		var list CacheList
+		get(t, e.URL()+"/cache?after=0", &list)
+		want := []CacheEvent{
+			{Sequence: 1, Prefix: Prefix("first"), Held: true},
+			{Sequence: 3, Prefix: Prefix("first"), Held: false},
+		}
+		assert.Equal(t, CacheList{Sequence: 3, Events: want}, list)
+	})
+}
+
+func TestEngineOrders(t *testing.T) {
+	const high, low = `{"number":7,"epoch":1,"action":"model","value":"v2"}`, `{"number":6,"epoch":9,"action":"model","value":"v1"}`
+	for _, fence := range []bool{true, false} {
+		t.Run("fencing "+strconv.FormatBool(fence), func(t *testing.T) {
+			e := startEngine(t, func(f *EngineFault) { f.Fence = fence })
+			assert.Equal(t, http.StatusOK, post(t, e.URL()+"/order", high))
+			want := map[bool]int{true: http.StatusConflict, false: http.StatusOK}[fence]
+			assert.Equal(t, want, post(t, e.URL()+"/order", low))
+			orders := e.Orders()
+			require.Len(t, orders, 2)
+			assert.Equal(t, fence, orders[1].Refused)
+		})
+	}
+}
+
+func TestGroup(t *testing.T) {
+	g, err := NewGroup("", 3)
+	require.NoError(t, err)
+	t.Cleanup(g.Stop)
+	g.SetFault(func(f *GroupFault) { f.Interval = 1 })
+	order := func(rank int, kind string, step uint64) int {
+		body := `{"number":4,"epoch":2,"action":"map","value":{"kind":"` + kind + `","step":` + strconv.FormatUint(step, 10) + `,"map":{}}}`
+		return post(t, g.Ranks[rank].URL()+"/order", body)
+	}
+	step := g.Record().Step + 400
+	t.Run("one held rank holds all before its step", func(t *testing.T) {
+		for rank := range 3 {
+			require.Equal(t, http.StatusOK, order(rank, "prepare", step))
+		}
+		eventually(t, "held", func() bool { return g.Record().Step == step })
+		assert.Equal(t, http.StatusOK, order(0, "commit", step))
+		assert.Equal(t, http.StatusOK, order(1, "commit", step))
+		assert.Equal(t, step, g.Record().Step)
+	})
+	t.Run("all change at one step", func(t *testing.T) {
+		assert.Equal(t, http.StatusOK, order(2, "commit", step))
+		eventually(t, "passed", func() bool { return g.Record().Step > step })
+		steps := g.Record().Steps
+		require.Len(t, steps, 2)
+		assert.Equal(t, []string{"4.2", "4.2", "4.2"}, steps[1].Maps)
+		assert.Equal(t, step, steps[1].Step)
+	})
+	t.Run("a commit without the others shows in the record", func(t *testing.T) {
+		next := g.Record().Step + 5
+		assert.Equal(t, http.StatusOK, post(t, g.Ranks[0].URL()+"/order",
+			`{"number":5,"epoch":1,"action":"map","value":{"kind":"commit","step":`+strconv.FormatUint(next, 10)+`}}`))
+		eventually(t, "passed", func() bool { return g.Record().Step > next })
+		assert.Equal(t, []string{"5.1", "4.2", "4.2"}, g.Record().Steps[2].Maps)
+	})
+	t.Run("a step that has passed is refused", func(t *testing.T) {
+		assert.Equal(t, http.StatusBadRequest, order(0, "prepare", 1))
+	})
+}
+
+func TestTickets(t *testing.T) {
+	folder := t.TempDir()
+	write := func(number int, content string) {
+		require.NoError(t, os.WriteFile(filepath.Join(folder, strconv.Itoa(number)+".json"), []byte(content), 0o600))
+	}
+	write(1, `{"number":1,"author":"a"}`)
+	s, err := NewTickets("", folder)
+	require.NoError(t, err)
+	t.Cleanup(s.Stop)
+	read := func(query string) []string {
+		var list ticketList
+		assert.Equal(t, http.StatusOK, get(t, s.URL()+"/tickets?"+query, &list))
+		contents := []string{}
+		for _, c := range list.Tickets {
+			contents = append(contents, string(c))
+		}
+		return contents
+	}
+	t.Run("files are published", func(t *testing.T) {
+		assert.Len(t, read("after=0"), 1)
+		write(2, `{"number":2,"author":"b"}`)
+		assert.Equal(t, []string{`{"number":2,"author":"b"}`}, read("after=1&wait=10000"))
+	})
+	t.Run("stale and hidden numbers aren't answered", func(t *testing.T) {
+		s.SetFault(func(f *TicketFault) { f.Stale = 1 })
+		assert.Len(t, read("after=0"), 1)
+		s.SetFault(func(f *TicketFault) { f.Stale = 0; f.Hidden = []uint64{1} })
+		assert.Equal(t, []string{`{"number":2,"author":"b"}`}, read("after=0"))
+		s.SetFault(func(f *TicketFault) { f.Hidden = nil })
+	})
+	t.Run("a second content shows to every other call", func(t *testing.T) {
+		require.NoError(t, s.Publish([]byte(`{"number":2,"author":"c"}`)))
+		assert.NotEqual(t, read("after=1"), read("after=1"))
+	})
+	t.Run("down answers 503 and each call counts", func(t *testing.T) {
+		s.SetFault(func(f *TicketFault) { f.Down = true })
+		before := s.Calls().Calls
+		assert.Equal(t, http.StatusServiceUnavailable, get(t, s.URL()+"/tickets", nil))
+		assert.Equal(t, before+1, s.Calls().Calls)
+		s.SetFault(func(f *TicketFault) { f.Down = false })
+	})
+	t.Run("above the limit a second it answers 429", func(t *testing.T) {
+		second := clock.Time(0)
+		limited := &Tickets{Server: &Server{clock: clock.Fixed(&second)}}
+		for range readsPerSecond {
+			_, err := limited.admit()
+			require.NoError(t, err)
+		}
+		_, err := limited.admit()
+		assert.Error(t, err)
+		second = second.Add(clock.Second)
+		_, err = limited.admit()
+		assert.NoError(t, err)
+	})
+	t.Run("a snapshot is answered once there is one", func(t *testing.T) {
+		assert.Equal(t, http.StatusNotFound, get(t, s.URL()+"/snapshot", nil))
+		s.PublishSnapshot([]byte(`{"number":2,"objects":{}}`))
+		assert.Equal(t, http.StatusOK, get(t, s.URL()+"/snapshot", &ticketNumber{}))
+	})
+}
+
+func TestList(t *testing.T) {
+	l, err := NewList("", "")
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
+	l.SetFault(func(f *ListFault) { f.Lag = 200 })
+	l.Set([]Instance{{Name: "e1", Role: "entry", State: "live"}})
+	var list InstanceList
+	get(t, l.URL()+"/instances", &list)
+	assert.Empty(t, list.Instances)
+	eventually(t, "shown", func() bool {
+		get(t, l.URL()+"/instances", &list)
+		return list.Version == 1 && len(list.Instances) == 1
+	})
+}
+
+func TestWeights(t *testing.T) {
+	now := clock.Time(0)
+	w := &Weights{Server: &Server{clock: clock.Fixed(&now)}, loaded: map[string]int{}}
+	w.fault.value.Rate = 1000
+	assert.Equal(t, 500*clock.Millisecond, w.reserve("m", 500))
+	assert.Equal(t, 1500*clock.Millisecond, w.reserve("n", 1000))
+	now = 1400
+	assert.Equal(t, 350*clock.Millisecond, w.reserve("n", 250))
+	assert.Equal(t, 1250, w.Loaded("n"))
+}
