--- /dev/null
+++ b/internal/platform/reader.go
@@ -0,0 +1,137 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"carawaypick/pkg/clock"
+)
+
+const (
+	// callTimeout is how long a call may take besides the time it is asked to wait.
+	callTimeout = 5 * clock.Second
+	// maxConnections is the most connections to one service.
+	maxConnections = 4
+)
+
+// Reader reads the platform through its function fields, so that another dialect fills them in another way.
+type Reader struct {
+	// Tickets returns the contents of tickets above a number, waiting up to a span for one.
+	Tickets func(ctx context.Context, after uint64, wait clock.Span) ([][]byte, error)
+	// Snapshot returns a snapshot's content, or nil where the platform has none.
+	Snapshot func(ctx context.Context) ([]byte, error)
+	// Instances returns the list and the faults of the instances left out of it, or a list with version 0 where the platform says that nothing is newer than the given version.
+	Instances func(ctx context.Context, version uint64) (List, []error, error)
+	// Calls counts the calls made.
+	Calls *atomic.Uint64
+}
+
+// StatusError is an answer with an HTTP status other than 200.
+type StatusError struct {
+	Code int
+}
+
+// Error returns the status as text.
+func (e *StatusError) Error() string {
+	return "status " + strconv.Itoa(e.Code)
+}
+
+// NewReader returns a Reader of the configuration service and the list at two base URLs.
+func NewReader(tickets, list string) *Reader {
+	c := &client{http: &fasthttp.Client{
+		Name:                "carawaypick",
+		MaxConnsPerHost:     maxConnections,
+		MaxResponseBodySize: MaxAnswer,
+		ReadTimeout:         0, // each call has its own
+	}}
+	tickets, list = strings.TrimSuffix(tickets, "/"), strings.TrimSuffix(list, "/")
+	return &Reader{
+		Tickets: func(ctx context.Context, after uint64, wait clock.Span) ([][]byte, error) {
+			return c.tickets(ctx, tickets, after, wait)
+		},
+		Snapshot: func(ctx context.Context) ([]byte, error) {
+			return c.snapshot(ctx, tickets)
+		},
+		Instances: func(ctx context.Context, version uint64) (List, []error, error) {
+			return c.instances(ctx, list, version)
+		},
+		Calls: &c.calls,
+	}
+}
+
+type client struct {
+	http  *fasthttp.Client
+	calls atomic.Uint64
+}
+
+func (c *client) tickets(ctx context.Context, base string, after uint64, wait clock.Span) (tickets [][]byte, err error) {
+	defer func() { err = errors.Wrap(err, "read tickets") }()
+	url := base + "/tickets?after=" + strconv.FormatUint(after, 10)
+	if wait > 0 {
+		url += "&wait=" + strconv.FormatInt(int64(wait), 10)
+	}
+	content, err := c.get(ctx, url, wait+callTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return DecodeTickets(content)
+}
+
+func (c *client) snapshot(ctx context.Context, base string) (snapshot []byte, err error) {
+	defer func() { err = errors.Wrap(err, "read snapshot") }()
+	content, err := c.get(ctx, base+"/snapshot", callTimeout)
+	if isStatus(err, http.StatusNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return DecodeSnapshot(content)
+}
+
+func (c *client) instances(ctx context.Context, base string, version uint64) (l List, faults []error, err error) {
+	defer func() { err = errors.Wrap(err, "read instances") }()
+	content, err := c.get(ctx, base+"/instances?after="+strconv.FormatUint(version, 10), callTimeout)
+	if isStatus(err, http.StatusNotModified) {
+		return List{}, nil, nil
+	}
+	if err != nil {
+		return List{}, nil, err
+	}
+	return DecodeList(content)
+}
+
+func isStatus(err error, code int) bool {
+	var e *StatusError
+	return errors.As(err, &e) && e.Code == code
+}
+
+// get makes one call and returns its body, or the context's error as soon as it ends.
+func (c *client) get(ctx context.Context, url string, timeout clock.Span) (body []byte, err error) {
+	if err = ctx.Err(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	c.calls.Add(1)
+	request, response := &fasthttp.Request{}, &fasthttp.Response{}
+	request.SetRequestURI(url)
+	done := make(chan error, 1)
+	go func() { done <- c.http.DoTimeout(request, response, timeout.Duration()) }()
+	select {
+	case err = <-done:
+	case <-ctx.Done(): // the call ends by itself at its timeout, with a request and response that nobody else holds
+		err = ctx.Err()
+	}
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if code := response.StatusCode(); code != http.StatusOK {
+		return nil, errors.WithStack(&StatusError{Code: code})
+	}
+	return response.Body(), nil
+}
--- a/internal/ticket/decode.go
+++ b/internal/ticket/decode.go
@@ -94,8 +94,9 @@
 	if errors.As(err, &mismatch) && mismatch.Field != "" {
 		return mismatch.Field
 	}
-	if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
-		return strings.Trim(name, `"`)
+	_, name, _ := strings.Cut(err.Error(), "unknown field ")
+	if name = strings.Trim(name, `"`); name != "" {
+		return name
 	}
 	return "content"
 }
