Command line with exit codes and the operators' commands

Ruled out: a check for the role inside Load, since operators read the same file without a role; judging usage errors by the type of go-flags alone, which lets malformed positional arguments through as another exit code (a test was red on it). Change: internal/cli with entry, agent, check, diff, status, wait, explain, settings, schema, plan, version; internal/operator folds published tickets with the processes' own book; settings can be described without a file.

--- a/internal/cli/about.go
+++ b/internal/cli/about.go
@@ -27,8 +27,11 @@
 	app     *app
 }
 
-// Execute writes one row a field.
+// Execute writes one row a field: its value and source, or what it takes where no file is named.
 func (c *settingsCommand) Execute([]string) error {
+	if c.Options.Settings == "" {
+		return c.describe()
+	}
 	_, origins, err := c.Options.load(c.app.environ)
 	if err != nil {
 		return err
@@ -36,10 +39,30 @@
 	if c.JSON {
 		return c.app.writeJSON(origins)
 	}
-	t := tabwriter.NewWriter(c.app.stdout, 0, 0, columnGap, ' ', 0)
-	fmt.Fprintln(t, "FIELD\tVALUE\tSOURCE")
+	rows := [][]string{{"FIELD", "VALUE", "SOURCE"}}
 	for _, o := range origins {
-		fmt.Fprintf(t, "%s\t%s\t%s\n", o.Field, o.Value, o.Source)
+		rows = append(rows, []string{o.Field, o.Value, o.Source})
+	}
+	return c.app.writeTable(rows)
+}
+
+func (c *settingsCommand) describe() error {
+	all := config.Describe()
+	if c.JSON {
+		return c.app.writeJSON(all)
+	}
+	rows := [][]string{{"FIELD", "DEFAULT", "ALLOWED", "MEANING"}}
+	for _, d := range all {
+		rows = append(rows, []string{d.Field, d.Default, d.Allowed, d.Text})
+	}
+	return c.app.writeTable(rows)
+}
+
+// writeTable writes rows in aligned columns.
+func (a *app) writeTable(rows [][]string) error {
+	t := tabwriter.NewWriter(a.stdout, 0, 0, columnGap, ' ', 0)
+	for _, r := range rows {
+		fmt.Fprintln(t, strings.Join(r, "\t"))
 	}
 	return errors.Wrap(t.Flush(), "write table")
 }
@@ -78,3 +101,13 @@
 	fmt.Fprintf(c.app.stdout, "carawaypick %s commit %s %s\n", version, commit, runtime.Version())
 	return nil
 }
+
+// planCommand plans expert maps.
+type planCommand struct {
+	app *app
+}
+
+// Execute reads reports from standard input until its end.
+func (c *planCommand) Execute([]string) error {
+	return plan(c.app.stdin, c.app.stdout)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -56,23 +56,37 @@
 			return ExitUsage
 		}
 	}
+	started := false
+	p.CommandHandler = func(c flags.Commander, args []string) error {
+		started = true
+		return c.Execute(args)
+	}
 	_, err := p.ParseArgs(args)
+	if err != nil && !started {
+		return a.misused(err)
+	}
 	return a.exit(err)
 }
 
-// exit reports err and returns its exit code.
-func (a *app) exit(err error) int {
-	if err == nil {
-		return ExitDone
-	}
+// misused reports a command line that names no command to execute, which is no fault where it asks for help.
+func (a *app) misused(err error) int {
 	var fault *flags.Error
 	if errors.As(err, &fault) && fault.Type == flags.ErrHelp {
 		fmt.Fprintln(a.stdout, fault.Message)
 		return ExitDone
 	}
 	fmt.Fprintln(a.stderr, "carawaypick:", err)
+	return ExitUsage
+}
+
+// exit reports err and returns its exit code.
+func (a *app) exit(err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	fmt.Fprintln(a.stderr, "carawaypick:", err)
 	var usage *usageError
-	if fault != nil || errors.As(err, &usage) {
+	if errors.As(err, &usage) {
 		return ExitUsage
 	}
 	var unreachable *operator.UnreachableError
@@ -92,14 +106,16 @@
 
 func (a *app) commands() []entryOf {
 	return []entryOf{
-		{"entry", "serve callers", "Serves callers on an entry instance until SIGINT or SIGTERM, then drains. A second signal ends it at once.", &roleCommand{app: a, role: "entry"}},
-		{"agent", "serve one backend server", "Serves the backend server of this instance until SIGINT or SIGTERM, then drains. A second signal ends it at once.", &roleCommand{app: a, role: "agent"}},
+		{"entry", "serve callers", "Serves callers on an entry instance until SIGINT or SIGTERM, then drains. A second signal ends it at once. The command settings shows every field with unit and default.", &roleCommand{app: a, role: "entry"}},
+		{"agent", "serve one backend server", "Serves the backend server of this instance until SIGINT or SIGTERM, then drains. A second signal ends it at once. The command settings shows every field with unit and default.", &roleCommand{app: a, role: "agent"}},
 		{"check", "judge a change ticket", "Judges the change ticket in FILE against the state in force and says why it would be skipped.", &checkCommand{ticketCommand{app: a}}},
 		{"diff", "show what a change ticket changes", "Shows each field that the change ticket in FILE would change in the state in force.", &diffCommand{ticketCommand{app: a}}},
 		{"status", "show what each process believes", "Shows one row a process. It exits with 1 where some processes did not answer, and 3 where none did.", &statusCommand{desk: desk{app: a}}},
 		{"wait", "wait until a ticket is in force", "Waits until ticket N is in force at every listed process.", &waitCommand{desk: desk{app: a}}},
 		{"explain", "show why a request went where it went", "Shows the decisions that the processes still hold on the request id KEY.", &explainCommand{desk: desk{app: a}}},
-		{"settings", "show the settings and where they come from", "Shows each setting, its value and its source: file, environment, flag or default. Secrets are hidden.", &settingsCommand{app: a}},
+		{"settings", "show the settings and where they come from", "Shows each setting, its value and its source: file, environment, flag or default. Secrets are hidden. Without a file it shows what each field means, in which unit, what it takes and its default.", &settingsCommand{app: a}},
+		{"schema", "show the JSON schema of a settings file", "Shows the JSON schema that settings files are checked against, with units, ranges and defaults.", &schemaCommand{app: a}},
+		{"plan", "plan expert maps", "Reads reports of expert counts as JSON lines from standard input and answers each with a line on standard output.", &planCommand{app: a}},
 		{"version", "show the version", "Shows the version of the program and of Go.", &versionCommand{app: a}},
 	}
 }
--- a/internal/cli/role.go
+++ b/internal/cli/role.go
@@ -23,7 +23,7 @@
 
 // settingsOptions are the settings file and the flags that override it.
 type settingsOptions struct {
-	Settings string   `long:"settings" value-name:"FILE" required:"true" description:"Settings file in JSON; variables such as CARAWAYPICK_TIMING_TTL override it"`
+	Settings string   `long:"settings" value-name:"FILE" description:"Settings file in JSON; variables such as CARAWAYPICK_TIMING_TTL override it"`
 	Name     string   `long:"name" description:"Name of the process, in place of name"`
 	Zone     string   `long:"zone" description:"Availability zone, in place of zone"`
 	Listen   string   `long:"listen" value-name:"IP:PORT" description:"Address of the HTTP server, in place of listen"`
@@ -70,6 +70,9 @@
 
 // Execute runs the process until a signal.
 func (c *roleCommand) Execute([]string) (err error) {
+	if c.Settings == "" {
+		return &usageError{"--settings is needed"}
+	}
 	s, _, err := c.load(c.app.environ)
 	if err != nil {
 		return err
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -1,12 +1,12 @@
 package config
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"net/url"
 	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/invopop/jsonschema"
@@ -34,78 +34,88 @@
 	return u.Scheme == "http" || u.Scheme == "https"
 }
 
-// fault returns what f takes, or an empty string where its value is good.
-func (f field) fault() string {
-	if !f.required && f.value.IsZero() && f.value.Kind() == reflect.String {
-		return ""
-	}
+// optional tells whether an empty string is a value of its own.
+func (f field) optional() bool {
+	return !f.required && f.property.Default == nil
+}
+
+// good tells whether the value of f is one that the field takes.
+func (f field) good() bool {
 	switch f.value.Kind() {
 	case reflect.String:
-		return stringFault(f.value.String(), f.property)
+		return f.value.Len() == 0 && f.optional() || goodText(f.value.String(), f.property)
 	case reflect.Slice:
-		return sliceFault(f.value, f.property)
+		for i := range f.value.Len() {
+			if !goodText(f.value.Index(i).String(), f.property.Items) {
+				return false
+			}
+		}
+		return true
 	case reflect.Float64:
-		return numberFault(f.value.Float(), f.property)
+		return goodNumber(f.value.Float(), f.property)
 	default:
-		return numberFault(float64(f.value.Int()), f.property)
-	}
-}
-
-func sliceFault(v reflect.Value, p *jsonschema.Schema) string {
-	for i := range v.Len() {
-		if fault := stringFault(v.Index(i).String(), p.Items); fault != "" {
-			return "a list, each " + fault
-		}
+		return goodNumber(float64(f.value.Int()), f.property)
 	}
-	return ""
 }
 
-func stringFault(v string, p *jsonschema.Schema) string {
-	if len(p.Enum) > 0 {
-		return enumFault(v, p.Enum)
+func goodText(v string, p *jsonschema.Schema) bool {
+	if len(p.Enum) > 0 && !slices.Contains(p.Enum, any(v)) {
+		return false
 	}
 	if f, found := formats[p.Format]; found && !f.valid(v) {
-		return f.allowed
-	}
-	if p.MinLength != nil && uint64(len(v)) < *p.MinLength || p.MaxLength != nil && uint64(len(v)) > *p.MaxLength {
-		return lengths(p)
+		return false
 	}
-	if p.Pattern != "" && !regexp.MustCompile(p.Pattern).MatchString(v) {
-		return lengths(p) + " matching " + p.Pattern
+	if uint64(len(v)) < lowest(p) || p.MaxLength != nil && uint64(len(v)) > *p.MaxLength {
+		return false
 	}
-	return ""
+	return p.Pattern == "" || regexp.MustCompile(p.Pattern).MatchString(v)
 }
 
-func lengths(p *jsonschema.Schema) string {
-	shortest := uint64(1)
+func lowest(p *jsonschema.Schema) uint64 {
 	if p.MinLength != nil {
-		shortest = *p.MinLength
+		return *p.MinLength
 	}
-	return fmt.Sprintf("%d to %d characters", shortest, *p.MaxLength)
+	return 1
 }
 
-func enumFault(v string, values []any) string {
-	names := make([]string, 0, len(values))
-	for _, a := range values {
-		if a == v {
-			return ""
-		}
-		names = append(names, fmt.Sprint(a))
-	}
-	return "one of " + strings.Join(names, ", ")
+func goodNumber(v float64, p *jsonschema.Schema) bool {
+	low, lowErr := p.Minimum.Float64()
+	high, highErr := p.Maximum.Float64()
+	return lowErr == nil && highErr == nil && v >= low && v <= high
 }
 
-func numberFault(v float64, p *jsonschema.Schema) string {
-	low, _ := p.Minimum.Float64()
-	high, _ := p.Maximum.Float64()
-	if v >= low && v <= high {
-		return ""
+// allowed tells what the field takes.
+func (f field) allowed() string {
+	switch f.value.Kind() {
+	case reflect.String:
+		text := allowedText(f.property)
+		if f.optional() {
+			text += ", or empty"
+		}
+		return text
+	case reflect.Slice:
+		return "a list, each " + allowedText(f.property.Items)
+	default:
+		return fmt.Sprintf("%s to %s", f.property.Minimum, f.property.Maximum)
 	}
-	return span(p.Minimum, p.Maximum)
 }
 
-func span(low, high json.Number) string {
-	return fmt.Sprintf("%s to %s", low, high)
+func allowedText(p *jsonschema.Schema) string {
+	if len(p.Enum) > 0 {
+		names := make([]string, 0, len(p.Enum))
+		for _, a := range p.Enum {
+			names = append(names, fmt.Sprint(a))
+		}
+		return "one of " + strings.Join(names, ", ")
+	}
+	if f, found := formats[p.Format]; found {
+		return f.allowed
+	}
+	text := fmt.Sprintf("%d to %d characters", lowest(p), *p.MaxLength)
+	if p.Pattern != "" {
+		text += " matching " + p.Pattern
+	}
+	return text
 }
 
 // relation is a rule between several settings.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -188,11 +188,8 @@
 // check holds every field against the schema, then the relations between those that are good.
 func (l *loader) check() {
 	for _, f := range l.fields {
-		if l.bad[f.path] {
-			continue
-		}
-		if allowed := f.fault(); allowed != "" {
-			l.refuse(l.source(f.path), f.path, f.text(), allowed)
+		if !l.bad[f.path] && !f.good() {
+			l.refuse(l.source(f.path), f.path, f.text(), f.allowed())
 		}
 	}
 	if len(l.faults) > 0 {
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -92,7 +92,7 @@
 			Fault{"FILE", "name", `"E 1"`, "1 to 63 characters matching ^[a-z0-9][a-z0-9.-]*$"},
 			Fault{"FILE", "listen", `"localhost:1"`, formats["address"].allowed},
 			Fault{"FILE", "seeds", `["x"]`, "a list, each " + formats["address"].allowed},
-			Fault{"FILE", "key", Hidden, "16 to 256 characters"},
+			Fault{"FILE", "key", Hidden, "16 to 256 characters, or empty"},
 			Fault{"FILE", "platform.tickets", `"ftp://h"`, formats["uri"].allowed},
 			Fault{"FILE", "log.level", `"loud"`, "one of debug, info, warn, error"},
 			Fault{"environment CARAWAYPICK_TRACE_RATIO", "trace.ratio", "2", "0 to 1"})
@@ -134,7 +134,7 @@
 	require.NoError(t, err)
 	got, err := os.ReadFile("../../settings.schema.json")
 	require.NoError(t, err)
-	assert.Equal(t, string(want), string(got), "write it anew: go run . settings --schema > settings.schema.json")
+	assert.Equal(t, string(want), string(got), "write it anew: go run . schema > settings.schema.json")
 }
 
 func FuzzLoad(f *testing.F) {
@@ -152,3 +152,14 @@
 		assert.NotEmpty(t, invalid.Faults)
 	})
 }
+
+func TestDescribe(t *testing.T) {
+	all := Describe()
+	assert.Contains(t, all, Description{
+		Field: "timing.ttl", Text: "Time in ms that callers keep a located address", Allowed: "100 to 600000", Default: "5000",
+	})
+	for _, d := range all {
+		assert.NotEmpty(t, d.Text, d.Field)
+		assert.NotEmpty(t, d.Allowed, d.Field)
+	}
+}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -67,3 +67,21 @@
 	}
 	return found
 }
+
+// Description tells what one field means and takes.
+type Description struct {
+	Field   string `json:"field"`
+	Text    string `json:"text"` // meaning with its unit
+	Allowed string `json:"allowed"`
+	Default string `json:"default"`
+}
+
+// Describe returns a description of every field in the order of the schema.
+func Describe() []Description {
+	defaults := Defaults()
+	var all []Description
+	for _, f := range fields(&defaults, schema()) {
+		all = append(all, Description{Field: f.path, Text: f.property.Description, Allowed: f.allowed(), Default: f.text()})
+	}
+	return all
+}
--- a/internal/operator/ask.go
+++ b/internal/operator/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/url"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,7 @@
 	askTimeout = 2 * clock.Second
 	maxAnswer  = 8 << 20 // bytes
 	maxAsking  = 16      // calls at once
+	maxReason  = 200     // bytes of a refusal's body that are shown
 )
 
 // Process is one process that can be asked, over HTTP or else over gRPC.
@@ -36,6 +38,7 @@
 type UnreachableError struct {
 	Address string
 	Reason  string
+	Status  int // HTTP status, 0 where there was no answer
 }
 
 // Error names the address and the reason.
@@ -143,17 +146,6 @@
 	return reply.GetContent(), nil
 }
 
-// State returns the folded state of the tickets as JSON from the first process that answers.
-func (c *Client) State() (content []byte, err error) {
-	for _, a := range c.Asked {
-		content, err = get("http://" + a + PathState)
-		if err == nil {
-			return content, nil
-		}
-	}
-	return nil, err
-}
-
 // get returns the body of a bounded answer with status 200.
 func get(address string) ([]byte, error) {
 	client := fasthttp.Client{MaxResponseBodySize: maxAnswer, NoDefaultUserAgentHeader: true}
@@ -166,8 +158,8 @@
 	if err := client.DoTimeout(request, response, askTimeout.Duration()); err != nil {
 		return nil, &UnreachableError{Address: address, Reason: err.Error()}
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return nil, &UnreachableError{Address: address, Reason: "status " + fasthttp.StatusMessage(response.StatusCode())}
+	if code := response.StatusCode(); code != fasthttp.StatusOK {
+		return nil, &UnreachableError{Address: address, Reason: "status " + strconv.Itoa(code) + " " + string(response.Body()[:min(len(response.Body()), maxReason)]), Status: code}
 	}
 	return append([]byte(nil), response.Body()...), nil
 }
--- a/internal/operator/ask_test.go
+++ b/internal/operator/ask_test.go
@@ -12,16 +12,24 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+
+	"carawaypick/internal/kernel"
+	"carawaypick/internal/ticket"
 )
 
 // list serves an instance list and returns its base URL.
 func list(t *testing.T, content string) string {
+	t.Helper()
+	return web(t, func(c *fasthttp.RequestCtx) { c.SetBodyString(content) })
+}
+
+// web serves HTTP until the test ends and returns the base URL.
+func web(t *testing.T, handler fasthttp.RequestHandler) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) { c.SetBodyString(content) }}
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(l) }()
+	server := fasthttp.Server{Handler: handler}
+	done := kernel.Start(context.Background(), func(context.Context) error { return server.Serve(l) })
 	t.Cleanup(func() {
 		require.NoError(t, server.Shutdown())
 		require.NoError(t, <-done)
@@ -67,7 +75,7 @@
 		assert.Equal(t, uint64(7), replies[0].Answer.Status.Number)
 		state, err := given.State()
 		require.NoError(t, err)
-		assert.JSONEq(t, `{"number":4}`, string(state))
+		assert.Equal(t, ticket.Number(4), state.Number)
 	})
 	t.Run("a list that is no list is refused", func(t *testing.T) {
 		bad := Client{List: list(t, `[]`)}
@@ -123,3 +131,35 @@
 		assert.NoError(t, c.Wait(context.Background(), 3))
 	})
 }
+
+func TestPublished(t *testing.T) {
+	zone := func(number int, state string) string {
+		return fmt.Sprintf(`{"number":%d,"author":"desk","objects":{"zones":{"lima-a":{"state":%q}}}}`, number, state)
+	}
+	pages := map[string]string{
+		"0": zone(2, "out") + "," + zone(1, "in"),
+		"2": zone(3, "nowhere") + "," + zone(5, "in"),
+	}
+	service := web(t, func(c *fasthttp.RequestCtx) {
+		if string(c.Path()) == "/snapshot" {
+			c.Error("none", fasthttp.StatusNotFound)
+			return
+		}
+		c.SetBodyString(`{"tickets":[` + pages[string(c.QueryArgs().Peek("after"))] + `]}`)
+	})
+	s, err := Published(service)
+	require.NoError(t, err)
+	t.Run("folds up to the first gap", func(t *testing.T) {
+		assert.Equal(t, ticket.Number(3), s.Number)
+		assert.Equal(t, "out", s.Objects.Zones["lima-a"].State)
+	})
+	t.Run("an invalid ticket is skipped", func(t *testing.T) {
+		require.Len(t, s.Skipped, 1)
+		assert.Equal(t, ticket.Number(3), s.Skipped[0].Number)
+	})
+	t.Run("a service that is down is unreachable", func(t *testing.T) {
+		_, err := Published("http://127.0.0.1:1")
+		var unreachable *UnreachableError
+		assert.True(t, errors.As(err, &unreachable))
+	})
+}
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"carawaypick/internal/config"
+	"carawaypick/internal/kernel"
 	"carawaypick/internal/peer/peerpb"
 	"carawaypick/internal/telemetry"
 )
@@ -22,7 +23,7 @@
 		Status:  func() Status { return status },
 		Explain: ring.Find,
 		Ready:   func() error { return nil },
-		State:   func() ([]byte, error) { return []byte(`{"number":4}`), nil },
+		State:   func() ([]byte, error) { return []byte(`{"number":4,"objects":{}}`), nil },
 		Metrics: telemetry.NewMetrics(),
 	}
 }
@@ -54,7 +55,7 @@
 			PathStatus:                `"number":4`,
 			PathExplain + "?key=k.1":  `"backend":"a1"`,
 			PathExplain + "?key=none": `{}`,
-			PathState:                 `{"number":4}`,
+			PathState:                 `{"number":4,"objects":{}}`,
 		} {
 			content, err := get("http://" + address + path)
 			require.NoError(t, err, path)
@@ -63,14 +64,14 @@
 	})
 	t.Run("refuses an explain call without a key", func(t *testing.T) {
 		_, err := get("http://" + address + PathExplain)
-		assert.ErrorContains(t, err, "Bad Request")
+		assert.ErrorContains(t, err, "status 400 key: got nothing")
 	})
 	t.Run("says why it is not ready", func(t *testing.T) {
 		v.Ready = func() error { return errors.New("no ticket yet") }
 		_, err := get("http://" + served(t, v) + PathReady)
 		var unreachable *UnreachableError
 		require.True(t, errors.As(err, &unreachable))
-		assert.Contains(t, unreachable.Reason, "Service Unavailable")
+		assert.Equal(t, "status 503 no ticket yet", unreachable.Reason)
 	})
 }
 
@@ -108,8 +109,7 @@
 	require.NoError(t, err)
 	s := grpc.NewServer()
 	peerpb.RegisterPeerServer(s, peerServer{views: v})
-	done := make(chan error, 1)
-	go func() { done <- s.Serve(l) }()
+	done := kernel.Start(context.Background(), func(context.Context) error { return s.Serve(l) })
 	t.Cleanup(func() {
 		s.Stop()
 		require.NoError(t, <-done)
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -2,18 +2,25 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 
 	"carawaypick/internal/ticket"
+	"carawaypick/pkg/clock"
 )
 
 // maxPages bounds the calls to the configuration service for one state.
 const maxPages = 1000
 
+// Spans of the book in which the tickets of one reading settle together.
+const (
+	settled = clock.Millisecond
+	sealed  = clock.Hour
+)
+
 // State returns the state in force at the first process that answers.
 func (c *Client) State() (s *ticket.State, err error) {
 	err = &UnreachableError{Address: "any process", Reason: "no address is given"}
@@ -36,62 +43,60 @@
 	return ticket.DecodeSnapshot(content)
 }
 
-// Published returns the state up to the first gap by the tickets of the configuration service.
+// Published returns the state up to the first gap by the tickets that the configuration service holds.
 func Published(address string) (s *ticket.State, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "read tickets")
+		}
+	}()
 	address = strings.TrimSuffix(address, "/")
-	s, err = publishedSnapshot(address)
-	if err != nil {
+	book := ticket.NewBook(settled, sealed)
+	if err := addSnapshot(book, address); err != nil {
 		return nil, err
 	}
 	for range maxPages {
-		next, err := publishedPage(address, s)
-		if err != nil {
+		known := book.Seen()
+		if err := addPage(book, address, known); err != nil {
 			return nil, err
 		}
-		if next.Number == s.Number {
-			return s, nil
+		if book.Seen() == known {
+			book.Advance(clock.Time(settled))
+			return book.State(), nil
 		}
-		s = next
 	}
-	return nil, errors.Newf("more than %d pages of tickets", maxPages)
+	return nil, errors.Newf("more than %d pages", maxPages)
 }
 
-func publishedSnapshot(address string) (*ticket.State, error) {
+func addSnapshot(b *ticket.Book, address string) error {
 	content, err := get(address + "/snapshot")
 	var unreachable *UnreachableError
-	if errors.As(err, &unreachable) && unreachable.Missing {
-		return &ticket.State{}, nil
+	if errors.As(err, &unreachable) && unreachable.Status == fasthttp.StatusNotFound {
+		return nil
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return decodeState(content)
+	_, err = b.AddSnapshot(0, content)
+	return err
 }
 
-// publishedPage folds one answer of the service into s, invalid tickets skipped.
-func publishedPage(address string, s *ticket.State) (*ticket.State, error) {
-	content, err := get(address + "/tickets?after=" + strconv.FormatUint(uint64(s.Number), 10))
+// addPage takes in one answer of the service; the book judges each ticket as every process does.
+func addPage(b *ticket.Book, address string, after ticket.Number) error {
+	content, err := get(address + "/tickets?after=" + strconv.FormatUint(uint64(after), 10))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	var page struct {
 		Tickets []json.RawMessage `json:"tickets"`
 	}
 	if err := json.Unmarshal(content, &page); err != nil {
-		return nil, errors.Wrap(err, "read tickets")
-	}
-	tickets := make([]ticket.Ticket, 0, len(page.Tickets))
-	for _, raw := range page.Tickets {
-		t, err := ticket.Decode(raw)
-		if err == nil {
-			tickets = append(tickets, t)
-		}
+		return err
 	}
-	slices.SortStableFunc(tickets, func(a, b ticket.Ticket) int { return int(a.Number) - int(b.Number) })
-	for _, t := range tickets {
-		if t.Number == s.Number+1 {
-			s = s.Apply(t)
+	for _, t := range page.Tickets {
+		if _, err := b.Add(0, t, 0); err != nil {
+			return err
 		}
 	}
-	return s, nil
+	return nil
 }
--- a/internal/peer/secure_test.go
+++ b/internal/peer/secure_test.go
@@ -24,6 +24,7 @@
 	"google.golang.org/grpc/status"
 
 	"carawaypick/internal/config"
+	"carawaypick/internal/kernel"
 	"carawaypick/internal/peer/peerpb"
 )
 
@@ -58,8 +59,7 @@
 	s := grpc.NewServer(options...)
 	peerpb.RegisterPeerServer(s, server{})
 	peerpb.RegisterAgentServer(s, server{})
-	done := make(chan error, 1)
-	go func() { done <- s.Serve(l) }()
+	done := kernel.Start(context.Background(), func(context.Context) error { return s.Serve(l) })
 	defer func() {
 		s.Stop()
 		require.NoError(t, <-done)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -114,14 +114,14 @@
 }
 
 func (m *Metrics) counters(name, label string) Counters {
-	return Counters{newFamily(prefix+name, label, m.Set.NewCounter)}
+	return newFamily(prefix+name, label, m.Set.NewCounter)
 }
 
 func (m *Metrics) gauges(name, label string) Gauges {
 	create := func(name string) *metrics.Gauge { return m.Set.NewGauge(name, nil) }
-	return Gauges{newFamily(prefix+name, label, create)}
+	return newFamily(prefix+name, label, create)
 }
 
 func (m *Metrics) histograms(name, label string) Histograms {
-	return Histograms{newFamily(prefix+name, label, m.Set.NewHistogram)}
+	return newFamily(prefix+name, label, m.Set.NewHistogram)
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -40,10 +40,10 @@
 	m := NewMetrics()
 	var out bytes.Buffer
 	t.Run("writes each kind", func(t *testing.T) {
-		m.Refusals.Inc("noroom")
-		m.Refusals.Inc("noroom")
-		m.Share.Set("desk", 12)
-		m.Latency.Update("check", 3)
+		m.Refusals.Get("noroom").Inc()
+		m.Refusals.Get("noroom").Inc()
+		m.Share.Get("desk").Set(12)
+		m.Latency.Get("check").Update(3)
 		m.Ticket.Set(9)
 		m.Write(&out)
 		assert.Contains(t, out.String(), `carawaypick_refusals_total{reason="noroom"} 2`)
@@ -53,13 +53,13 @@
 		assert.Contains(t, out.String(), `process_resident_memory_bytes`)
 	})
 	t.Run("hostile labels neither panic nor grow without bound", func(t *testing.T) {
-		m.Retries.Inc("a\"\n\\{}é")
-		assert.Equal(t, uint64(1), m.Retries.Count("a\"\n\\{}é"))
+		m.Retries.Get("a\"\n\\{}é").Inc()
+		assert.Equal(t, uint64(1), m.Retries.Get("a\"\n\\{}é").Get())
 		for i := range 2 * maxLabels {
-			m.Dropped.Inc(fmt.Sprint("reason ", i))
+			m.Dropped.Get(fmt.Sprint("reason ", i)).Inc()
 		}
-		assert.LessOrEqual(t, len(m.Dropped.family.known), maxLabels+1)
-		assert.Equal(t, uint64(maxLabels), m.Dropped.Count(overflow))
+		assert.LessOrEqual(t, len(m.Dropped.known), maxLabels+1)
+		assert.Equal(t, uint64(maxLabels), m.Dropped.Get(overflow).Get())
 	})
 }
 
--- a/main.go
+++ b/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cli.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
