--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -10,6 +10,12 @@
 	"carawaypick/pkg/clock"
 )
 
+// Causes for which work that was due is not handed over after all.
+var (
+	errLate    = errors.Wrap(ErrNever, "deadline is over")
+	errExpired = errors.Wrap(ErrNever, "binding is too old")
+)
+
 // pump hands over as much waiting work as the backend server bears now.
 func (a *Agent) pump() {
 	for {
@@ -116,10 +122,10 @@
 func (a *Agent) handOver(ctx context.Context, w *work) (end End, err error) {
 	now := a.clock.Now()
 	if now >= w.deadline {
-		return End{}, errors.Wrap(ErrNever, ReasonLate)
+		return End{}, errLate
 	}
 	if w.bound && !a.table.Hand(now, w.token, w.request.GetId()) {
-		return End{}, errors.Wrap(ErrNever, binding.ReasonExpired)
+		return End{}, errExpired
 	}
 	return a.progress(ctx, w)
 }
@@ -192,12 +198,15 @@
 
 // never ends work of which no byte left; a failed dial says that the backend server is down.
 func (a *Agent) never(w *work, err error) *peerpb.Refusal {
-	if a.clock.Now() >= w.deadline {
+	switch {
+	case errors.Is(err, errLate) || a.clock.Now() >= w.deadline:
 		return notRun(ReasonLate, 0)
+	case errors.Is(err, errExpired):
+		return notRun(binding.ReasonExpired, 0)
+	case w.ctx.Err() != nil:
+		return notRun(ReasonCancel, 0)
 	}
-	if w.ctx.Err() == nil {
-		a.crashed(w)
-	}
+	a.crashed(w)
 	return notRun(ReasonDown, downAfter)
 }
 
--- a/internal/backend/watch.go
+++ b/internal/backend/watch.go
@@ -21,7 +21,7 @@
 		ticker := time.NewTicker(probePeriod.Duration())
 		defer ticker.Stop()
 		for {
-			a.probe(ctx)
+			_, _ = a.probe(ctx) // a failed report is counted inside
 			a.pump()
 			select {
 			case <-ctx.Done():
@@ -39,7 +39,7 @@
 	}
 	a.probing = true
 	a.workers.Go(func() {
-		a.probe(context.Background())
+		_, _ = a.probe(context.Background()) // a failed report is counted inside
 		a.mu.Lock()
 		a.probing = false
 		a.mu.Unlock()
--- a/internal/caller/board.go
+++ b/internal/caller/board.go
@@ -63,7 +63,7 @@
 		}
 		v.target = Target{Name: i.Name, Zone: i.Zone, Address: i.Peer}
 		v.service = i.Service
-		v.listed = i.State != platform.StateLeaving
+		v.listed = i.State != platform.Leaving
 	}
 	for name, v := range b.agents {
 		if _, ok := seen[name]; !ok && v.outstanding == 0 {
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"carawaypick/internal/balance"
 	"carawaypick/internal/config"
 	"carawaypick/internal/kernel"
@@ -171,7 +173,9 @@
 		polls = append(polls, kernel.Start(ctx, func(ctx context.Context) error { return e.poll(ctx, t) }))
 	}
 	for _, poll := range polls {
-		<-poll
+		if err := <-poll; err != nil {
+			level.Debug(e.telemetry.Logger).Log("msg", "no report", "err", err)
+		}
 	}
 }
 
@@ -181,7 +185,7 @@
 	var entries []string
 	services := make(map[string]map[string]platform.Instance)
 	for _, i := range list.Instances {
-		if i.Role == platform.RoleEntry {
+		if i.Role == platform.EntryRole {
 			entries = append(entries, i.Name)
 			continue
 		}
--- a/internal/caller/locate.go
+++ b/internal/caller/locate.go
@@ -42,10 +42,10 @@
 	var entries []balance.Entry
 	known := false
 	for _, i := range e.member.List().Instances {
-		if i.Role != platform.RoleEntry || i.Caller == "" {
+		if i.Role != platform.EntryRole || i.Caller == "" {
 			continue
 		}
-		leaving := i.State == platform.StateLeaving
+		leaving := i.State == platform.Leaving
 		if i.Name == e.settings.Name {
 			known = true
 			leaving = leaving || e.leaving.Load()
--- a/internal/caller/outcome.go
+++ b/internal/caller/outcome.go
@@ -53,7 +53,6 @@
 	outcome string
 	reason  string
 	after   clock.Span
-	crash   bool
 }
 
 func outcomeName(o peerpb.Outcome) string {
--- /dev/null
+++ b/internal/node/member.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+
+	"carawaypick/internal/config"
+	"carawaypick/internal/member"
+	"carawaypick/internal/operator"
+	"carawaypick/internal/peer"
+	"carawaypick/internal/peer/peerpb"
+	"carawaypick/internal/platform"
+	"carawaypick/internal/telemetry"
+	"carawaypick/pkg/clock"
+)
+
+// newMember joins membership to the platform's services and to the other processes.
+func newMember(s config.Settings, c clock.Clock, t *telemetry.Telemetry, pool *peer.Pool) *member.Member {
+	return member.New(member.Options{
+		Self:   platform.Instance{Name: s.Name, Peer: s.Peer, Zone: s.Zone, Region: s.Region},
+		Seeds:  s.Seeds,
+		Gossip: s.Timing.Gossip,
+		Settle: s.Timing.Settle,
+		Seal:   s.Timing.Seal,
+		Cold:   member.DefaultCold,
+		Keep:   member.DefaultKeep,
+		Reader: platform.NewReader(s.Platform.Tickets, s.Platform.List),
+		Call: func(ctx context.Context, address string, q *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+			conn, err := pool.Conn(address)
+			if err != nil {
+				return nil, err
+			}
+			return peerpb.NewPeerClient(conn).Sync(ctx, q)
+		},
+		Clock:  c,
+		Random: rand.Float64,
+		Log:    t.Logger,
+	})
+}
+
+// Status returns the part of a process's status that every role has.
+func (n *Node) Status(role string) operator.Status {
+	now := n.Clock.Now()
+	state := n.Member.State()
+	book := n.Member.Book()
+	s := operator.Status{
+		Name:   n.Settings.Name,
+		Role:   role,
+		Zone:   n.Settings.Zone,
+		Uptime: clock.Span(now),
+		Number: uint64(state.Number),
+		Hash:   fmt.Sprintf("%016x", state.Hash),
+		List:   n.Member.List().Version,
+	}
+	if number, since, ok := book.Missing(now); ok {
+		s.Missing = &operator.Missing{Number: uint64(number), Held: since}
+	}
+	for _, c := range book.Conflicts(now) {
+		s.Conflicts = append(s.Conflicts, uint64(c.Number))
+	}
+	for _, k := range state.Skipped {
+		s.Skipped = append(s.Skipped, operator.Skip{Number: uint64(k.Number), Reason: k.Reason})
+	}
+	n.Telemetry.Metrics.Ticket.Set(float64(state.Number))
+	return s
+}
+
+// State returns the folded state of the tickets in force as JSON.
+func (n *Node) State() ([]byte, error) {
+	return n.Member.State().Snapshot()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,6 @@
 	if err != nil {
 		return errors.CombineErrors(err, grpcListener.Close())
 	}
-	n.announce()
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	loops := n.Member.Start(inner)
@@ -105,14 +104,6 @@
 	return errors.CombineErrors(err, errors.CombineErrors(<-loops, <-work))
 }
 
-func (n *Node) announce() {
-	logger := n.Telemetry.Logger
-	if !peer.Secured(n.Settings) {
-		level.Warn(logger).Log("msg", "peers are not checked: listening on the instance address only", "peer", n.Settings.Peer)
-	}
-	level.Info(logger).Log("msg", "started", "zone", n.Settings.Zone, "listen", n.Settings.Listen, "peer", n.Settings.Peer)
-}
-
 // leave finishes what is in progress: callers may hold this address for a while, so it serves on for the drain time.
 func (n *Node) leave(role Role) {
 	logger := n.Telemetry.Logger
@@ -131,7 +122,8 @@
 		return nil
 	})
 	select {
-	case <-stopped:
+	case err := <-stopped:
+		level.Debug(logger).Log("msg", "peers have gone", "err", err)
 	case <-time.After(stopWait.Duration()):
 		n.Server.Stop()
 	}
