Agents and entries take in news of tickets and crashes at once

Cause: an agent weighed only crashes of its own backend server, so content condemned elsewhere could still run there; a ticket waited for the next request. Change: membership notifies the role; evidence goes into the suspects; a backend server whose zone returns starts with a closed window.

--- a/internal/backend/agent.go
+++ b/internal/backend/agent.go
@@ -68,6 +68,7 @@
 	probing  bool    // a report is on its way
 	seen     bool    // a report has ever come
 	down     bool
+	gone     bool // operators had the backend server or its zone out when last looked
 	leaving  bool
 	load     Load
 	loaded   clock.Time // when load came
@@ -146,6 +147,28 @@
 	}
 	a.queue.SetShares(shares)
 	a.resize()
+	out := a.out()
+	if a.gone && !out {
+		a.ramp.Restart(a.clock.Now())
+	}
+	a.gone = out
+}
+
+// Hear takes in news of tickets, instances and crashes.
+func (a *Agent) Hear() {
+	evidence := a.member.Evidence()
+	a.mu.Lock()
+	now := a.clock.Now()
+	for _, v := range evidence {
+		a.suspects.Add(balance.Crash{
+			Name:     v.GetCrash(),
+			Contents: v.GetContents(),
+			Alone:    v.GetAlone(),
+			At:       now.Add(-clock.Span(v.GetAge())),
+		})
+	}
+	a.mu.Unlock()
+	a.pump()
 }
 
 // resize takes the bearing of the backend server from the service's ticket; mu is held.
--- a/internal/backend/process.go
+++ b/internal/backend/process.go
@@ -45,6 +45,7 @@
 		Stop:  func(wait time.Duration) error { return app.ShutdownWithTimeout(wait) },
 		Leave: a.Leave,
 		Idle:  a.Idle,
+		Hear:  a.Hear,
 	})
 	a.Wait()
 	return err
--- a/internal/backend/report.go
+++ b/internal/backend/report.go
@@ -9,9 +9,7 @@
 // Poll returns the agent's load to an entry.
 func (a *Agent) Poll(_ context.Context, request *peerpb.PollRequest) (*peerpb.Report, error) {
 	a.member.Heard(request.GetDigest(), "")
-	for _, e := range request.GetEvidence() {
-		a.member.AddEvidence(e)
-	}
+	a.member.AddEvidence(request.GetEvidence()...)
 	return a.report(request.GetEntry()), nil
 }
 
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -8,6 +8,7 @@
 
 	"carawaypick/internal/binding"
 	"carawaypick/internal/peer/peerpb"
+	"carawaypick/pkg/clock"
 )
 
 // sender writes the events of one answer, each with the request and attempt that it answers.
@@ -178,8 +179,8 @@
 	}
 	select {
 	case <-own.done:
-		if own.refusal.GetOutcome() == peerpb.Outcome_OUTCOME_NOTRUN {
-			return own.refusal
+		if own.refusal != nil {
+			return notRun(own.refusal.GetReason(), clock.Span(own.refusal.GetAfter()))
 		}
 	default:
 	}
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -17,7 +17,7 @@
 	dialTimeout  = 500 * clock.Millisecond
 	readerBytes  = 16 << 10
 	reportBytes  = 64 << 10
-	reportPeriod = clock.Second // longest wait for a report
+	reportPeriod = 400 * clock.Millisecond // longest wait for a report
 )
 
 // transport opens one connection for each exchange, so that no stale connection is
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -103,11 +103,16 @@
 	}
 }
 
-// accuse takes crash evidence in and passes what is new on.
+// accuse passes crash evidence on; what is new comes back through Hear.
 func (e *Entry) accuse(evidence []*peerpb.Evidence) {
-	for _, v := range evidence {
-		e.member.AddEvidence(v)
+	if len(evidence) > 0 {
+		e.member.AddEvidence(evidence...)
 	}
+}
+
+// Hear takes in news of tickets, instances and crashes.
+func (e *Entry) Hear() {
+	evidence := e.member.Evidence()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.collect(evidence)
@@ -127,10 +132,8 @@
 }
 
 func (e *Entry) condemned(content uint64) (after clock.Span, ok bool) {
-	evidence := e.member.Evidence()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.collect(evidence)
 	return e.suspects.Condemned(e.clock.Now(), content)
 }
 
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -37,6 +37,7 @@
 		Stop:  func(wait time.Duration) error { return app.ShutdownWithTimeout(wait) },
 		Leave: e.Leave,
 		Idle:  e.Idle,
+		Hear:  e.Hear,
 	})
 }
 
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -5,18 +5,16 @@
 	"fmt"
 	"math/rand/v2"
 
-	"carawaypick/internal/config"
 	"carawaypick/internal/member"
 	"carawaypick/internal/operator"
-	"carawaypick/internal/peer"
 	"carawaypick/internal/peer/peerpb"
 	"carawaypick/internal/platform"
-	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
 
 // newMember joins membership to the platform's services and to the other processes.
-func newMember(s config.Settings, c clock.Clock, t *telemetry.Telemetry, pool *peer.Pool) *member.Member {
+func newMember(n *Node) *member.Member {
+	s := n.Settings
 	return member.New(member.Options{
 		Self:   platform.Instance{Name: s.Name, Peer: s.Peer, Zone: s.Zone, Region: s.Region},
 		Seeds:  s.Seeds,
@@ -27,15 +25,16 @@
 		Keep:   member.DefaultKeep,
 		Reader: platform.NewReader(s.Platform.Tickets, s.Platform.List),
 		Call: func(ctx context.Context, address string, q *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
-			conn, err := pool.Conn(address)
+			conn, err := n.Pool.Conn(address)
 			if err != nil {
 				return nil, err
 			}
 			return peerpb.NewPeerClient(conn).Sync(ctx, q)
 		},
-		Clock:  c,
+		Clock:  n.Clock,
 		Random: rand.Float64,
-		Log:    t.Logger,
+		Notify: n.hear,
+		Log:    n.Telemetry.Logger,
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,8 @@
 	Pool      *peer.Pool
 	Server    *grpc.Server
 	Views     operator.Views
+
+	notify atomic.Pointer[func()]
 }
 
 // Role is what an entry or an agent adds to a node.
@@ -42,6 +45,7 @@
 	Stop  func(time.Duration) error          // closes the HTTP server once its connections are idle
 	Leave func()                             // stops new work
 	Idle  func() bool                        // tells whether no work is left
+	Hear  func()                             // takes in news of tickets, instances and crashes
 }
 
 // Open joins the parts of a process without starting them.
@@ -65,10 +69,10 @@
 		Settings:  s,
 		Clock:     c,
 		Telemetry: t,
-		Member:    newMember(s, c, t, pool),
 		Pool:      pool,
 		Server:    grpc.NewServer(append(server, peer.ServerLimits()...)...),
 	}
+	n.Member = newMember(n)
 	peerpb.RegisterPeerServer(n.Server, peerServer{node: n})
 	return n, nil
 }
@@ -90,6 +94,7 @@
 	}
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	n.notify.Store(&role.Hear)
 	loops := n.Member.Start(inner)
 	work := role.Start(inner)
 	peers := kernel.Start(inner, func(context.Context) error { return n.Server.Serve(grpcListener) })
@@ -104,6 +109,13 @@
 	return errors.CombineErrors(err, errors.CombineErrors(<-loops, <-work))
 }
 
+// hear passes news on to the role once it runs.
+func (n *Node) hear() {
+	if notify := n.notify.Load(); notify != nil {
+		(*notify)()
+	}
+}
+
 // leave finishes what is in progress: callers may hold this address for a while, so it serves on for the drain time.
 func (n *Node) leave(role Role) {
 	logger := n.Telemetry.Logger
