Add the demo and the fleet of real processes

Cause: the whole path has to be shown with real processes. Change: internal/standin/fleet starts entries and agents among stand-ins, internal/standin/demo sends the requests and checks each answer.

--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -189,9 +189,9 @@
 func (c *Caller) again(ctx context.Context, call Call, answer Answer) bool {
 	switch {
 	case answer.Outcome == Lost:
-		return sleep(ctx, resendPause)
+		return Sleep(ctx, resendPause)
 	case answer.Outcome == NotRun && call.Patient:
-		return sleep(ctx, max(answer.After, resendPause))
+		return Sleep(ctx, max(answer.After, resendPause))
 	default:
 		return false
 	}
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -65,6 +65,7 @@
 	add(parser, "plain", "a plain service", &plainCommand{shared: s})
 	add(parser, "group", "a group of ranks in lock-step", &groupCommand{shared: s})
 	add(parser, "weights", "the weight store", &weightsCommand{shared: s})
+	addDemo(parser, &demoCommand{output: output})
 	_, err := parser.ParseArgs(arguments)
 	if err == nil {
 		return exitDone
@@ -83,6 +84,13 @@
 	}
 }
 
+func addDemo(parser *flags.Parser, data *demoCommand) {
+	const text = "Starts 6 entries, 6 engines and 3 plain services in 3 availability zones, sends the requests, prints the answers and fails where one is wrong."
+	if _, err := parser.AddCommand("demo", "send two users' requests through a fleet", text, data); err != nil {
+		panic(err) // a wrong tag above
+	}
+}
+
 func add(parser *flags.Parser, name, text string, data any) {
 	if _, err := parser.AddCommand(name, "run "+text, "Stands in for "+text+" until interrupted; prints its address as a JSON line.", data); err != nil {
 		panic(err) // a wrong tag above
--- /dev/null
+++ b/internal/standin/demo/request.go
@@ -0,0 +1,79 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"carawaypick/internal/standin"
+	"carawaypick/pkg/clock"
+)
+
+// Request is one line of the file of requests.
+type Request struct {
+	Service    string          `json:"service"`
+	Team       string          `json:"team"`
+	Priority   int             `json:"priority"` // higher first
+	Deadline   clock.Span      `json:"deadline"` // ms
+	Idempotent bool            `json:"idempotent"`
+	Path       string          `json:"path"` // after the service, with a leading slash
+	Body       json.RawMessage `json:"body"` // empty for a GET
+}
+
+func readRequests(file string) (requests []Request, err error) {
+	defer func() { err = errors.Wrapf(err, "read requests of %s", file) }()
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	lines := bufio.NewReader(bytes.NewReader(content))
+	decoder := json.NewDecoder(lines)
+	decoder.DisallowUnknownFields()
+	for {
+		var request Request
+		err := decoder.Decode(&request)
+		if errors.Is(err, io.EOF) {
+			return requests, nil
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "request %d", len(requests)+1)
+		}
+		requests = append(requests, request)
+	}
+}
+
+func (r Request) call(id string) standin.Call {
+	call := standin.Call{
+		ID:         id,
+		Method:     http.MethodPost,
+		Path:       r.Path,
+		Body:       r.Body,
+		Priority:   r.Priority,
+		Deadline:   r.Deadline,
+		Idempotent: r.Idempotent,
+		Patient:    true,
+	}
+	if len(r.Body) == 0 {
+		call.Method = http.MethodGet
+	}
+	return call
+}
+
+// expected returns the whole answer that the backend server's stand-in gives to this request alone.
+func (r Request) expected(id string, model bool) (text string, err error) {
+	if !model {
+		answer := standin.PlainAnswer{ID: id, Result: standin.Result(r.Path, r.Body)}
+		content, err := json.Marshal(answer)
+		return string(content), errors.Wrap(err, "expected answer")
+	}
+	prompt, err := standin.ParsePrompt(r.Body)
+	if err != nil {
+		return "", err
+	}
+	return standin.NewWriter(prompt.Prompt).Whole(prompt.Tokens), nil
+}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -46,7 +46,8 @@
 	app.Get("/fault", func(c *fiber.Ctx) error { return c.JSON(s.get()) })
 }
 
-func sleep(ctx context.Context, span clock.Span) bool {
+// Sleep waits for the span and returns false where ctx ends first.
+func Sleep(ctx context.Context, span clock.Span) bool {
 	if span <= 0 {
 		return ctx.Err() == nil
 	}
--- /dev/null
+++ b/internal/standin/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet runs real entries and agents among stand-ins on loopback addresses.
+package fleet
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -82,7 +82,7 @@
 
 // sleep waits for the span and returns false where the stand-in stops first.
 func (s *Server) sleep(span clock.Span) bool {
-	return sleep(s.context, span)
+	return Sleep(s.context, span)
 }
 
 // cuttable remembers its open connections so that a fault can cut them all.
