Run the demo from make

Cause: the demo could not start, seeds may not be null in settings. Change: fleet writes an empty list of seeds; target demo in the Makefile.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,9 @@
 test:
 	$(GO) test -count=1 ./...
 
+demo: build
+	.out/standin demo --binary .out/carawaypick --folder demo
+
 tools: $(TOOLS)/golangci-lint $(TOOLS)/buf
 
 $(TOOLS)/golangci-lint: tools/lint/go.sum
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -27,6 +27,9 @@
 	PlainKind  = "plain"
 )
 
+// sharedKey proves the processes of one fleet to each other.
+const sharedKey = "loopback-shared-key"
+
 // Service is one service and the number of its backend servers.
 type Service struct {
 	Name  string
@@ -125,7 +128,8 @@
 	s.Name = name
 	s.Zone = f.plan.Zones[turn%len(f.plan.Zones)]
 	s.Region = f.plan.Region
-	s.Key = "loopback-shared-key"
+	s.Key = sharedKey
+	s.Seeds = []string{}
 	return s
 }
 
