Member: what a process knows of tickets, instances and crashes, and how it spreads

Cause: watches are few, so most processes must learn tickets and instances from their peers. Ruled out: own reads only when nobody is heard, as peers that are all stale keep each other content; every process reads at a low rate that all share. Passing whole lists, as one of 5,900 instances is about a megabyte; peers pass what changed since a version. Change: readers and neighbours by rendezvous, exchanges, pushes, pulls, own reads, cold start by seeds.

--- /dev/null
+++ b/internal/member/gossip.go
@@ -0,0 +1,162 @@
+package member
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"carawaypick/internal/peer/peerpb"
+	"carawaypick/internal/ticket"
+	"carawaypick/pkg/clock"
+)
+
+// exchange compares with the next neighbour, or asks any peer while there is no configuration.
+func (m *Member) exchange(ctx context.Context) (wait clock.Span) {
+	if address := m.partner(); address != "" {
+		m.converse(ctx, address)
+	}
+	return m.exchangeWait()
+}
+
+func (m *Member) exchangeWait() clock.Span {
+	if m.Ready() {
+		return m.jitter(m.options.Gossip)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	doublings := min(m.attempts, coldDoublings)
+	m.attempts++
+	return m.jitter(firstCold << doublings)
+}
+
+// partner chooses whom to exchange with next.
+func (m *Member) partner() string {
+	l := m.List()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.replan(m.options.Clock.Now())
+	if !m.Ready() && len(l.Instances) > 0 && m.attempts > 0 {
+		if i := l.Instances[m.pick(len(l.Instances))]; i.Peer != m.options.Self.Peer {
+			return i.Peer
+		}
+	}
+	if all := m.plan.neighbours; len(all) > 0 {
+		m.plan.turn++
+		return all[m.plan.turn%len(all)]
+	}
+	if len(m.options.Seeds) == 0 {
+		return ""
+	}
+	if s := m.options.Seeds[m.pick(len(m.options.Seeds))]; s != m.options.Self.Peer {
+		return s
+	}
+	return ""
+}
+
+func (m *Member) pick(count int) int {
+	return min(int(m.options.Random()*float64(count)), count-1)
+}
+
+// converse exchanges with a peer until neither lacks what the other has.
+func (m *Member) converse(ctx context.Context, address string) {
+	for range maxRounds {
+		seen, version := m.book.Seen(), m.List().Version
+		r, err := m.call(ctx, address, m.request(address))
+		if err != nil {
+			return
+		}
+		if m.book.Seen() == seen && m.List().Version == version || !m.lacks(r.GetDigest()) {
+			m.give(ctx, address, r.GetDigest())
+			return
+		}
+	}
+}
+
+// request asks a peer for what this process lacks.
+func (m *Member) request(address string) *peerpb.SyncRequest {
+	now := m.options.Clock.Now()
+	q := &peerpb.SyncRequest{
+		Name:     m.options.Self.Name,
+		Address:  m.options.Self.Peer,
+		Digest:   m.Digest(),
+		After:    uint64(m.book.Seen()),
+		Evidence: m.evidence.list(now, passedEvidence),
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if d := m.known[address]; d != nil && m.disputes(d) {
+		q.After = uint64(m.book.Unsealed(now))
+	}
+	if m.whole {
+		q.Digest.List = 0
+	}
+	return q
+}
+
+// give sends a peer what its digest lacks.
+func (m *Member) give(ctx context.Context, address string, d *peerpb.Digest) {
+	now := m.options.Clock.Now()
+	q := &peerpb.SyncRequest{Name: m.options.Self.Name, Address: m.options.Self.Peer, Digest: m.Digest()}
+	q.After = uint64(m.book.Seen())
+	room := maxMessage
+	var err error
+	if d.GetNumber() < q.Digest.GetNumber() {
+		if q.Tickets, err = m.ticketsFor(now, d, ticket.Number(d.GetNumber()), &room); err != nil {
+			m.note("collect tickets", err)
+			return
+		}
+	}
+	if q.Instances, err = m.instancesFor(d, room); err != nil {
+		m.note("collect instances", err)
+		return
+	}
+	if len(q.Tickets) > 0 || len(q.Instances) > 0 {
+		_, _ = m.call(ctx, address, q) // counted there; the next exchange tries again
+	}
+}
+
+// push tells a neighbour what is in its outbox.
+func (m *Member) push(ctx context.Context, address string) {
+	m.mutex.Lock()
+	o := m.outboxes[address]
+	delete(m.outboxes, address)
+	d := m.known[address]
+	m.mutex.Unlock()
+	if o == nil {
+		return
+	}
+	q := &peerpb.SyncRequest{
+		Name: m.options.Self.Name, Address: m.options.Self.Peer, Digest: m.Digest(),
+		Tickets: o.tickets, Evidence: o.evidence, After: uint64(m.book.Seen()),
+	}
+	if o.digest && d.GetList() > 0 {
+		content, err := m.instancesFor(d, eagerBytes)
+		if err != nil {
+			m.note("collect instances", err)
+		}
+		q.Instances = content
+	}
+	r, err := m.call(ctx, address, q)
+	if err == nil { // a failure is counted there, and the next exchange tries again
+		m.Heard(r.GetDigest(), address)
+	}
+}
+
+// call makes one call to a peer and takes in its reply.
+func (m *Member) call(ctx context.Context, address string, q *peerpb.SyncRequest) (r *peerpb.SyncReply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout.Duration())
+	defer cancel()
+	m.Counters.Exchanges.Add(1)
+	m.Counters.Sent.Add(uint64(proto.Size(q)))
+	r, err = m.options.Call(ctx, address, q)
+	if err != nil {
+		m.Counters.Failures.Add(1)
+		m.note("call peer", err)
+		return nil, errors.Wrap(err, "call peer")
+	}
+	m.Counters.Received.Add(uint64(proto.Size(r)))
+	m.hear(address, r.GetDigest())
+	m.take(address, r.GetTickets(), r.GetInstances(), r.GetEvidence())
+	return r, nil
+}
--- /dev/null
+++ b/internal/member/read.go
@@ -0,0 +1,170 @@
+package member
+
+import (
+	"context"
+
+	"carawaypick/internal/ticket"
+	"carawaypick/pkg/clock"
+)
+
+const (
+	// watchWait is how long a watch asks the configuration service to wait.
+	watchWait = 30 * clock.Second
+	// watchPause is the mean wait before the next watch after one that brought nothing or failed.
+	watchPause = clock.Second
+	// auditPeriod is the mean time between two reads of what may have a rival.
+	auditPeriod = 30 * clock.Second
+	// listPeriod is the mean time between two reads of the list by a reader.
+	listPeriod = clock.Second
+	// maxReads is the number of answers read in a row while they bring something new.
+	maxReads = 16
+	// missDoublings bounds how often the wait between reads doubles while not even a list is known.
+	missDoublings = 3
+	// gapPatience is how long a gap may last before a snapshot is read.
+	gapPatience = 3 * clock.Second
+)
+
+// watch waits at the configuration service for the next ticket.
+func (m *Member) watch(ctx context.Context) (wait clock.Span) {
+	if !m.Ready() {
+		m.readSnapshot(ctx)
+	}
+	fresh, err := m.readTickets(ctx, m.book.Seen(), watchWait)
+	if err != nil || fresh == 0 {
+		m.fill(ctx)
+		return m.jitter(watchPause)
+	}
+	m.auditSoon()
+	return 0
+}
+
+// auditSoon reads again just before a new ticket settles, as a rival may have overwritten it.
+func (m *Member) auditSoon() {
+	at := m.options.Clock.Now().Add(m.options.Settle / 2)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if d := m.duties[key{kind: audit}]; d != nil && !d.busy {
+		d.next = min(d.next, at)
+	}
+}
+
+// audit reads all tickets again that a rival could still replace.
+func (m *Member) audit(ctx context.Context) (wait clock.Span) {
+	after := m.book.Unsealed(m.options.Clock.Now())
+	if m.Ready() {
+		_, _ = m.readTickets(ctx, after, 0) // logged there; the next audit tries again
+	}
+	return m.jitter(auditPeriod)
+}
+
+// read fetches what is new for a process that may be no reader, or that has lost its peers.
+func (m *Member) read(ctx context.Context) (wait clock.Span) {
+	if len(m.List().Instances) == 0 {
+		if wait = m.readFirst(ctx); wait > 0 {
+			return wait
+		}
+	}
+	if !m.Ready() {
+		m.readSnapshot(ctx)
+	}
+	for range maxReads {
+		fresh, err := m.readTickets(ctx, m.book.Seen(), 0)
+		if err != nil || fresh == 0 {
+			break
+		}
+	}
+	m.fill(ctx)
+	m.readList(ctx)
+	return m.jitter(Rate(len(m.List().Instances), m.silent()))
+}
+
+// readFirst reads the list, and with it the fleet's size, before anything else; it returns how long to leave
+// the rest to peers, so that a fleet that starts at once stays within its rate.
+func (m *Member) readFirst(ctx context.Context) (wait clock.Span) {
+	m.readList(ctx)
+	fleet := len(m.List().Instances)
+	if fleet == 0 {
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		m.misses++
+		return m.jitter(shortestRead << min(m.misses-1, missDoublings))
+	}
+	return clock.Span(m.options.Random() * float64(Rate(fleet, true)-shortestRead))
+}
+
+// silent tells whether no peer has been heard for some gossip periods.
+func (m *Member) silent() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.options.Clock.Since(m.heard) > pauseSpans*m.options.Gossip
+}
+
+// fill reads a snapshot where a gap has lasted, as the platform may no longer have the ticket.
+func (m *Member) fill(ctx context.Context) {
+	if _, since, ok := m.book.Missing(m.options.Clock.Now()); ok && since > gapPatience {
+		m.readSnapshot(ctx)
+	}
+}
+
+func (m *Member) readSnapshot(ctx context.Context) {
+	m.Counters.Reads.Add(1)
+	content, err := m.options.Reader.Snapshot(ctx)
+	if err != nil {
+		m.note("read snapshot", err)
+		return
+	}
+	if content == nil {
+		return
+	}
+	changed, err := m.book.AddSnapshot(m.options.Clock.Now(), content)
+	if err != nil {
+		m.refuse("read snapshot", err)
+	}
+	if changed {
+		m.changed()
+	}
+}
+
+// readTickets reads one answer and returns how many of its tickets were new here.
+func (m *Member) readTickets(ctx context.Context, after ticket.Number, wait clock.Span) (fresh int, err error) {
+	m.Counters.Reads.Add(1)
+	contents, err := m.options.Reader.Tickets(ctx, uint64(after), wait)
+	if err != nil {
+		m.note("read tickets", err)
+		return 0, err
+	}
+	now := m.options.Clock.Now()
+	for _, content := range contents {
+		if m.addTicket(now, content, 0, "") {
+			fresh++
+		}
+	}
+	return fresh, nil
+}
+
+// readList reads the list of instances.
+func (m *Member) readList(ctx context.Context) (wait clock.Span) {
+	m.Counters.Reads.Add(1)
+	l, faults, err := m.options.Reader.Instances(ctx, m.List().Version)
+	if err != nil {
+		m.note("read list", err)
+		return m.jitter(listPeriod)
+	}
+	for _, fault := range faults {
+		m.refuse("read list", fault)
+	}
+	if m.roster.replace(l) {
+		m.listChanged("")
+	}
+	return m.jitter(listPeriod)
+}
+
+func (m *Member) note(what string, err error) {
+	m.options.Log.Log("level", "warn", "message", what, "error", err)
+}
+
+// refuse counts and logs a value that could not be read.
+func (m *Member) refuse(what string, err error) {
+	m.Counters.Refused.Add(1)
+	m.note(what, err)
+}
--- a/internal/ticket/book.go
+++ b/internal/ticket/book.go
@@ -62,7 +62,7 @@
 	if len(content) > MaxContent {
 		return false, invalid("content", "is too long")
 	}
-	n, err := numberOf(content)
+	n, err := NumberOf(content)
 	if err != nil {
 		return false, err
 	}
--- a/internal/ticket/decode.go
+++ b/internal/ticket/decode.go
@@ -101,8 +101,8 @@
 	return "content"
 }
 
-// numberOf reads only the number, so that a ticket that fails to decode keeps its place.
-func numberOf(content []byte) (n Number, err error) {
+// NumberOf reads only the number, so that a ticket that fails to decode keeps its place.
+func NumberOf(content []byte) (n Number, err error) {
 	var place struct {
 		Number Number `json:"number"`
 	}
--- a/internal/ticket/pass.go
+++ b/internal/ticket/pass.go
@@ -121,3 +121,10 @@
 	}
 	return c
 }
+
+// Base returns the number up to which only the folded state is kept.
+func (b *Book) Base() Number {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.base.Number
+}
