--- a/internal/backend/report.go
+++ b/internal/backend/report.go
@@ -9,9 +9,7 @@
 // Poll returns the agent's load to an entry.
 func (a *Agent) Poll(_ context.Context, request *peerpb.PollRequest) (*peerpb.Report, error) {
 	a.member.Heard(request.GetDigest(), "")
-	for _, e := range request.GetEvidence() {
-		a.member.AddEvidence(e)
-	}
+	a.member.AddEvidence(request.GetEvidence()...)
 	return a.report(request.GetEntry()), nil
 }
 
@@ -36,7 +34,7 @@
 		Life:        uint64(a.settings.Timing.Life),
 		Digest:      a.member.Digest(),
 	}
-	if r.State == StateLive {
+	if r.State == StateLive && entry != "" {
 		r.Grant = a.grants.Ask(now, entry, window)
 	}
 	a.telemetry.Metrics.Ramp.Set(float64(window))
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"carawaypick/internal/balance"
 	"carawaypick/internal/config"
 	"carawaypick/internal/kernel"
@@ -101,11 +103,16 @@
 	}
 }
 
-// accuse takes crash evidence in and passes what is new on.
+// accuse passes crash evidence on; what is new comes back through Hear.
 func (e *Entry) accuse(evidence []*peerpb.Evidence) {
-	for _, v := range evidence {
-		e.member.AddEvidence(v)
+	if len(evidence) > 0 {
+		e.member.AddEvidence(evidence...)
 	}
+}
+
+// Hear takes in news of tickets, instances and crashes.
+func (e *Entry) Hear() {
+	evidence := e.member.Evidence()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.collect(evidence)
@@ -125,10 +132,8 @@
 }
 
 func (e *Entry) condemned(content uint64) (after clock.Span, ok bool) {
-	evidence := e.member.Evidence()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.collect(evidence)
 	return e.suspects.Condemned(e.clock.Now(), content)
 }
 
@@ -171,7 +176,9 @@
 		polls = append(polls, kernel.Start(ctx, func(ctx context.Context) error { return e.poll(ctx, t) }))
 	}
 	for _, poll := range polls {
-		<-poll
+		if err := <-poll; err != nil {
+			level.Debug(e.telemetry.Logger).Log("msg", "no report", "err", err)
+		}
 	}
 }
 
@@ -181,7 +188,7 @@
 	var entries []string
 	services := make(map[string]map[string]platform.Instance)
 	for _, i := range list.Instances {
-		if i.Role == platform.RoleEntry {
+		if i.Role == platform.EntryRole {
 			entries = append(entries, i.Name)
 			continue
 		}
--- a/internal/ticket/decode.go
+++ b/internal/ticket/decode.go
@@ -94,14 +94,15 @@
 	if errors.As(err, &mismatch) && mismatch.Field != "" {
 		return mismatch.Field
 	}
-	if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
-		return strings.Trim(name, `"`)
+	_, name, _ := strings.Cut(err.Error(), "unknown field ")
+	if name = strings.Trim(name, `"`); name != "" {
+		return name
 	}
 	return "content"
 }
 
-// numberOf reads only the number, so that a ticket that fails to decode keeps its place.
-func numberOf(content []byte) (n Number, err error) {
+// NumberOf reads only the number, so that a ticket that fails to decode keeps its place.
+func NumberOf(content []byte) (n Number, err error) {
 	var place struct {
 		Number Number `json:"number"`
 	}
