--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -92,7 +92,7 @@
 		Body:    bytes.Clone(c.Body()),
 		Trace:   c.Get(HeaderTrace),
 	}
-	if query := c.Context().QueryArgs().String(); query != "" {
+	if query := string(c.Request().URI().QueryString()); query != "" {
 		call.Path += "?" + query
 	}
 	if err := call.checkNames(); err != nil {
