--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -38,6 +38,7 @@
 	rate      uint64
 	tokens    uint64
 	virtual   float64
+	sweepAt   int
 	order     uint64
 	shares    map[string]Share
 	teams     map[string]*team[T]
@@ -51,9 +52,10 @@
 // NewQueue returns an empty queue for at most limit jobs.
 func NewQueue[T any](limit int) *Queue[T] {
 	return &Queue[T]{
-		limit: max(limit, 1),
-		teams: make(map[string]*team[T]),
-		items: make(map[string]*item[T]),
+		limit:   max(limit, 1),
+		sweepAt: idleTeams,
+		teams:   make(map[string]*team[T]),
+		items:   make(map[string]*item[T]),
 	}
 }
 
@@ -83,7 +85,8 @@
 	it := &item[T]{job: j, team: t, order: q.order}
 	q.order++
 	if len(q.items) >= q.limit {
-		if r := q.displace(now, it); r != nil {
+		if r := q.displace(it); r != nil {
+			q.forget()
 			return r
 		}
 	}
@@ -211,22 +214,18 @@
 	return t
 }
 
-// idleTeams is the number of teams without jobs above which those without a debt are forgotten.
+// idleTeams is the number of teams that are remembered whether they have jobs or not.
 const idleTeams = 64
 
-// forget drops teams without jobs whose last start lies in the past, so that memory follows the teams that are active.
+// forget drops teams without jobs whose next start lies in the past, so that memory follows the teams that are active.
 func (q *Queue[T]) forget() {
-	if len(q.teams) <= 2*len(q.active)+idleTeams {
-		return
-	}
-	if len(q.active) == 0 {
-		q.virtual = 0
-		clear(q.teams)
+	if len(q.teams) <= q.sweepAt {
 		return
 	}
 	for name, t := range q.teams {
-		if len(t.jobs) == 0 && t.start <= q.virtual {
+		if len(t.jobs) == 0 && (t.start <= q.virtual || len(q.active) == 0) {
 			delete(q.teams, name)
 		}
 	}
+	q.sweepAt = 2*len(q.teams) + idleTeams
 }
--- a/internal/balance/queuejudge.go
+++ b/internal/balance/queuejudge.go
@@ -80,7 +80,7 @@
 }
 
 // displace makes room for it by dropping the last job of the team most over its share, or refuses it.
-func (q *Queue[T]) displace(_ clock.Time, it *item[T]) *RefusedError {
+func (q *Queue[T]) displace(it *item[T]) *RefusedError {
 	worst := q.mostCrowded()
 	victim := worst.last()
 	if worst == it.team {
