--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -33,6 +33,8 @@
 type Queue[T any] struct {
 	// Running tells the tokens of a team at the backend server, for its limit; nil counts none.
 	Running func(team string) uint64
+	// Took tells the ms that a job takes once popped, so that none is popped too late for its deadline; nil counts none.
+	Took func(tokens uint32) clock.Span
 
 	limit     int
 	rate      uint64
@@ -82,7 +84,7 @@
 		return r
 	}
 	t := q.team(j.Team)
-	it := &item[T]{job: j, team: t, order: q.order}
+	it := &item[T]{job: j, team: t, order: q.order, latest: q.latest(&j)}
 	q.order++
 	if len(q.items) >= q.limit {
 		if r := q.displace(it); r != nil {
@@ -94,7 +96,7 @@
 	return nil
 }
 
-// Pop removes and returns the next job of the team whose turn it is; it never returns one past its deadline.
+// Pop removes and returns the next job of the team whose turn it is; it never returns one that can't end in time.
 func (q *Queue[T]) Pop(now clock.Time) (j Job[T], ok bool) {
 	q.lapse(now)
 	if len(q.active) == 0 {
@@ -108,7 +110,7 @@
 	return it.job, true
 }
 
-// Expired removes and returns the jobs past their deadlines, the one with the oldest deadline first.
+// Expired removes and returns the jobs that can't end in time, the one that had to start first in front.
 func (q *Queue[T]) Expired(now clock.Time) []Job[T] {
 	q.lapse(now)
 	jobs := q.lapsed
@@ -156,9 +158,17 @@
 	return clock.Span(tokens * uint64(clock.Second) / rate)
 }
 
-// lapse moves jobs past their deadlines out of the queue.
+// latest returns the time before which j has to start.
+func (q *Queue[T]) latest(j *Job[T]) clock.Time {
+	if q.Took == nil {
+		return j.Deadline
+	}
+	return j.Deadline.Add(-q.Took(j.Tokens))
+}
+
+// lapse moves jobs that can't end in time out of the queue.
 func (q *Queue[T]) lapse(now clock.Time) {
-	for len(q.deadlines) > 0 && q.deadlines[0].job.Deadline <= now {
+	for len(q.deadlines) > 0 && q.deadlines[0].latest <= now {
 		it := q.deadlines[0]
 		q.remove(it)
 		q.lapsed = append(q.lapsed, it.job)
--- a/internal/balance/queue_test.go
+++ b/internal/balance/queue_test.go
@@ -124,6 +124,15 @@
 		requireRefused(t, q.Push(0, Job[int]{ID: "b", Team: "a", Tokens: 200, Deadline: 650}), ReasonLate)
 		assert.NoError(t, q.Push(0, Job[int]{ID: "c", Team: "a", Tokens: 200, Deadline: 750}))
 	})
+	t.Run("a job that can't end in time any more is not popped", func(t *testing.T) {
+		q := NewQueue[int](9)
+		q.Took = func(tokens uint32) clock.Span { return clock.Span(tokens) }
+		pushAll(t, q, Job[int]{ID: "a", Tokens: 50, Deadline: 100})
+		requireRefused(t, q.Push(0, Job[int]{ID: "b", Tokens: 100, Deadline: 100}), ReasonLate)
+		_, ok := q.Pop(50)
+		assert.False(t, ok)
+		assert.Equal(t, []string{"a"}, ids(q.Expired(50)))
+	})
 	t.Run("the flood of another team does not count against a team", func(t *testing.T) {
 		q := NewQueue[int](200)
 		q.SetRate(1000)
--- a/internal/balance/queueheap.go
+++ b/internal/balance/queueheap.go
@@ -1,12 +1,15 @@
 package balance
 
+import "carawaypick/pkg/clock"
+
 // item is a job with its places in the heaps.
 type item[T any] struct {
-	job   Job[T]
-	team  *team[T]
-	order uint64 // of arrival
-	place int    // in the heap of its team
-	due   int    // in the heap of deadlines
+	job    Job[T]
+	team   *team[T]
+	order  uint64     // of arrival
+	place  int        // in the heap of its team
+	due    int        // in the heap of deadlines
+	latest clock.Time // before which it has to start
 }
 
 // before reports whether a goes before b within a team.
@@ -72,7 +75,7 @@
 type deadlineHeap[T any] []*item[T]
 
 func (h deadlineHeap[T]) Len() int           { return len(h) }
-func (h deadlineHeap[T]) Less(i, j int) bool { return h[i].job.Deadline < h[j].job.Deadline }
+func (h deadlineHeap[T]) Less(i, j int) bool { return h[i].latest < h[j].latest }
 
 func (h deadlineHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
--- a/internal/balance/queuejudge.go
+++ b/internal/balance/queuejudge.go
@@ -19,7 +19,7 @@
 	if j.Deadline == 0 {
 		return nil
 	}
-	if now.Add(q.finish(j)) >= j.Deadline {
+	if now.Add(q.start(j)) >= q.latest(j) {
 		return q.refuse(ReasonLate)
 	}
 	return nil
@@ -40,14 +40,18 @@
 	return used > limit
 }
 
-// finish estimates the ms until j is served: what its team serves first, and what others are served meanwhile.
-func (q *Queue[T]) finish(j *Job[T]) clock.Span {
+// start estimates the ms until j has to have started: what its team serves first, and what others are served meanwhile.
+//
+// Without a known service time the tokens of j itself count as well.
+func (q *Queue[T]) start(j *Job[T]) clock.Span {
 	if q.rate == 0 {
 		return 0
 	}
 	it := item[T]{job: *j, order: q.order}
-	ahead := uint64(j.Tokens)
-	var own uint64
+	var ahead, own uint64
+	if q.Took == nil {
+		ahead = uint64(j.Tokens)
+	}
 	if t := q.teams[j.Team]; t != nil {
 		own = t.tokens
 		ahead += t.ahead(&it)
