Member: failure tests, and two faults they found

Cause: a reader that learned a ticket from a peer never read its own replica again, so two contents at two replicas went unseen; after a partition longer than Seal, peers compared only what they took for unsealed, so both sides kept their own content. Ruled out: watching from the number in force, as the watch would return at once for the whole of Settle. Change: a reader reads again before any new ticket settles, whoever brought it; peers that dispute a number's state compare all tickets that they hold, part by part. Before and after: TestRivals/at_two_replicas_at_once failed with no conflict seen on any of 20 members, and TestRivals/on_two_sides_of_a_partition with two hashes; both pass now (go test ./internal/member). Conclusion: ages decide, so what peers compare must not depend on their own seal.

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -60,9 +60,12 @@
 
 // converse exchanges with a peer until neither lacks what the other has.
 func (m *Member) converse(ctx context.Context, address string) {
+	if m.disputed(address) {
+		m.compare(ctx, address)
+	}
 	for range maxRounds {
 		seen, version := m.book.Seen(), m.List().Version
-		r, err := m.call(ctx, address, m.request(address))
+		r, err := m.call(ctx, address, m.request())
 		if err != nil {
 			return
 		}
@@ -73,8 +76,34 @@
 	}
 }
 
+// disputed tells whether a peer last named another state with the number in force here.
+func (m *Member) disputed(address string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	d := m.known[address]
+	return d != nil && m.disputes(d)
+}
+
+// compare fetches all tickets that a peer holds, part by part, as any of them may have a rival here.
+func (m *Member) compare(ctx context.Context, address string) {
+	after := uint64(m.book.Base())
+	for range maxRounds {
+		q := m.request()
+		q.After = after
+		r, err := m.call(ctx, address, q)
+		if err != nil || len(r.GetTickets()) == 0 {
+			return
+		}
+		last := r.GetTickets()[len(r.GetTickets())-1].GetNumber()
+		if last <= after {
+			return
+		}
+		after = last
+	}
+}
+
 // request asks a peer for what this process lacks.
-func (m *Member) request(address string) *peerpb.SyncRequest {
+func (m *Member) request() *peerpb.SyncRequest {
 	now := m.options.Clock.Now()
 	q := &peerpb.SyncRequest{
 		Name:     m.options.Self.Name,
@@ -85,9 +114,6 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if d := m.known[address]; d != nil && m.disputes(d) {
-		q.After = uint64(m.book.Unsealed(now))
-	}
 	if m.whole {
 		q.Digest.List = 0
 	}
--- a/internal/member/read.go
+++ b/internal/member/read.go
@@ -34,11 +34,10 @@
 		m.fill(ctx)
 		return m.jitter(watchPause)
 	}
-	m.auditSoon()
 	return 0
 }
 
-// auditSoon reads again just before a new ticket settles, as a rival may have overwritten it.
+// auditSoon makes a reader read again before a new ticket settles, as its replica may hold a rival.
 func (m *Member) auditSoon() {
 	at := m.options.Clock.Now().Add(m.options.Settle / 2)
 	m.mutex.Lock()
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -64,6 +64,7 @@
 	}
 	if fresh {
 		m.spread(now, content, age, from)
+		m.auditSoon()
 	}
 	if m.State() != before {
 		m.changed()
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +25,7 @@
 	replicas []map[ticket.Number][]byte
 	snapshot []byte
 	down     bool
+	away     map[int]bool // members that can't reach it
 	calls    int
 }
 
@@ -30,37 +33,39 @@
 
 // publish puts a ticket at all replicas but the stale ones.
 func (s *service) publish(n ticket.Number, content []byte, stale ...int) {
-next:
 	for r := range s.replicas {
-		for _, other := range stale {
-			if r == other {
-				continue next
-			}
+		if !slices.Contains(stale, r) {
+			s.replicas[r][n] = content
 		}
-		s.replicas[r][n] = content
 	}
 }
 
-// reader returns a Reader at one replica whose watches return at once.
-func (s *service) reader(replica int) *platform.Reader {
+// reader returns one member's Reader at one replica, whose watches return at once.
+func (s *service) reader(member, replica int) *platform.Reader {
 	call := func() error {
 		s.calls++
-		if s.down {
+		if s.down || s.away[member] {
 			return errDown
 		}
 		return nil
 	}
 	return &platform.Reader{
 		Tickets: func(_ context.Context, after uint64, _ clock.Span) (contents [][]byte, err error) {
-			for n, content := range s.replicas[replica] {
+			if err = call(); err != nil {
+				return nil, err
+			}
+			for _, n := range slices.Sorted(maps.Keys(s.replicas[replica])) {
 				if uint64(n) > after {
-					contents = append(contents, content)
+					contents = append(contents, s.replicas[replica][n])
 				}
 			}
-			return contents, call()
+			return contents, nil
 		},
 		Snapshot: func(context.Context) ([]byte, error) {
-			return s.snapshot, call()
+			if err := call(); err != nil {
+				return nil, err
+			}
+			return s.snapshot, nil
 		},
 		Instances: func(_ context.Context, version uint64) (platform.List, []error, error) {
 			if err := call(); err != nil || version >= s.list.Version {
@@ -80,16 +85,19 @@
 	paused  map[int]bool
 	cut     func(from, to int) bool
 	random  *rand.Rand
+	highest map[int]ticket.Number // in force so far on each member
+	reverts int
 }
 
 // newWorld returns a cold fleet of which the first two are everybody's seeds.
 func newWorld(count, zones, replicas int) *world {
 	w := &world{
-		service: &service{list: fleet(1, count, zones)},
+		service: &service{list: fleet(1, count, zones), away: make(map[int]bool)},
 		address: make(map[string]int),
 		paused:  make(map[int]bool),
 		cut:     func(int, int) bool { return false },
 		random:  rand.New(rand.NewPCG(1, 2)),
+		highest: make(map[int]ticket.Number),
 	}
 	for range replicas {
 		w.service.replicas = append(w.service.replicas, make(map[ticket.Number][]byte))
@@ -106,19 +114,30 @@
 	m := New(Options{
 		Self: self, Seeds: seeds,
 		Gossip: DefaultGossip, Settle: ticket.DefaultSettle, Seal: ticket.DefaultSeal, Cold: DefaultCold, Keep: DefaultKeep,
-		Reader: w.service.reader(n % len(w.service.replicas)),
+		Reader: w.service.reader(n, n%len(w.service.replicas)),
 		Clock:  clock.Fixed(&w.now),
 		Random: w.random.Float64,
 		Call: func(ctx context.Context, address string, q *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
 			return w.call(ctx, n, address, q)
 		},
 	})
+	m.options.Notify = func() { w.watch(n, m) }
 	w.address[self.Peer] = n
 	if n == len(w.members) {
 		w.members = append(w.members, m)
 		return
 	}
 	w.members[n] = m
+	delete(w.highest, n)
+}
+
+// watch counts every return to a lower number.
+func (w *world) watch(n int, m *Member) {
+	number := m.State().Number
+	if number < w.highest[n] {
+		w.reverts++
+	}
+	w.highest[n] = number
 }
 
 var errCut = errors.New("no answer")
@@ -171,7 +190,7 @@
 func (w *world) inForce(n ticket.Number, only ...int) func() bool {
 	return func() bool {
 		for i, m := range w.members {
-			if len(only) > 0 && !contains(only, i) {
+			if len(only) > 0 && !slices.Contains(only, i) {
 				continue
 			}
 			if m.State().Number != n {
@@ -182,22 +201,14 @@
 	}
 }
 
-func contains(all []int, n int) bool {
-	for _, i := range all {
-		if i == n {
-			return true
-		}
-	}
-	return false
-}
-
 // assertAgreed checks that all members hold the same state and list.
 func (w *world) assertAgreed(t *testing.T) {
 	t.Helper()
-	for _, m := range w.members {
-		assert.Equal(t, w.members[0].State().Hash, m.State().Hash)
-		assert.Equal(t, w.members[0].State().Objects, m.State().Objects)
-		assert.Equal(t, w.members[0].List(), m.List())
+	assert.Zero(t, w.reverts)
+	for n, m := range w.members {
+		require.Equal(t, w.members[0].State().Hash, m.State().Hash, "member %d", n)
+		require.Equal(t, w.members[0].State().Objects, m.State().Objects, "member %d", n)
+		require.Equal(t, w.members[0].List(), m.List(), "member %d", n)
 	}
 }
 
--- a/internal/ticket/book.go
+++ b/internal/ticket/book.go
@@ -62,11 +62,7 @@
 	if len(content) > MaxContent {
 		return false, invalid("content", "is too long")
 	}
-	n, err := NumberOf(content)
-	if err != nil {
-		return false, err
-	}
-	form, err := canonical(content)
+	n, form, err := canonical(content)
 	if err != nil {
 		return false, err
 	}
--- a/internal/ticket/decode.go
+++ b/internal/ticket/decode.go
@@ -115,16 +115,19 @@
 	return place.Number, nil
 }
 
-// canonical returns one byte form for each meaning, so that white space makes no conflict.
-func canonical(content []byte) (form []byte, err error) {
+// canonical returns a content's number and one byte form for each meaning, so that white space makes no conflict.
+func canonical(content []byte) (n Number, form []byte, err error) {
 	t, failed := Decode(content)
 	if failed == nil {
 		form, err = json.Marshal(t)
-		return form, errors.Wrap(err, "encode ticket")
+		return t.Number, form, errors.Wrap(err, "encode ticket")
+	}
+	if n, err = NumberOf(content); err != nil {
+		return 0, nil, err
 	}
 	var b bytes.Buffer
 	if err = json.Compact(&b, content); err != nil {
-		return nil, invalid("content", err.Error())
+		return 0, nil, invalid("content", err.Error())
 	}
-	return b.Bytes(), nil
+	return n, b.Bytes(), nil
 }
--- a/internal/ticket/entry.go
+++ b/internal/ticket/entry.go
@@ -11,6 +11,9 @@
 // maxSights is the number of contents kept for one number.
 const maxSights = 8
 
+// maxSightBytes bounds the contents kept for one number, so that one message carries them.
+const maxSightBytes = 3 << 20
+
 // sight is one content seen for a number.
 type sight struct {
 	hash    uint64
@@ -113,7 +116,7 @@
 
 // trim bounds the contents of one number, keeping the earliest and the lowest hashes.
 func (b *Book) trim(e *entry) {
-	if len(e.sights) <= maxSights {
+	if len(e.sights) <= maxSights && e.size() <= maxSightBytes {
 		return
 	}
 	worst := -1
@@ -133,12 +136,18 @@
 }
 
 func (b *Book) drop(n Number) {
-	for _, s := range b.entries[n].sights {
-		b.bytes -= len(s.content)
-	}
+	b.bytes -= b.entries[n].size()
 	delete(b.entries, n)
 }
 
+// size returns the bytes of all contents.
+func (e *entry) size() (bytes int) {
+	for _, s := range e.sights {
+		bytes += len(s.content)
+	}
+	return bytes
+}
+
 // advance judges again what is in force, then applies what has settled, then forgets what is sealed and not needed.
 func (b *Book) advance(now clock.Time) (changed bool) {
 	s := b.State()
--- a/internal/ticket/fuzz_test.go
+++ b/internal/ticket/fuzz_test.go
@@ -18,11 +18,12 @@
 			assertInvalid(t, err)
 			return
 		}
-		form, err := canonical(content)
+		number, form, err := canonical(content)
 		require.NoError(t, err)
 		again, err := Decode(form)
 		require.NoError(t, err)
-		same, err := canonical(form)
+		assert.Equal(t, ticket.Number, number)
+		_, same, err := canonical(form)
 		require.NoError(t, err)
 		assert.Equal(t, string(form), string(same))
 		assert.Equal(t, (&State{}).Apply(ticket).Hash, (&State{}).Apply(again).Hash)
--- a/internal/ticket/pass.go
+++ b/internal/ticket/pass.go
@@ -33,11 +33,10 @@
 		if e == nil {
 			continue
 		}
+		if limit -= e.size(); limit < 0 && len(items) > 0 {
+			return items, nil
+		}
 		for _, s := range e.sights {
-			limit -= len(s.content)
-			if limit < 0 && len(items) > 0 {
-				return items, nil
-			}
 			items = append(items, Item{Number: n, Content: s.content, Age: now.Sub(s.first)})
 		}
 	}
