Metrics of tickets, load and skew follow the status

Cause: the gauges of tickets, bindings and skew were declared and set by nobody. Ruled out: setting each where the value changes, which makes two sources of one value. Change: /metrics sets them from the same status that operators read. Before and after: the new subtest was red before (carawaypick_ticket_missing 0), green after. Conclusion: a value of the status can't differ from its gauge.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -74,11 +74,33 @@
 }
 
 func (v Views) metrics(c *fiber.Ctx) error {
+	v.measure(v.Status())
 	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
 	v.Metrics.Write(c)
 	return nil
 }
 
+// measure sets the gauges that show the same as the status.
+func (v Views) measure(s Status) {
+	m := v.Metrics
+	m.Ticket.Set(float64(s.Number))
+	m.Age.Set(float64(s.Age))
+	m.Conflict.Set(float64(len(s.Conflicts)))
+	m.Skipped.Set(float64(len(s.Skipped)))
+	m.Ramp.Set(float64(s.Window))
+	m.Running.Set(float64(s.Running))
+	m.Queued.Set(float64(s.Queued))
+	m.Bindings.Set(float64(s.Bindings))
+	missing := uint64(0)
+	if s.Missing != nil {
+		missing = s.Missing.Number
+	}
+	m.Missing.Set(float64(missing))
+	for _, g := range s.Groups {
+		m.Skew.Get(g.Name).Set(g.Skew)
+	}
+}
+
 func (v Views) explain(c *fiber.Ctx) error {
 	key := c.Query("key")
 	if key == "" {
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -45,13 +45,16 @@
 func TestServe(t *testing.T) {
 	ring := NewRing(8)
 	ring.Add(Decision{Key: "k.1", Attempt: 1, Kind: "choose", Backend: "a1"})
-	v := views(Status{Name: "e1", Role: "entry", Number: 4, Hash: "00000000000000ff"}, ring)
+	v := views(Status{
+		Name: "e1", Role: "entry", Number: 4, Hash: "00000000000000ff", Missing: &Missing{Number: 5, Held: 10},
+		Groups: []Group{{Name: "g1", Skew: 1.25}},
+	}, ring)
 	address := served(t, v)
 	t.Run("answers each route", func(t *testing.T) {
 		for path, want := range map[string]string{
 			PathHealth:                "ok",
 			PathReady:                 "ready",
-			PathMetrics:               "carawaypick_ticket_number 0",
+			PathMetrics:               "carawaypick_ticket_number 4",
 			PathStatus:                `"number":4`,
 			PathExplain + "?key=k.1":  `"backend":"a1"`,
 			PathExplain + "?key=none": `{}`,
@@ -62,6 +65,12 @@
 			assert.Contains(t, string(content), want, path)
 		}
 	})
+	t.Run("the metrics show what the status shows", func(t *testing.T) {
+		content, err := get("http://" + address + PathMetrics)
+		require.NoError(t, err)
+		assert.Contains(t, string(content), "carawaypick_ticket_missing 5\n")
+		assert.Contains(t, string(content), `carawaypick_step_skew{group="g1"} 1.25`)
+	})
 	t.Run("refuses an explain call without a key", func(t *testing.T) {
 		_, err := get("http://" + address + PathExplain)
 		assert.ErrorContains(t, err, "status 400 key: got nothing")
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -41,7 +41,7 @@
 	Age      *metrics.Gauge // ms since that ticket came into force
 	Missing  *metrics.Gauge // lowest missing ticket number, 0 for none
 	Conflict *metrics.Gauge // ticket numbers seen with two contents
-	Skips    Counters       // invalid tickets skipped, by reason
+	Skipped  *metrics.Gauge // invalid tickets skipped that the process remembers
 	Platform Counters       // calls to the platform, by kind
 	Faults   Counters       // failed calls to the platform, by kind
 	Peers    Counters       // calls to the system's own processes, by result
@@ -96,7 +96,7 @@
 	m.Age = m.gauge("ticket_age_ms")
 	m.Missing = m.gauge("ticket_missing")
 	m.Conflict = m.gauge("ticket_conflicts")
-	m.Skips = m.counters("tickets_skipped_total", "reason")
+	m.Skipped = m.gauge("tickets_skipped")
 	m.Platform = m.counters("platform_calls_total", "kind")
 	m.Faults = m.counters("platform_faults_total", "kind")
 	m.Peers = m.counters("peer_calls_total", "result")
