Measure how state, time and messages of each role grow

Cause: docs/CAPACITY.md needs slopes. Change: cmd/measure with rows for the binding table, the queue, the board and its choice, the folded state, stream events and reports over loopback connections.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -27,15 +27,23 @@
 		if index > a.count {
 			return ReasonOrder
 		}
-		if err := a.pass(index, data); err != nil {
+		if err := a.one(data); err != nil {
 			return reasonGone
 		}
-		_, _ = a.hash.Write(data)
-		a.count++
 	}
 	return ""
 }
 
+// one passes the next event on.
+func (a *answer) one(data []byte) error {
+	if err := a.pass(a.count, data); err != nil {
+		return err
+	}
+	_, _ = a.hash.Write(data)
+	a.count++
+	return nil
+}
+
 // check holds the final event against what was passed on.
 func (a *answer) check(f *peerpb.Final) (reason string) {
 	if f.GetCount() != a.count {
--- /dev/null
+++ b/internal/capacity/queue.go
@@ -0,0 +1,46 @@
+package capacity
+
+import (
+	"fmt"
+
+	"carawaypick/internal/balance"
+	"carawaypick/internal/measure"
+	"carawaypick/pkg/clock"
+)
+
+const queueDepth = 256 // jobs that wait while one is added and one taken
+
+// queueRows measures the agent's fair queue.
+func queueRows() []measure.Row {
+	rows := slope("queue.time", "ns", "team", teamSizes, func(teams int) float64 {
+		q := newQueue(teams)
+		push := func(n int) {
+			_ = q.Push(0, balance.Job[int]{
+				ID:       fmt.Sprint(n),
+				Team:     fmt.Sprint("team", n%teams),
+				Deadline: clock.Time(clock.Hour),
+				Tokens:   64,
+			})
+		}
+		for n := range queueDepth {
+			push(-1 - n)
+		}
+		return each(func(n int) {
+			q.Pop(0)
+			push(n)
+		})
+	})
+	return append(rows, slope("queue.memory", "bytes", "team", teamSizes, func(teams int) float64 {
+		return held(func() any { return newQueue(teams) })
+	})...)
+}
+
+func newQueue(teams int) *balance.Queue[int] {
+	q := balance.NewQueue[int](2 * queueDepth)
+	shares := make([]balance.Share, 0, teams)
+	for i := range teams {
+		shares = append(shares, balance.Share{Team: fmt.Sprint("team", i), Weight: 1})
+	}
+	q.SetShares(shares)
+	return q
+}
--- /dev/null
+++ b/internal/capacity/rows.go
@@ -0,0 +1,25 @@
+package capacity
+
+import "carawaypick/internal/measure"
+
+// Sizes at which slopes are measured.
+var (
+	agentSizes   = []int{10, 40, 160, 320}
+	teamSizes    = []int{10, 100, 400, 1200}
+	bindingSizes = []int{100, 1000, 10_000, 100_000}
+	batchSizes   = []int{1, 4, 16, 64}
+)
+
+// Rows measures all slopes and returns them.
+func Rows() (rows []measure.Row, err error) {
+	rows = append(rows, bindingRows()...)
+	rows = append(rows, queueRows()...)
+	rows = append(rows, boardRows()...)
+	rows = append(rows, stateRows()...)
+	rows = append(rows, eventRows()...)
+	polls, err := pollRows()
+	if err != nil {
+		return nil, err
+	}
+	return append(rows, polls...), nil
+}
