Keep the board's agents in order

Cause: each choice sorted the names of all agents of the service. Ruled out: the scoring itself (a choice of the power of few looks at no more than 16 candidates). Change: the order is made when the instance list changes.

--- a/internal/caller/board.go
+++ b/internal/caller/board.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -42,6 +43,7 @@
 	clock  clock.Clock
 	poll   clock.Span
 	agents map[string]*view
+	order  map[string][]*view // by service, in the order of names
 }
 
 // NewBoard returns an empty board for reports that come every poll milliseconds.
@@ -72,6 +74,18 @@
 			v.listed = false
 		}
 	}
+	b.sort()
+}
+
+// sort brings the agents of each service into the order of their names; mu is held.
+func (b *Board) sort() {
+	b.order = make(map[string][]*view)
+	for _, v := range b.agents {
+		b.order[v.service] = append(b.order[v.service], v)
+	}
+	for _, views := range b.order {
+		slices.SortFunc(views, func(v, w *view) int { return cmp.Compare(v.target.Name, w.target.Name) })
+	}
 }
 
 // Heard takes a report in.
@@ -128,24 +142,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	for _, name := range b.names(service) {
-		v := b.agents[name]
-		targets = append(targets, v.target)
-		candidates = append(candidates, b.candidate(now, v, state))
+	views := b.order[service]
+	targets = make([]Target, len(views))
+	candidates = make([]balance.Candidate, len(views))
+	for i, v := range views {
+		targets[i] = v.target
+		candidates[i] = b.candidate(now, v, state)
 	}
 	return targets, candidates
 }
 
-func (b *Board) names(service string) (names []string) {
-	for name, v := range b.agents {
-		if v.service == service {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 func (b *Board) candidate(now clock.Time, v *view, state *ticket.State) balance.Candidate {
 	c := balance.Candidate{
 		Name:        v.target.Name,
