Ask for reports within a budget and bound the binding table to its memory

Cause: at 9 models and a subset of 64 an entry would ask 576 agents a second for reports, and 100,000 identifiers of 604 bytes take 60 MB of the 32 MB for control. Change: the period between reports grows by 10 ms with each agent, so at most 100 are asked for in a second; the table holds 20,000 identifiers and 8 MB of answers. Before and after: 300 agents were asked every 1 s and are asked every 3 s (test); the table's share falls from 60 MB to 12 MB by the slope. Conclusion: choices then rest longer on the entry's own count of outstanding work, which is exact.

--- a/internal/backend/agent.go
+++ b/internal/backend/agent.go
@@ -24,8 +24,8 @@
 	probePeriod  = 200 * clock.Millisecond // between two reports of the backend server
 	probeFresh   = 50 * clock.Millisecond  // age up to which a report needs no repeat before an idle backend server gets work
 	ringSize     = 4096                    // decisions kept for explain
-	heldRequests = 100_000                 // most identifiers in the binding table
-	heldBytes    = 16 << 20                // most bytes of held answers
+	heldRequests = 20_000                  // most identifiers in the binding table
+	heldBytes    = 8 << 20                 // most bytes of held answers
 	defaultCold  = 1                       // requests that a cold backend server bears where no ticket says
 	defaultWarm  = 8                       // requests that a warm backend server bears where no ticket says
 )
--- a/internal/caller/board.go
+++ b/internal/caller/board.go
@@ -14,7 +14,8 @@
 
 const (
 	lostKeep   = 500 * clock.Millisecond // how long an agent that could not be reached is passed over
-	staleAfter = 5                       // polls without a report after which an agent counts as lost
+	staleAfter = 5                       // periods without a report after which an agent counts as lost
+	reportCost = 10 * clock.Millisecond  // of the period for each agent: at most 100 reports a second are asked for
 )
 
 // Target is one agent as an attempt uses it.
@@ -175,7 +176,7 @@
 	if !v.listed || v.report == nil || now < v.lost || out(state, v.target) {
 		return false
 	}
-	return v.report.GetState() == stateLive && now.Sub(v.at) < staleAfter*b.poll
+	return v.report.GetState() == stateLive && now.Sub(v.at) < staleAfter*b.period()
 }
 
 // stateLive is the state of an agent that takes new work.
@@ -212,14 +213,21 @@
 	return v.target, true
 }
 
-// Due returns the agents from which no report came for a poll, and counts them as asked.
+// period returns the milliseconds after which an agent that sent no report is asked for one.
+// It grows with the number of agents, so that reports stay a small part of the entry's work.
+func (b *Board) period() clock.Span {
+	return max(b.poll, clock.Span(len(b.agents))*reportCost)
+}
+
+// Due returns the agents from which no report came for a period, and counts them as asked.
 func (b *Board) Due() (due []Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	period := b.period()
 	for _, v := range b.agents {
-		waited := v.asked != 0 && now.Sub(v.asked) < b.poll
-		fresh := v.report != nil && now.Sub(v.at) < b.poll
+		waited := v.asked != 0 && now.Sub(v.asked) < min(period, b.poll)
+		fresh := v.report != nil && now.Sub(v.at) < period
 		if waited || fresh {
 			continue
 		}
