Count own outstanding work whole beside the late report

Cause: the load took own tokens out of the report and added them again, so what a chooser had sent since the report changed nothing and all of it followed the report. Ruled out: taking out the own tokens at the time of the report, which would need a history for each candidate. Change: load is own tokens plus the faded report.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -149,15 +149,13 @@
 	return p.allowed(d)
 }
 
-// load estimates the tokens at d: own work is exact, that of others fades with the report's age.
+// load estimates the tokens at d: own work is exact and counts whole, the report fades with its age.
+//
+// Own work is not taken out of the report: the difference would hide from the chooser what it has sent since.
 func (p *pick) load(d *Candidate) float64 {
-	own := float64(d.Tokens)
-	others := float64(d.Load) - own
-	if others <= 0 {
-		return own
-	}
 	half := float64(p.tuning.HalfLife)
-	return own + others*half/(half+float64(max(d.Age, 0)))
+	fade := half / (half + float64(max(d.Age, 0)))
+	return float64(d.Tokens) + fade*float64(d.Load)
 }
 
 func (p *pick) overloaded(i int) bool {
