Let a report count for half after 100 ms

Cause: reports come 1 s late; weighed at a half-life of 2 s all entries follow the same old picture. Change: DefaultTuning.HalfLife 100 ms.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -48,7 +48,7 @@
 		Choices:  2,
 		Affinity: 0.5,
 		Bound:    1.25,
-		HalfLife: 2 * clock.Second,
+		HalfLife: 100 * clock.Millisecond,
 		Distance: 8,
 	}
 }
