Try two homes of the prefix first and no home of the content

Cause: a home by hash of the whole content drew half of the calls away from their cached prefix. Change: two homes by hash of the prefix, by hash of the content where there is no prefix; Tuning.Spread is gone. One content still meets at most these two while they are not overloaded, which bounds the backend servers that it can crash at once.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -31,8 +31,7 @@
 
 // Tuning holds the weights of a choice.
 type Tuning struct {
-	Homes    int        // candidates tried by hash of the prefix
-	Spread   int        // candidates tried by hash of the content
+	Homes    int        // candidates tried by hash of the prefix, or of the content where there is none
 	Choices  int        // random candidates tried where those are overloaded
 	Affinity float64    // part of a call's tokens that a cached prefix saves
 	Bound    float64    // multiple of the mean load above which a candidate counts as overloaded
@@ -43,8 +42,7 @@
 // DefaultTuning returns the weights that the measurement in internal/choice favours.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Homes:    1,
-		Spread:   1,
+		Homes:    2,
 		Choices:  2,
 		Affinity: 0.5,
 		Bound:    1.25,
@@ -70,8 +68,11 @@
 		return p.best, p.best >= 0
 	}
 	p.survey()
-	p.tryHomes(call.Prefix, c.Tuning.Homes)
-	p.tryHomes(call.Fingerprint, c.Tuning.Spread)
+	key := call.Prefix
+	if key == 0 {
+		key = call.Fingerprint
+	}
+	p.tryHomes(key, c.Tuning.Homes)
 	if p.best < 0 || p.overloaded(p.best) {
 		p.tryRandom(c.Random, c.Tuning.Choices)
 	}
