Let a home exceed the mean by a third of a call, not a whole one

Cause: with many entries each of them allowed a hot prefix's home one whole call above the mean. Change: Tuning.Slack 0.3; it was 1 implicitly, which the test of the overloaded home now says itself.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -34,6 +34,7 @@
 	Homes    int        // candidates tried by hash of the prefix, or of the content where there is none
 	Choices  int        // random candidates tried where those are overloaded
 	Affinity float64    // part of a call's tokens that a cached prefix saves
+	Slack    float64    // part of the call's tokens by which a load may exceed that bound
 	Bound    float64    // multiple of the mean load above which a candidate counts as overloaded
 	HalfLife clock.Span // age at which a report counts for half
 	Distance float64    // tokens that another availability zone costs
@@ -46,6 +47,7 @@
 		Choices:  2,
 		Affinity: 0.5,
 		Bound:    1.25,
+		Slack:    0.3,
 		HalfLife: 100 * clock.Millisecond,
 		Distance: 8,
 	}
@@ -160,7 +162,7 @@
 }
 
 func (p *pick) overloaded(i int) bool {
-	return p.load(&p.candidates[i]) > p.tuning.Bound*p.mean+float64(p.call.Tokens)
+	return p.load(&p.candidates[i]) > p.tuning.Bound*p.mean+p.tuning.Slack*float64(p.call.Tokens)
 }
 
 // home returns the eligible candidate of highest rendezvous weight for key that was not tried yet, or -1.
--- a/internal/balance/choose_test.go
+++ b/internal/balance/choose_test.go
@@ -122,7 +122,7 @@
 	t.Run("a cached prefix does not draw work to an overloaded backend server", func(t *testing.T) {
 		candidates := []Candidate{{Name: "a", Zone: "a", Cached: true, Tokens: 200}, {Name: "b", Zone: "a"}, {Name: "c", Zone: "a"}}
 		call := Call{Tokens: 100, Zone: "a"}
-		tuning := Tuning{Choices: 3, Affinity: 3, Bound: 1.25, HalfLife: 1}
+		tuning := Tuning{Choices: 3, Affinity: 3, Bound: 1.25, Slack: 1, HalfLife: 1}
 		i, _ := Chooser{Random: rand.New(rand.NewPCG(1, 2)).Uint64, Tuning: tuning}.Pick(call, candidates)
 		assert.NotZero(t, i)
 		candidates[0].Tokens = 150
