--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -44,7 +44,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		Homes:    2,
-		Choices:  2,
+		Choices:  4,
 		Affinity: 0.5,
 		Bound:    1.25,
 		Slack:    0.3,
