--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -48,7 +48,7 @@
 		Affinity: 0.5,
 		Bound:    1.25,
 		Slack:    0.3,
-		HalfLife: 100 * clock.Millisecond,
+		HalfLife: 30 * clock.Millisecond,
 		Distance: 8,
 	}
 }
