Expect the longer service times, so that no job starts too late

Cause: the queue judged deadlines by the mean service time, so that long jobs started too late and ran in vain. Change: Meter.Took is the mean and two mean deviations. With the deviations off the new meter test was seen red.

--- a/internal/balance/meter.go
+++ b/internal/balance/meter.go
@@ -9,6 +9,9 @@
 // meterHalfLife is the time in ms after which what a meter saw counts for half.
 const meterHalfLife = 5 * clock.Second
 
+// tookDeviations is how many mean deviations above the mean the expected service time lies.
+const tookDeviations = 2.0
+
 // Meter measures what a backend server completes while it is busy, so that idle time does not make it look slow.
 type Meter struct {
 	running uint32
@@ -17,6 +20,7 @@
 	tokens  float64 // completed in the busy time
 	took    float64 // ms that the completed tokens' requests took
 	done    float64 // tokens of these requests
+	off     float64 // ms by which these requests missed the mean
 }
 
 // Start counts a request that was handed to the backend server.
@@ -34,6 +38,9 @@
 	if tokens == 0 {
 		return
 	}
+	if m.done > 0 {
+		m.off += math.Abs(float64(took) - m.mean(tokens))
+	}
 	m.tokens += float64(tokens)
 	m.done += float64(tokens)
 	m.took += float64(max(took, 0))
@@ -47,12 +54,18 @@
 	return uint64(m.tokens / m.busy * float64(clock.Second))
 }
 
-// Took returns the expected ms at the backend server of a request of so many tokens, 0 where unknown.
+// Took returns the ms at the backend server that few requests of so many tokens exceed, 0 where unknown.
 func (m *Meter) Took(tokens uint32) clock.Span {
 	if m.done == 0 {
 		return 0
 	}
-	return clock.Span(m.took / m.done * float64(tokens))
+	mean := m.mean(tokens)
+	return clock.Span(mean + tookDeviations*m.off/m.took*mean)
+}
+
+// mean returns the expected ms at the backend server of a request of so many tokens.
+func (m *Meter) mean(tokens uint32) float64 {
+	return m.took / m.done * float64(tokens)
 }
 
 // pass accounts for the time since the last event.
@@ -67,4 +80,5 @@
 	m.tokens *= fade
 	m.took *= fade
 	m.done *= fade
+	m.off *= fade
 }
--- a/internal/balance/meter_test.go
+++ b/internal/balance/meter_test.go
@@ -30,6 +30,15 @@
 			assert.Equal(t, 500*clock.Millisecond, m.Took(100))
 		}
 	})
+	t.Run("expects the longer ones of uneven times", func(t *testing.T) {
+		var m Meter
+		for i := range clock.Time(40) {
+			m.Start(i * 1000)
+			m.Done(i*1000+500, 100, 200+clock.Span(i%2)*400)
+		}
+		assert.GreaterOrEqual(t, m.Took(100), 600*clock.Millisecond)
+		assert.LessOrEqual(t, m.Took(100), 1000*clock.Millisecond)
+	})
 	t.Run("knows nothing at first", func(t *testing.T) {
 		var m Meter
 		assert.Zero(t, m.Rate())
