--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,12 +8,14 @@
 
 	"carawaypick/internal/capacity"
 	"carawaypick/internal/measure"
+	"carawaypick/internal/outage"
 )
 
 // measurements returns the rows of each measurement by its name.
 func measurements() map[string]func() ([]measure.Row, error) {
 	return map[string]func() ([]measure.Row, error){
 		"capacity": capacity.Rows,
+		"zone":     outage.Rows,
 	}
 }
 
