--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"carawaypick/internal/capacity"
+	"carawaypick/internal/choice"
 	"carawaypick/internal/measure"
 	"carawaypick/internal/outage"
 )
@@ -16,6 +17,7 @@
 	return map[string]func() ([]measure.Row, error){
 		"capacity": capacity.Rows,
 		"zone":     outage.Rows,
+		"choice":   choice.Rows,
 	}
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -31,10 +31,10 @@
 
 // Tuning holds the weights of a choice.
 type Tuning struct {
-	Homes    int        // candidates tried by hash of the prefix
-	Spread   int        // candidates tried by hash of the content
+	Homes    int        // candidates tried by hash of the prefix, or of the content where there is none
 	Choices  int        // random candidates tried where those are overloaded
 	Affinity float64    // part of a call's tokens that a cached prefix saves
+	Slack    float64    // part of the call's tokens by which a load may exceed that bound
 	Bound    float64    // multiple of the mean load above which a candidate counts as overloaded
 	HalfLife clock.Span // age at which a report counts for half
 	Distance float64    // tokens that another availability zone costs
@@ -43,12 +43,12 @@
 // DefaultTuning returns the weights that the measurement in internal/choice favours.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Homes:    1,
-		Spread:   1,
+		Homes:    2,
 		Choices:  2,
 		Affinity: 0.5,
 		Bound:    1.25,
-		HalfLife: 2 * clock.Second,
+		Slack:    0.3,
+		HalfLife: 100 * clock.Millisecond,
 		Distance: 8,
 	}
 }
@@ -70,8 +70,11 @@
 		return p.best, p.best >= 0
 	}
 	p.survey()
-	p.tryHomes(call.Prefix, c.Tuning.Homes)
-	p.tryHomes(call.Fingerprint, c.Tuning.Spread)
+	key := call.Prefix
+	if key == 0 {
+		key = call.Fingerprint
+	}
+	p.tryHomes(key, c.Tuning.Homes)
 	if p.best < 0 || p.overloaded(p.best) {
 		p.tryRandom(c.Random, c.Tuning.Choices)
 	}
@@ -149,19 +152,17 @@
 	return p.allowed(d)
 }
 
-// load estimates the tokens at d: own work is exact, that of others fades with the report's age.
+// load estimates the tokens at d: own work is exact and counts whole, the report fades with its age.
+//
+// Own work is not taken out of the report: the difference would hide from the chooser what it has sent since.
 func (p *pick) load(d *Candidate) float64 {
-	own := float64(d.Tokens)
-	others := float64(d.Load) - own
-	if others <= 0 {
-		return own
-	}
 	half := float64(p.tuning.HalfLife)
-	return own + others*half/(half+float64(max(d.Age, 0)))
+	fade := half / (half + float64(max(d.Age, 0)))
+	return float64(d.Tokens) + fade*float64(d.Load)
 }
 
 func (p *pick) overloaded(i int) bool {
-	return p.load(&p.candidates[i]) > p.tuning.Bound*p.mean+float64(p.call.Tokens)
+	return p.load(&p.candidates[i]) > p.tuning.Bound*p.mean+p.tuning.Slack*float64(p.call.Tokens)
 }
 
 // home returns the eligible candidate of highest rendezvous weight for key that was not tried yet, or -1.
