--- a/internal/member/duty.go
+++ b/internal/member/duty.go
@@ -18,8 +18,6 @@
 	maxPulls = 4
 	// maxDoubt is the longest wait between two looks into another state of the same number.
 	maxDoubt = 10 * clock.Minute
-	// pauseSpans is the number of gossip periods without work after which a process was paused.
-	pauseSpans = 5
 	// firstCold is the mean wait between the first exchanges of a process without a configuration.
 	firstCold = 250 * clock.Millisecond
 	// coldDoublings bounds how often that wait doubles.
@@ -76,9 +74,6 @@
 func (m *Member) Due(now clock.Time) (due []key) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if now.Sub(m.looked) > pauseSpans*m.options.Gossip {
-		m.resume(now)
-	}
 	m.looked = now
 	m.replan(now)
 	if at, ok := m.book.Wake(); ok && at <= now {
@@ -112,15 +107,6 @@
 	return at
 }
 
-// resume asks all neighbours at once after this process was paused.
-func (m *Member) resume(now clock.Time) {
-	for _, address := range m.plan.neighbours {
-		if m.duties[key{pull, address}] == nil {
-			m.duties[key{pull, address}] = &duty{next: now}
-		}
-	}
-}
-
 // replan follows a changed list.
 func (m *Member) replan(now clock.Time) {
 	l := m.List()
--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -27,6 +27,20 @@
 			w.assertAgreed(t)
 		})
 	}
+	t.Run("from the first process to all of 160 at once", func(t *testing.T) {
+		w := warm(t, 160, 3, 1)
+		know := func() (count int) {
+			for _, m := range w.members {
+				if m.Book().Holds(2) {
+					count++
+				}
+			}
+			return count
+		}
+		w.service.publish(2, share(2, "ana", 2))
+		w.runUntil(t, soon, func() bool { return know() > 0 })
+		t.Logf("known after %d ms", w.runUntil(t, 10*tick, func() bool { return know() == 160 }))
+	})
 	t.Run("when every call between processes is lost twice out of three times", func(t *testing.T) {
 		w := warm(t, 40, 3, 1)
 		w.cut = func(int, int) bool { return w.random.Float64() < 0.67 }
@@ -101,6 +115,13 @@
 		t.Logf("in force after %d ms", w.runUntil(t, soon, w.inForce(1)))
 		w.assertAgreed(t)
 	})
+	t.Run("a cold process in an outage that no list names yet asks its seeds", func(t *testing.T) {
+		w := warm(t, 20, 3, 1)
+		w.service.down = true
+		w.add(20, platform.Instance{Name: "new", Peer: "127.0.9.9:7001", Zone: "zone-0"})
+		w.runUntil(t, soon, w.inForce(1))
+		w.assertAgreed(t)
+	})
 	t.Run("a cold fleet in an outage is not ready", func(t *testing.T) {
 		w := newWorld(9, 3, 1)
 		w.service.publish(1, share(1, "ana", 1))
@@ -253,6 +274,7 @@
 	t.Run("a process is paused across ten changes", func(t *testing.T) {
 		w := warm(t, 20, 3, 1)
 		w.paused[11] = true
+		w.service.away[11] = true
 		for n := ticket.Number(2); n <= 11; n++ {
 			w.service.publish(n, share(n, "ana", float64(n)))
 			w.run(20 * clock.Second)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -70,6 +70,7 @@
 	doubt    clock.Span                // how long the next dispute waits
 	whole    bool                      // the next exchange asks for a whole list
 	attempts int                       // exchanges made without a configuration
+	sized    bool                      // the fleet's size was known at an own read
 	misses   int                       // reads made without a list
 }
 
--- a/internal/member/read.go
+++ b/internal/member/read.go
@@ -20,6 +20,8 @@
 	maxReads = 16
 	// missDoublings bounds how often the wait between reads doubles while not even a list is known.
 	missDoublings = 3
+	// silentSpans is the number of gossip periods without a word from a peer after which a process is on its own.
+	silentSpans = 5
 	// gapPatience is how long a gap may last before a snapshot is read.
 	gapPatience = 3 * clock.Second
 )
@@ -58,10 +60,8 @@
 
 // read fetches what is new for a process that may be no reader, or that has lost its peers.
 func (m *Member) read(ctx context.Context) (wait clock.Span) {
-	if len(m.List().Instances) == 0 {
-		if wait = m.readFirst(ctx); wait > 0 {
-			return wait
-		}
+	if wait = m.hold(ctx); wait > 0 {
+		return wait
 	}
 	if !m.Ready() {
 		m.readSnapshot(ctx)
@@ -77,25 +77,34 @@
 	return m.jitter(Rate(len(m.List().Instances), m.silent()))
 }
 
-// readFirst reads the list, and with it the fleet's size, before anything else; it returns how long to leave
-// the rest to peers, so that a fleet that starts at once stays within its rate.
-func (m *Member) readFirst(ctx context.Context) (wait clock.Span) {
-	m.readList(ctx)
+// hold learns the fleet's size before the first own read, and returns how long to leave the rest to peers,
+// so that a fleet that starts at once stays within its rate.
+func (m *Member) hold(ctx context.Context) (wait clock.Span) {
+	m.mutex.Lock()
+	sized := m.sized
+	m.mutex.Unlock()
+	if sized {
+		return 0
+	}
+	if len(m.List().Instances) == 0 {
+		m.readList(ctx)
+	}
 	fleet := len(m.List().Instances)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	if fleet == 0 {
-		m.mutex.Lock()
-		defer m.mutex.Unlock()
 		m.misses++
 		return m.jitter(shortestRead << min(m.misses-1, missDoublings))
 	}
-	return clock.Span(m.options.Random() * float64(Rate(fleet, true)-shortestRead))
+	m.sized = true
+	return clock.Span(m.options.Random() * float64(Rate(fleet, !m.Ready())-shortestRead))
 }
 
 // silent tells whether no peer has been heard for some gossip periods.
 func (m *Member) silent() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.options.Clock.Since(m.heard) > pauseSpans*m.options.Gossip
+	return m.options.Clock.Since(m.heard) > silentSpans*m.options.Gossip
 }
 
 // fill reads a snapshot where a gap has lasted, as the platform may no longer have the ticket.
--- a/internal/member/roster.go
+++ b/internal/member/roster.go
@@ -34,6 +34,8 @@
 	removed map[string]uint64
 	horizon uint64 // lowest version since which differences are known
 	hash    uint64
+	encoded uint64 // version of whole
+	whole   []byte // the last whole list sent, as JSON
 }
 
 func newRoster() *roster {
@@ -112,7 +114,22 @@
 	if !ok {
 		return nil, nil
 	}
+	if d.Since == 0 {
+		return r.encodeWhole(d)
+	}
+	content, err = json.Marshal(d)
+	return content, errors.Wrap(err, "encode instances")
+}
+
+// encodeWhole encodes a whole list once for all peers that ask for it.
+func (r *roster) encodeWhole(d Difference) (content []byte, err error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.encoded == d.Version {
+		return r.whole, nil
+	}
 	content, err = json.Marshal(d)
+	r.encoded, r.whole = d.Version, content
 	return content, errors.Wrap(err, "encode instances")
 }
 
