--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -33,11 +33,14 @@
 type Queue[T any] struct {
 	// Running tells the tokens of a team at the backend server, for its limit; nil counts none.
 	Running func(team string) uint64
+	// Took tells the ms that a job takes once popped, so that none is popped too late for its deadline; nil counts none.
+	Took func(tokens uint32) clock.Span
 
 	limit     int
 	rate      uint64
 	tokens    uint64
 	virtual   float64
+	sweepAt   int
 	order     uint64
 	shares    map[string]Share
 	teams     map[string]*team[T]
@@ -51,9 +54,10 @@
 // NewQueue returns an empty queue for at most limit jobs.
 func NewQueue[T any](limit int) *Queue[T] {
 	return &Queue[T]{
-		limit: max(limit, 1),
-		teams: make(map[string]*team[T]),
-		items: make(map[string]*item[T]),
+		limit:   max(limit, 1),
+		sweepAt: idleTeams,
+		teams:   make(map[string]*team[T]),
+		items:   make(map[string]*item[T]),
 	}
 }
 
@@ -80,10 +84,11 @@
 		return r
 	}
 	t := q.team(j.Team)
-	it := &item[T]{job: j, team: t, order: q.order}
+	it := &item[T]{job: j, team: t, order: q.order, latest: q.latest(&j)}
 	q.order++
 	if len(q.items) >= q.limit {
-		if r := q.displace(now, it); r != nil {
+		if r := q.displace(it); r != nil {
+			q.forget()
 			return r
 		}
 	}
@@ -91,7 +96,7 @@
 	return nil
 }
 
-// Pop removes and returns the next job of the team whose turn it is; it never returns one past its deadline.
+// Pop removes and returns the next job of the team whose turn it is; it never returns one that can't end in time.
 func (q *Queue[T]) Pop(now clock.Time) (j Job[T], ok bool) {
 	q.lapse(now)
 	if len(q.active) == 0 {
@@ -105,7 +110,7 @@
 	return it.job, true
 }
 
-// Expired removes and returns the jobs past their deadlines, the one with the oldest deadline first.
+// Expired removes and returns the jobs that can't end in time, the one that had to start first in front.
 func (q *Queue[T]) Expired(now clock.Time) []Job[T] {
 	q.lapse(now)
 	jobs := q.lapsed
@@ -153,9 +158,17 @@
 	return clock.Span(tokens * uint64(clock.Second) / rate)
 }
 
-// lapse moves jobs past their deadlines out of the queue.
+// latest returns the time before which j has to start.
+func (q *Queue[T]) latest(j *Job[T]) clock.Time {
+	if q.Took == nil {
+		return j.Deadline
+	}
+	return j.Deadline.Add(-q.Took(j.Tokens))
+}
+
+// lapse moves jobs that can't end in time out of the queue.
 func (q *Queue[T]) lapse(now clock.Time) {
-	for len(q.deadlines) > 0 && q.deadlines[0].job.Deadline <= now {
+	for len(q.deadlines) > 0 && q.deadlines[0].latest <= now {
 		it := q.deadlines[0]
 		q.remove(it)
 		q.lapsed = append(q.lapsed, it.job)
@@ -211,22 +224,18 @@
 	return t
 }
 
-// idleTeams is the number of teams without jobs above which those without a debt are forgotten.
+// idleTeams is the number of teams that are remembered whether they have jobs or not.
 const idleTeams = 64
 
-// forget drops teams without jobs whose last start lies in the past, so that memory follows the teams that are active.
+// forget drops teams without jobs whose next start lies in the past, so that memory follows the teams that are active.
 func (q *Queue[T]) forget() {
-	if len(q.teams) <= 2*len(q.active)+idleTeams {
-		return
-	}
-	if len(q.active) == 0 {
-		q.virtual = 0
-		clear(q.teams)
+	if len(q.teams) <= q.sweepAt {
 		return
 	}
 	for name, t := range q.teams {
-		if len(t.jobs) == 0 && t.start <= q.virtual {
+		if len(t.jobs) == 0 && (t.start <= q.virtual || len(q.active) == 0) {
 			delete(q.teams, name)
 		}
 	}
+	q.sweepAt = 2*len(q.teams) + idleTeams
 }
