--- a/internal/member/duty.go
+++ b/internal/member/duty.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// neighbours is the number of instances that a process spreads news to.
-	neighbours = 5
-	// readers is the number of processes of a zone that watch the platform.
-	readers = 3
+	// NeighbourCount is the number of instances that a process spreads news to.
+	NeighbourCount = 5
+	// ReadersOfZone is the number of processes of a zone that watch the platform.
+	ReadersOfZone = 3
 	// maxPulls is the number of peers that are asked for news at once.
 	maxPulls = 4
 	// maxDoubt is the longest wait between two looks into another state of the same number.
@@ -115,10 +115,10 @@
 	}
 	m.plan.list = l
 	m.plan.neighbours = nil
-	for _, i := range Neighbours(m.options.Self, l, neighbours) {
+	for _, i := range Neighbours(m.options.Self, l, NeighbourCount) {
 		m.plan.neighbours = append(m.plan.neighbours, i.Peer)
 	}
-	m.plan.reader = slices.Contains(Readers(l, m.options.Self.Zone, readers), m.options.Self.Name)
+	m.plan.reader = slices.Contains(Readers(l, m.options.Self.Zone, ReadersOfZone), m.options.Self.Name)
 	for _, k := range []kind{watch, audit, list} {
 		m.employ(now, k, m.plan.reader)
 	}
--- a/internal/member/evidence.go
+++ b/internal/member/evidence.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxEvidence is the number of crashes remembered.
-	maxEvidence = 1024
+	// MaxEvidence is the number of crashes remembered.
+	MaxEvidence = 1024
 	// maxContents is the number of fingerprints taken from one crash.
 	maxContents = 4096
 	// passedEvidence is the number of crashes that an ordinary exchange carries.
@@ -67,10 +67,10 @@
 
 // bound drops the oldest crashes beyond the number remembered.
 func (e *evidence) bound() {
-	if len(e.crashes) <= maxEvidence {
+	if len(e.crashes) <= MaxEvidence {
 		return
 	}
-	for _, c := range e.newest()[maxEvidence:] {
+	for _, c := range e.newest()[MaxEvidence:] {
 		delete(e.crashes, c.evidence.GetCrash())
 	}
 }
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -84,8 +84,20 @@
 	return d != nil && m.disputes(d)
 }
 
-// compare fetches all tickets that a peer holds, part by part, as any of them may have a rival here.
+// compare finds the tickets that a peer judges otherwise, and shows it the rivals, so that both sides report them.
 func (m *Member) compare(ctx context.Context, address string) {
+	m.fetch(ctx, address)
+	rivals := m.book.Disputed(m.options.Clock.Now(), maxMessage)
+	if len(rivals) == 0 {
+		return
+	}
+	q := m.request()
+	q.Tickets = passed(rivals)
+	_, _ = m.call(ctx, address, q) // counted there; the next exchange tries again
+}
+
+// fetch asks for all tickets that a peer holds, part by part, as any of them may have a rival here.
+func (m *Member) fetch(ctx context.Context, address string) {
 	after := uint64(m.book.Base())
 	for range maxRounds {
 		q := m.request()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -134,7 +134,7 @@
 
 // Evidence returns the crashes heard of that have not expired, newest first, with their ages in milliseconds.
 func (m *Member) Evidence() []*peerpb.Evidence {
-	return m.evidence.list(m.options.Clock.Now(), maxEvidence)
+	return m.evidence.list(m.options.Clock.Now(), MaxEvidence)
 }
 
 // Heard takes in a digest that came with another call, and looks into it where this process lacks something.
--- a/internal/member/roster_test.go
+++ b/internal/member/roster_test.go
@@ -14,10 +14,20 @@
 	"carawaypick/internal/testkit"
 )
 
+// fleet returns a list of live agents.
+func fleet(version uint64, count int) *platform.List {
+	l := &platform.List{Version: version}
+	for n := range count {
+		i := platform.Instance{Name: fmt.Sprint("a", n), Role: platform.AgentRole, Peer: "127.0.0.1:7001", Zone: "z", State: platform.Live}
+		l.Instances = append(l.Instances, i)
+	}
+	return l
+}
+
 // drawList returns a list of some of ten instances.
 func drawList(t *rapid.T, version uint64) platform.List {
 	l := platform.List{Version: version}
-	for _, i := range fleet(version, 10, 2).Instances {
+	for _, i := range fleet(version, 10).Instances {
 		if rapid.Bool().Draw(t, "listed") {
 			i.State = rapid.SampledFrom([]string{platform.Live, platform.Leaving}).Draw(t, "state")
 			l.Instances = append(l.Instances, i)
@@ -74,9 +84,9 @@
 func TestRoster(t *testing.T) {
 	t.Run("one change costs one instance", func(t *testing.T) {
 		a, b := newRoster(), newRoster()
-		a.replace(*fleet(1, 500, 3))
+		a.replace(*fleet(1, 500))
 		pass(t, a, b)
-		l := fleet(2, 500, 3)
+		l := fleet(2, 500)
 		l.Instances[7].State = platform.Leaving
 		a.replace(*l)
 		d, ok := a.difference(1)
@@ -87,17 +97,17 @@
 	})
 	t.Run("a difference that leads elsewhere is refused", func(t *testing.T) {
 		a := newRoster()
-		a.replace(*fleet(1, 3, 1))
+		a.replace(*fleet(1, 3))
 		_, err := a.apply([]byte(`{"version":2,"since":1,"hash":5,"removed":["a1"]}`))
 		assert.True(t, errors.Is(err, errDiffers))
 		assert.Len(t, a.list.Load().Instances, 3)
 	})
 	t.Run("an instance that came and went unseen by the sender is not kept", func(t *testing.T) {
 		a, b := newRoster(), newRoster()
-		a.replace(*fleet(1, 3, 1))
+		a.replace(*fleet(1, 3))
 		pass(t, a, b)
-		b.replace(*fleet(2, 4, 1))
-		a.replace(*fleet(3, 3, 1))
+		b.replace(*fleet(2, 4))
+		a.replace(*fleet(3, 3))
 		content, err := a.since(2)
 		require.NoError(t, err)
 		_, err = b.apply(content)
@@ -109,7 +119,7 @@
 		a := newRoster()
 		a.replace(platform.List{Version: 1})
 		for n := range maxRemoved + 2 {
-			i := fleet(1, 1, 1).Instances[0]
+			i := fleet(1, 1).Instances[0]
 			i.Name = fmt.Sprint("x", n)
 			a.replace(platform.List{Version: uint64(n + 2), Instances: []platform.Instance{i}})
 		}
@@ -128,7 +138,7 @@
 	f.Add([]byte(`{"version":2,"removed":null}`))
 	f.Fuzz(func(t *testing.T, content []byte) {
 		r := newRoster()
-		r.replace(*fleet(1, 3, 1))
+		r.replace(*fleet(1, 3))
 		changed, err := r.apply(content)
 		if err != nil {
 			assert.False(t, changed)
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -217,11 +217,18 @@
 	items, err := m.book.After(now, after, *room)
 	for _, i := range items {
 		*room -= len(i.Content)
+	}
+	return passed(items), err
+}
+
+// passed returns tickets in the form that peers exchange.
+func passed(items []ticket.Item) (tickets []*peerpb.Ticket) {
+	for _, i := range items {
 		tickets = append(tickets, &peerpb.Ticket{
 			Number: uint64(i.Number), Content: i.Content, Age: uint64(max(i.Age, 0)), Snapshot: i.Snapshot,
 		})
 	}
-	return tickets, err
+	return tickets
 }
 
 // instancesFor returns the list's changes that a peer lacks where they fit into the room.
@@ -238,7 +245,7 @@
 
 func (m *Member) evidenceFor(now clock.Time, d *peerpb.Digest) []*peerpb.Evidence {
 	if d.GetNumber() == 0 {
-		return m.evidence.list(now, maxEvidence)
+		return m.evidence.list(now, MaxEvidence)
 	}
 	return m.evidence.list(now, passedEvidence)
 }
--- a/internal/ticket/pass.go
+++ b/internal/ticket/pass.go
@@ -36,13 +36,35 @@
 		if limit -= e.size(); limit < 0 && len(items) > 0 {
 			return items, nil
 		}
-		for _, s := range e.sights {
-			items = append(items, Item{Number: n, Content: s.content, Age: now.Sub(s.first)})
-		}
+		items = append(items, e.items(now, n)...)
 	}
 	return items, nil
 }
 
+func (e *entry) items(now clock.Time, n Number) (items []Item) {
+	for _, s := range e.sights {
+		items = append(items, Item{Number: n, Content: s.content, Age: now.Sub(s.first)})
+	}
+	return items
+}
+
+// Disputed returns all contents of the numbers that have several, lowest number first and within a bound in bytes.
+func (b *Book) Disputed(now clock.Time, limit int) (items []Item) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for n := b.base.Number + 1; n <= b.highest(); n++ {
+		e := b.entries[n]
+		if e == nil || len(e.sights) < 2 {
+			continue
+		}
+		if limit -= e.size(); limit < 0 {
+			return items
+		}
+		items = append(items, e.items(now, n)...)
+	}
+	return items
+}
+
 // Holds tells whether any content is known for a number.
 func (b *Book) Holds(n Number) bool {
 	b.mutex.Lock()
