Spread: rows of calls, bytes and reach against the fleet's size; memory and time of the list

Cause: the capacity page needs slopes for calls to the platform, bytes between processes, fan-out with losses, and the list of instances. Ruled out: a line through a fleet of 9, every process of which is a reader; it stands beside the line. Change: go run ./cmd/measure spread; list rows in the capacity measurement; neighbours chosen without sorting the whole list.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,12 +8,14 @@
 
 	"carawaypick/internal/capacity"
 	"carawaypick/internal/measure"
+	"carawaypick/internal/spread"
 )
 
 // measurements returns the rows of each measurement by its name.
 func measurements() map[string]func() ([]measure.Row, error) {
 	return map[string]func() ([]measure.Row, error){
 		"capacity": capacity.Rows,
+		"spread":   spread.Rows,
 	}
 }
 
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -16,6 +16,7 @@
 	rows = append(rows, queueRows()...)
 	rows = append(rows, boardRows()...)
 	rows = append(rows, stateRows()...)
+	rows = append(rows, listRows()...)
 	rows = append(rows, eventRows()...)
 	polls, err := pollRows()
 	if err != nil {
--- a/internal/member/choose.go
+++ b/internal/member/choose.go
@@ -60,22 +60,34 @@
 	return next, ok
 }
 
+// scored is the place of an instance in a list with its score for a purpose.
+type scored struct {
+	score uint64
+	index int
+}
+
+// compareScores orders by falling score, then by place.
+func compareScores(a, b scored) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.index, b.index))
+}
+
 // highest returns up to count live instances that are wanted, by falling score for a purpose.
 func highest(l *platform.List, purpose string, count int, wanted func(*platform.Instance) bool) (chosen []platform.Instance) {
-	type scored struct {
-		score uint64
-		index int
-	}
-	var all []scored
+	best := make([]scored, 0, count+1)
 	for n := range l.Instances {
-		if i := &l.Instances[n]; i.State == platform.Live && wanted(i) {
-			all = append(all, scored{score(purpose, i.Name), n})
+		i := &l.Instances[n]
+		if i.State != platform.Live || !wanted(i) {
+			continue
+		}
+		s := scored{score(purpose, i.Name), n}
+		at, _ := slices.BinarySearchFunc(best, s, compareScores)
+		if at == count {
+			continue
 		}
+		best = slices.Insert(best, at, s)
+		best = best[:min(len(best), count)]
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.index, b.index))
-	})
-	for _, s := range all[:min(count, len(all))] {
+	for _, s := range best {
 		chosen = append(chosen, l.Instances[s.index])
 	}
 	return chosen
--- a/internal/spread/world.go
+++ b/internal/spread/world.go
@@ -32,8 +32,17 @@
 
 // NewWorld returns a cold fleet of which the first two are everybody's seeds.
 func NewWorld(count, zones, replicas int) *World {
+	w := Empty(Fleet(1, count, zones), replicas)
+	for n := range count {
+		w.Start(n, w.Service.List.Instances[n])
+	}
+	return w
+}
+
+// Empty returns a world without members for a list of which the first two are everybody's seeds.
+func Empty(l *platform.List, replicas int) *World {
 	w := &World{
-		Service: &Service{List: Fleet(1, count, zones), Away: make(map[int]bool)},
+		Service: &Service{List: l, Away: make(map[int]bool)},
 		Paused:  make(map[int]bool),
 		Cut:     func(int, int) bool { return false },
 		Random:  rand.New(rand.NewPCG(1, 2)),
@@ -43,9 +52,6 @@
 	for range replicas {
 		w.Service.Replicas = append(w.Service.Replicas, make(map[ticket.Number][]byte))
 	}
-	for n := range count {
-		w.Start(n, w.Service.List.Instances[n])
-	}
 	return w
 }
 
