--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -10,6 +10,7 @@
 	"carawaypick/internal/choice"
 	"carawaypick/internal/measure"
 	"carawaypick/internal/outage"
+	"carawaypick/internal/spread"
 )
 
 // measurements returns the rows of each measurement by its name.
@@ -18,6 +19,7 @@
 		"capacity": capacity.Rows,
 		"zone":     outage.Rows,
 		"choice":   choice.Rows,
+		"spread":   spread.Rows,
 	}
 }
 
