Follow drift by the decay that predicts best, and stay on noise

Change: six decays compared by their prediction error; a noise estimate from lines that follow each other; the search splits the heaviest expert where it is stuck and may not undo that; only light ranks are considered; a plan is bounded in changes and the next line carries on. Red first: with Sigma near 0 the noise test moves 4 experts at step 0; with the slowest decay alone the hot expert test fails.

--- a/internal/skew/policy.go
+++ b/internal/skew/policy.go
@@ -30,7 +30,7 @@
 			Step:    expert.Defaults().Step,
 			Stall:   expert.Defaults().Stall,
 			Trigger: 0.02,
-			Least:   0.0015,
+			Least:   0.012,
 			Goal:    0.005,
 		})
 	}
--- a/pkg/expert/improve.go
+++ b/pkg/expert/improve.go
@@ -1,6 +1,7 @@
 package expert
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -11,16 +12,25 @@
 	Gain  float64 // skew that the stage takes from its layer
 }
 
+// patience is the number of changes for the worse that a search makes without a new lowest skew.
+const patience = 3
+
+// reach is the number of light ranks that are considered for another replica.
+const reach = 6
+
 // placement is one layer's map under improvement, with loads in units of the mean rank's.
 type placement struct {
-	layer   int
-	ranks   [][]int
-	shares  []float64 // times the number of ranks
-	holders [][]int   // ranks by expert, once for each slot
-	loads   []float64
-	powers  []float64
-	change  []float64 // scratch: change of load by rank
-	touched []int     // scratch: ranks with a change
+	layer    int
+	ranks    [][]int
+	shares   []float64 // times the number of ranks
+	holders  [][]int   // ranks by expert, once for each slot
+	loads    []float64
+	powers   []float64
+	lightest []int     // ranks by load, nil until asked for
+	change   []float64 // scratch: change of load by rank
+	left     []bool    // by expert and rank: taken from it by an earlier change
+	locked   []bool    // by expert and rank: put on it by an escape
+	touched  []int     // scratch: ranks with a change
 }
 
 // candidate is a change under consideration; other is -1 where it is a load and not an exchange.
@@ -40,6 +50,8 @@
 		loads:   make([]float64, len(ranks)),
 		powers:  make([]float64, len(ranks)),
 		change:  make([]float64, len(ranks)),
+		left:    make([]bool, len(ranks)*len(shares)),
+		locked:  make([]bool, len(ranks)*len(shares)),
 	}
 	for e, s := range shares {
 		p.shares[e] = s * float64(len(ranks))
@@ -83,39 +95,100 @@
 	return p.loads[p.busiest()]
 }
 
-// improve makes the best change for the busiest rank, load for load, until the skew reaches the goal,
-// nothing helps or the loads are spent.
+// improve makes the best change for the busiest rank, load for load, until the skew reaches the goal
+// or the loads are spent.
+//
+// Where no change helps at once it splits the heaviest expert of the busiest rank further, or makes the
+// least bad change, never back to what it undid, and goes on from there; after several such changes
+// without a new lowest skew it gives up, and the caller cuts what gained nothing.
 func (p *placement) improve(goal float64, loads int) []Stage {
 	var stages []Stage
+	lowest := p.skew()
+	stuck := 0
 	for p.skew() > goal && loads > 0 {
 		before := p.skew()
-		c, ok := p.best()
-		if !ok {
+		c := p.best()
+		if c.score <= 0 {
+			stuck++
+			c = p.escape(c, stuck)
+		}
+		if math.IsInf(c.score, -1) || stuck > patience {
 			break
 		}
 		moves := p.apply(c)
 		stages = append(stages, Stage{Moves: moves, Gain: before - p.skew()})
 		loads -= len(moves)
+		if p.skew() < lowest {
+			lowest = p.skew()
+			stuck = 0
+		}
 	}
 	return stages
 }
 
-func (p *placement) best() (candidate, bool) {
-	best := candidate{score: 1e-9}
-	found := false
+// best returns the change that lowers the sum of powers most for each load, with an infinitely low score where there is none.
+func (p *placement) best() candidate {
 	busy := p.busiest()
-	keep := func(c candidate) {
-		if c.score > best.score {
-			best = c
-			found = true
-		}
-	}
+	best := candidate{score: math.Inf(-1)}
+	keep := p.keep(&best)
 	for slot := range p.ranks[busy] {
 		p.exchanges(busy, slot, keep)
 		p.replicas(busy, slot, keep)
 		p.replacements(busy, slot, keep)
 	}
-	return best, found
+	return best
+}
+
+// escape returns, in turn, another replica of the busiest rank's heaviest expert and the least bad change.
+func (p *placement) escape(least candidate, turn int) candidate {
+	if turn%2 == 0 {
+		return least
+	}
+	busy := p.busiest()
+	split := candidate{score: math.Inf(-1)}
+	p.replicas(busy, p.heaviest(busy), p.keep(&split))
+	if math.IsInf(split.score, -1) {
+		return least
+	}
+	p.locked[p.at(split.expert, split.rank)] = true
+	return split
+}
+
+func (p *placement) keep(best *candidate) func(candidate) {
+	return func(c candidate) {
+		if c.score > best.score && !p.banned(c) {
+			*best = c
+		}
+	}
+}
+
+// heaviest returns the slot of the rank with the greatest load.
+func (p *placement) heaviest(rank int) int {
+	heaviest := 0
+	for slot, e := range p.ranks[rank] {
+		if p.part(e) > p.part(p.ranks[rank][heaviest]) {
+			heaviest = slot
+		}
+	}
+	return heaviest
+}
+
+// banned says whether the change puts an expert back on a rank that it was taken from,
+// or takes away a replica that an escape has made.
+func (p *placement) banned(c candidate) bool {
+	old := p.ranks[c.rank][c.slot]
+	if p.left[p.at(c.expert, c.rank)] || p.locked[p.at(old, c.rank)] {
+		return true
+	}
+	if c.other < 0 {
+		return false
+	}
+	return p.left[p.at(old, c.other)] || p.locked[p.at(c.expert, c.other)]
+}
+
+// at returns the place of a pair of expert and rank in left and locked.
+func (p *placement) at(expert, rank int) int {
+	return expert*len(p.ranks) + rank
 }
 
 // exchanges considers trading the expert in a busy slot for a lighter one of another rank.
@@ -127,7 +200,7 @@
 		}
 		for i, light := range p.ranks[r] {
 			less := p.part(heavy) - p.part(light)
-			if less <= 0 || p.loads[r]+less >= p.loads[busy] || holds(p.ranks[busy], light) {
+			if less <= 0 || holds(p.ranks[busy], light) {
 				continue
 			}
 			after := power(p.loads[busy]-less) + power(p.loads[r]+less)
@@ -137,11 +210,11 @@
 	}
 }
 
-// replicas considers another replica of the expert in a busy slot, in place of a spare replica elsewhere.
+// replicas considers another replica of the expert in a busy slot, in place of a spare replica on a light rank.
 func (p *placement) replicas(busy, slot int, keep func(candidate)) {
 	hot := p.ranks[busy][slot]
-	for r := range p.ranks {
-		if r == busy || p.loads[r] >= p.loads[busy] || holds(p.ranks[r], hot) {
+	for _, r := range p.light() {
+		if r == busy || holds(p.ranks[r], hot) {
 			continue
 		}
 		for i, spare := range p.ranks[r] {
@@ -152,14 +225,25 @@
 	}
 }
 
-// replacements considers putting any expert in the place of a spare replica in a busy slot.
+// light returns the few ranks with the least load.
+func (p *placement) light() []int {
+	if p.lightest == nil {
+		for r := range p.loads {
+			p.lightest = append(p.lightest, r)
+		}
+		slices.SortStableFunc(p.lightest, func(a, b int) int { return cmp.Compare(p.loads[a], p.loads[b]) })
+	}
+	return p.lightest[:min(reach, len(p.lightest))]
+}
+
+// replacements considers putting a lighter expert in the place of a spare replica in a busy slot.
 func (p *placement) replacements(busy, slot int, keep func(candidate)) {
 	spare := p.ranks[busy][slot]
 	if len(p.holders[spare]) < 2 {
 		return
 	}
 	for e := range p.shares {
-		if e != spare && !holds(p.ranks[busy], e) {
+		if p.part(e) < p.part(spare) && !holds(p.ranks[busy], e) {
 			keep(candidate{rank: busy, slot: slot, other: -1, expert: e, score: p.replaced(busy, spare, e)})
 		}
 	}
@@ -202,6 +286,7 @@
 		moves = append(moves, p.put(c.other, c.place, heavy))
 	}
 	p.sum()
+	p.lightest = nil
 	return moves
 }
 
@@ -211,6 +296,7 @@
 	p.holders[old] = slices.Delete(p.holders[old], i, i+1)
 	p.holders[expert] = append(p.holders[expert], rank)
 	p.ranks[rank][slot] = expert
+	p.left[p.at(old, rank)] = true
 	return Move{Layer: p.layer, Rank: rank, Slot: slot, Expert: expert}
 }
 
--- a/pkg/expert/plan.go
+++ b/pkg/expert/plan.go
@@ -14,7 +14,7 @@
 	Step    clock.Span // ms of a step in which all ranks carry the same
 	Stall   float64    // step time lost for each unit of loading time
 	Trigger float64    // least skew that a change must take from a layer
-	Least   float64    // least skew that each load must take from its layer
+	Least   float64    // least skew that each load must take from its layer, times the number of ranks
 	Goal    float64    // skew above the bound that a change aims at
 	Sigma   float64    // standard deviations of the busiest rank's load that a change must exceed
 }
@@ -22,19 +22,26 @@
 // Defaults returns the settings that the measurements were made with.
 func Defaults() Settings {
 	return Settings{
-		Decays:  []float64{1.0 / 8},
+		Decays:  []float64{1.0 / 64, 1.0 / 32, 1.0 / 16, 1.0 / 8, 1.0 / 4, 1.0 / 2},
 		Horizon: 200,
 		Step:    50 * clock.Millisecond,
 		Stall:   0.01,
-		Trigger: 0.02,
-		Least:   0.0015,
+		Trigger: 0.01,
+		Least:   0.012,
 		Goal:    0.005,
+		Sigma:   4.5,
 	}
 }
 
 // window is the number of steps back from the newest within which a late line still counts.
 const window = 64
 
+// Bounds of the search in one plan, which keep its time bounded; the next line carries on.
+const (
+	changes = 1200 // over all layers
+	fewest  = 16   // in each layer
+)
+
 // Plan is a planner's answer to one line.
 type Plan struct {
 	Stay   bool
@@ -134,8 +141,10 @@
 	next := make(Map, p.shape.Layers)
 	copy(next, p.current)
 	var parts [][]Stage
-	for l := range next {
-		ranks, stages := p.improveLayer(l, r)
+	tasks := p.tasks()
+	for _, t := range tasks {
+		l := t.layer
+		ranks, stages := p.improveLayer(t, p.price(r), max(fewest, changes/len(tasks)))
 		if len(stages) > 0 {
 			next[l] = ranks
 			parts = append(parts, stages)
@@ -152,27 +161,41 @@
 	return plan
 }
 
-// improveLayer returns the layer's next placement and the stages to it, none where staying is better.
-func (p *Planner) improveLayer(l int, r Report) ([][]int, []Stage) {
-	shares, tokens := p.estimates[l].best()
-	if shares == nil {
-		return nil, nil
-	}
-	now := p.current[l]
-	skew := LayerSkew(now, shares)
-	if skew < 1+p.settings.Trigger {
-		return nil, nil
-	}
-	noise := p.noise(now, shares, tokens/p.estimates[l].noise)
-	least := max(p.settings.Trigger, p.settings.Sigma*noise)
-	bound := LayerBound(p.shape, shares)
-	if skew-bound < least {
-		return nil, nil
+// task is a layer whose skew is above what noise explains.
+type task struct {
+	layer  int
+	shares []float64
+	goal   float64 // skew to reach
+	least  float64 // skew that a change must take
+}
+
+func (p *Planner) tasks() []task {
+	var tasks []task
+	for l, e := range p.estimates {
+		shares, tokens := e.best()
+		if shares == nil {
+			continue
+		}
+		skew := LayerSkew(p.current[l], shares)
+		if skew < 1+p.settings.Trigger {
+			continue
+		}
+		noise := p.noise(p.current[l], shares, tokens/e.noise)
+		bound := LayerBound(p.shape, shares)
+		least := max(p.settings.Trigger, p.settings.Sigma*noise)
+		if skew-bound >= least {
+			tasks = append(tasks, task{layer: l, shares: shares, goal: bound + max(p.settings.Goal, noise), least: least})
+		}
 	}
-	next := newPlacement(l, cloneLayer(now), shares)
-	stages := next.improve(bound+max(p.settings.Goal, noise), 2*p.shape.Ranks*p.shape.Slots)
-	stages, gain := worth(stages, p.price(r))
-	if gain < least {
+	return tasks
+}
+
+// improveLayer returns the layer's next placement and the stages to it, none where staying is better.
+func (p *Planner) improveLayer(t task, price float64, loads int) ([][]int, []Stage) {
+	now := p.current[t.layer]
+	next := newPlacement(t.layer, cloneLayer(now), t.shares)
+	stages, gain := worth(next.improve(t.goal, loads), price)
+	if gain < t.least {
 		return nil, nil
 	}
 	return replay(now, stages), stages
@@ -182,7 +205,7 @@
 func (p *Planner) price(r Report) float64 {
 	lost := r.load() * p.settings.Stall * float64(clock.Second)
 	horizon := float64(p.settings.Horizon) * float64(p.settings.Step)
-	return max(p.settings.Least, lost/horizon*float64(p.shape.Layers))
+	return max(p.settings.Least/float64(p.shape.Ranks), lost/horizon*float64(p.shape.Layers))
 }
 
 // noise returns the standard deviation of the busiest rank's load over the mean load
--- a/pkg/expert/plan_test.go
+++ b/pkg/expert/plan_test.go
@@ -1,6 +1,7 @@
 package expert
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -62,6 +63,27 @@
 			assertStay(t, p, even(s, step, 1000))
 		}
 	})
+	t.Run("stays on noise around an even map", func(t *testing.T) {
+		s := Shape{Ranks: 8, Slots: 8, Experts: 64, Layers: 4}
+		p := NewPlanner(Defaults())
+		random := rand.New(rand.NewPCG(1, 1))
+		for step := range uint64(300) {
+			assertStay(t, p, sampled(s, step, random))
+		}
+	})
+	t.Run("follows a hot expert within a few steps", func(t *testing.T) {
+		s := Shape{Ranks: 4, Slots: 3, Experts: 8, Layers: 1}
+		p := NewPlanner(Defaults())
+		for step := range uint64(100) {
+			assertNext(t, p, even(s, step, 10_000))
+		}
+		hot := report(s, 0, 10_000, 10_000, 10_000, 10_000, 10_000, 10_000, 10_000, 70_000)
+		for step := range uint64(5) {
+			hot.Step = 100 + step
+			assertNext(t, p, hot)
+		}
+		assert.Less(t, Skew(p.current, hot.Layers), 1.15)
+	})
 	t.Run("stays on counts of zero", func(t *testing.T) {
 		p := NewPlanner(Defaults())
 		for step := range uint64(5) {
@@ -104,6 +126,17 @@
 	})
 }
 
+// sampled draws each expert's tokens from the same law.
+func sampled(s Shape, step uint64, random *rand.Rand) Report {
+	r := report(s, step)
+	for l := range r.Layers {
+		for range 64 * s.Experts {
+			r.Layers[l][random.IntN(s.Experts)]++
+		}
+	}
+	return r
+}
+
 func steps(n int) []int {
 	all := make([]int, n)
 	for i := range all {
