--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -205,6 +206,6 @@
 	if p.Tokens == 0 {
 		p.Tokens = defaultTokens
 	}
-	c.Tokens = p.Tokens + uint32(len(p.Prompt)/bytesPerToken)
+	c.Tokens = uint32(min(uint64(p.Tokens)+uint64(len(p.Prompt)/bytesPerToken), math.MaxUint32))
 	c.Prefix = xxhash.Sum64String(p.Prompt[:min(len(p.Prompt), prefixBytes)])
 }
