--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -58,9 +58,9 @@
 	Poll   clock.Span `json:"poll" jsonschema:"minimum=10,maximum=60000" jsonschema_description:"Interval in ms between load reports"`
 	Gossip clock.Span `json:"gossip" jsonschema:"minimum=10,maximum=60000" jsonschema_description:"Interval in ms between exchanges with a peer"`
 	Settle clock.Span `json:"settle" jsonschema:"minimum=0,maximum=600000" jsonschema_description:"Time in ms that a new ticket is held for a second content of its number"`
-	Seal   clock.Span `json:"seal" jsonschema:"minimum=1000,maximum=86400000" jsonschema_description:"Time in ms that a condemned content is refused"`
+	Seal   clock.Span `json:"seal" jsonschema:"minimum=1000,maximum=86400000" jsonschema_description:"Time in ms after the first sight of a ticket number in which another content of it can still win"`
 	Stall  clock.Span `json:"stall" jsonschema:"minimum=10,maximum=600000" jsonschema_description:"Time in ms without progress after which an attempt counts as stalled"`
-	Drain  clock.Span `json:"drain" jsonschema:"minimum=0,maximum=3600000" jsonschema_description:"Longest time in ms that a graceful shutdown waits, at least ttl"`
+	Drain  clock.Span `json:"drain" jsonschema:"minimum=0,maximum=3600000" jsonschema_description:"Least time in ms that a graceful shutdown serves on, at least ttl"`
 }
 
 // Log says where log lines go and which of them.
