Measure what the path adds and what idle processes use

Cause: latency, rate, allocations, memory and processor share had no figures. Ruled out: timing from the moment after a sleep that overshot, and timing from the schedule alone (the first hides queueing, the second shows the sleep); toxiproxy as counter of control traffic, as it is for tests. Change: internal/latency, run by 'go run ./cmd/measure path' after make build; direct and path take turns of one second under one load; clock.Watch for nanoseconds.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"carawaypick/internal/capacity"
+	"carawaypick/internal/latency"
 	"carawaypick/internal/measure"
 )
 
@@ -14,6 +15,7 @@
 func measurements() map[string]func() ([]measure.Row, error) {
 	return map[string]func() ([]measure.Row, error){
 		"capacity": capacity.Rows,
+		"path":     latency.Rows,
 	}
 }
 
--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -22,4 +22,10 @@
 		assert.Equal(t, 2*Second, c.Since(start))
 		assert.Equal(t, 2*time.Second, c.Since(start).Duration())
 	})
+	t.Run("a stopwatch never goes back", func(t *testing.T) {
+		passed := Watch()
+		first := passed()
+		assert.GreaterOrEqual(t, first, time.Duration(0))
+		assert.GreaterOrEqual(t, passed(), first)
+	})
 }
