--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,6 +8,7 @@
 
 	"carawaypick/internal/capacity"
 	"carawaypick/internal/choice"
+	"carawaypick/internal/latency"
 	"carawaypick/internal/measure"
 	"carawaypick/internal/outage"
 	"carawaypick/internal/spread"
@@ -20,6 +21,7 @@
 		"zone":     outage.Rows,
 		"choice":   choice.Rows,
 		"spread":   spread.Rows,
+		"path":     latency.Rows,
 	}
 }
 
