--- /dev/null
+++ b/internal/promise/once_test.go
@@ -0,0 +1,257 @@
+package promise
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"carawaypick/internal/standin"
+	"carawaypick/internal/standin/fleet"
+	"carawaypick/pkg/clock"
+)
+
+const workSpan = 300 * clock.Millisecond
+
+func (b *bench) everyPlain(change func(*standin.PlainFault)) {
+	for _, p := range b.Plains {
+		p.SetFault(change)
+	}
+}
+
+// ran waits until a request runs on a plain service and returns the service's name.
+func (b *bench) ran(id string) (name string) {
+	b.t.Helper()
+	b.eventually(id+" has begun", func() bool {
+		for n, p := range b.Plains {
+			if p.Count(id) > 0 {
+				name = n
+				return true
+			}
+		}
+		return false
+	})
+	return name
+}
+
+// entryAt returns the entry at a caller's address.
+func (b *bench) entryAt(address string) *fleet.Process {
+	b.t.Helper()
+	for i, a := range b.EntryAddresses() {
+		if a == address {
+			return b.Entries[i]
+		}
+	}
+	require.Fail(b.t, "no entry at "+address)
+	return nil
+}
+
+// midway sends a correction, acts once it runs, and returns what the caller got.
+func (b *bench) midway(c *standin.Caller, act func(service string, location standin.Location)) sent {
+	b.t.Helper()
+	location := b.locate(c)
+	s := correct(location)
+	result := later(func() sent { return s.at(b.t.Context(), c, location) })
+	b.eventually("a run or an answer", func() bool { return b.Runs(s.call.ID) > 0 || len(result) > 0 })
+	if b.Runs(s.call.ID) == 0 {
+		early := (<-result).answer
+		require.Fail(b.t, "no run", "%s %s", early.Outcome, early.Reason)
+	}
+	act(b.ran(s.call.ID), location)
+	return <-result
+}
+
+// TestPromiseRunsAtMostOnce breaks every part of the way of requests that may not be repeated.
+func TestPromiseRunsAtMostOnce(t *testing.T) {
+	b := open(t, setup{entries: 3, engines: 1, plains: 2, proxied: []string{fleet.CallerLink, fleet.PeerLink, fleet.BackendLink}})
+	c := b.caller(plain, "zone-a")
+	b.everyPlain(func(f *standin.PlainFault) { f.Work = workSpan })
+	keep := func(t *testing.T, s sent) {
+		t.Helper()
+		b.assertAtMostOnce(s)
+	}
+	b.run("entry dies after the handover", func(t *testing.T) {
+		var died *fleet.Process
+		s := b.midway(c, func(_ string, l standin.Location) {
+			died = b.entryAt(l.Addresses[0])
+			require.NoError(t, died.Kill())
+		})
+		keep(t, s)
+		assertWhole(t, s)
+		assert.Greater(t, s.answer.Sends, 1, "the fault came too late")
+		require.NoError(t, died.Start())
+		b.located()
+	})
+	b.run("entry dies before and during the handover", func(t *testing.T) {
+		for pause := clock.Span(0); pause < 5; pause++ {
+			location := b.locate(c)
+			s := correct(location)
+			result := later(func() sent { return s.at(t.Context(), c, location) })
+			b.pass(pause)
+			died := b.entryAt(location.Addresses[0])
+			require.NoError(t, died.Kill())
+			keep(t, <-result)
+			require.NoError(t, died.Start())
+			b.located()
+		}
+	})
+	b.run("link to the entry breaks", func(t *testing.T) {
+		var broken fleet.Link
+		s := b.midway(c, func(_ string, l standin.Location) {
+			broken = fleet.Link{Kind: fleet.CallerLink, To: b.entryAt(l.Addresses[0]).Settings.Name}
+			b.cut(broken)
+		})
+		b.mend(broken)
+		keep(t, s)
+		assertWhole(t, s)
+	})
+	b.run("link to the agent breaks", func(t *testing.T) {
+		s := b.midway(c, func(name string, _ standin.Location) {
+			link := fleet.Link{Kind: fleet.PeerLink, To: name}
+			b.cut(link)
+			b.mend(link)
+		})
+		keep(t, s)
+		b.located()
+	})
+	b.run("agent dies", func(t *testing.T) {
+		var died *fleet.Process
+		s := b.midway(c, func(name string, _ standin.Location) {
+			died = b.agent(name)
+			require.NoError(t, died.Kill())
+		})
+		require.NoError(t, died.Start())
+		b.located()
+		keep(t, s)
+		assert.Equal(t, standin.Unknown, s.answer.Outcome)
+	})
+	b.run("backend server dies", func(t *testing.T) {
+		s := b.midway(c, func(name string, _ standin.Location) { b.Plains[name].Restart() })
+		keep(t, s)
+		assert.Equal(t, standin.Unknown, s.answer.Outcome)
+	})
+	b.run("answer is lost after the run", func(t *testing.T) {
+		b.everyPlain(func(f *standin.PlainFault) { f.After = 1 })
+		location := b.locate(c)
+		s := correct(location).at(t.Context(), c, location)
+		b.everyPlain(func(f *standin.PlainFault) { f.After = 0 })
+		keep(t, s)
+		again := s.at(t.Context(), c, location)
+		assert.Equal(t, standin.Unknown, again.answer.Outcome, "a resend")
+		keep(t, again)
+	})
+	b.run("connection is cut before the run", func(t *testing.T) {
+		b.everyPlain(func(f *standin.PlainFault) { f.Before = 1 })
+		location := b.locate(c)
+		keep(t, correct(location).at(t.Context(), c, location))
+		b.everyPlain(func(f *standin.PlainFault) { f.Before = 0 })
+	})
+}
+
+// TestPromiseRunsOnceForManySends sends one id through every entry at once, and again later.
+func TestPromiseRunsOnceForManySends(t *testing.T) {
+	b := open(t, setup{entries: 3, engines: 1, plains: 2})
+	b.everyPlain(func(f *standin.PlainFault) { f.Work = workSpan })
+	c := b.caller(plain, "zone-a")
+	location := b.locate(c)
+	s := correct(location)
+	results := []<-chan sent{}
+	for i, address := range append(b.EntryAddresses(), b.EntryAddresses()...) {
+		results = append(results, later(func() sent {
+			s.answer = c.Send(t.Context(), s.call, address, location.Binding, i+1, s.call.Deadline)
+			return s
+		}))
+	}
+	for _, result := range results {
+		assertWhole(t, <-result)
+	}
+	b.assertAtMostOnce(s.at(t.Context(), c, location))
+	b.run("another content under the same id is refused", func(t *testing.T) {
+		other := s
+		other.call.Body = []byte(`{"story":"another"}`)
+		other = other.at(t.Context(), c, location)
+		assert.NotEqual(t, standin.Whole, other.answer.Outcome)
+		assert.Equal(t, 1, b.Runs(s.call.ID))
+	})
+	b.run("no binding, no run", func(t *testing.T) {
+		bare := correct(location)
+		bare.answer = c.Send(t.Context(), bare.call, location.Addresses[0], "", 1, s.call.Deadline)
+		assert.Equal(t, standin.Bad, bare.answer.Outcome)
+		assert.Zero(t, b.Runs(bare.call.ID))
+	})
+}
+
+// TestPromiseRunsAtMostOnceAcrossPauses wakes agents and entries that believe old things.
+func TestPromiseRunsAtMostOnceAcrossPauses(t *testing.T) {
+	b := open(t, setup{entries: 3, engines: 1, plains: 2})
+	c := b.caller(plain, "zone-a")
+	life := fleet.QuickTiming().Life
+	calls := []sent{}
+	b.run("agent sleeps past the binding's life", func(t *testing.T) {
+		location := b.locate(c)
+		s := correct(location)
+		s.call.Deadline = life + 4*clock.Second
+		for _, p := range b.Plains {
+			require.NoError(t, b.agentOf(p).Pause())
+		}
+		result := later(func() sent { return s.at(t.Context(), c, location) })
+		b.pass(life + clock.Second)
+		for _, p := range b.Plains {
+			require.NoError(t, b.agentOf(p).Resume())
+		}
+		calls = append(calls, <-result)
+	})
+	b.run("entry sleeps while the same id goes through another", func(t *testing.T) {
+		location := b.locate(c)
+		s := correct(location)
+		asleep := b.entryAt(location.Addresses[0])
+		require.NoError(t, asleep.Pause())
+		first := later(func() sent {
+			f := s
+			f.answer = c.Send(t.Context(), s.call, location.Addresses[0], location.Binding, 1, 8*clock.Second)
+			return f
+		})
+		second := s
+		second.answer = c.Send(t.Context(), s.call, location.Addresses[1], location.Binding, 2, 8*clock.Second)
+		b.assertAtMostOnce(second)
+		require.NoError(t, asleep.Resume())
+		calls = append(calls, second, <-first)
+	})
+	require.NoError(t, b.Terminate(t.Context()))
+	b.assertAtMostOnce(calls...)
+}
+
+func (b *bench) agentOf(plain *standin.Plain) *fleet.Process {
+	b.t.Helper()
+	for name, p := range b.Plains {
+		if p == plain {
+			return b.agent(name)
+		}
+	}
+	require.Fail(b.t, "no agent")
+	return nil
+}
+
+// TestPromiseRunsAtMostOnceAcrossTickets changes the configuration and takes the zone out halfway.
+func TestPromiseRunsAtMostOnceAcrossTickets(t *testing.T) {
+	b := open(t, setup{entries: 3, engines: 1, plains: 3})
+	b.everyPlain(func(f *standin.PlainFault) { f.Work = 2 * clock.Second })
+	c := b.caller(plain, "zone-a")
+	s := b.midway(c, func(name string, _ standin.Location) {
+		zone := b.agent(name).Settings.Zone
+		b.inForce(b.publish(zoneTicket(zone, "out")))
+	})
+	b.assertAtMostOnce(s)
+	assertWhole(t, s)
+	b.everyPlain(func(f *standin.PlainFault) { f.Work = 0 })
+	b.run("the zone gets no further request", func(t *testing.T) {
+		for i := range 6 {
+			location := b.locate(c)
+			next := correct(location).at(t.Context(), c, location)
+			assertWhole(t, next)
+			b.assertAtMostOnce(next)
+			require.NotEqual(t, b.ran(s.call.ID), b.ran(next.call.ID), fmt.Sprint("request ", i))
+		}
+	})
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -151,12 +151,6 @@
 
 // Do sends the call until it has an answer, at most call.Sends times and within its deadline.
 func (c *Caller) Do(ctx context.Context, call Call) Answer {
-	if call.Deadline == 0 {
-		call.Deadline = defaultDeadline
-	}
-	if call.Sends == 0 {
-		call.Sends = defaultSends
-	}
 	start := c.clock.Now()
 	location, err := c.Locate(ctx)
 	if err != nil {
@@ -167,6 +161,12 @@
 
 // DoAt sends the call to the addresses of a location that the caller already has.
 func (c *Caller) DoAt(ctx context.Context, call Call, location Location, start clock.Time) Answer {
+	if call.Deadline == 0 {
+		call.Deadline = defaultDeadline
+	}
+	if call.Sends == 0 {
+		call.Sends = defaultSends
+	}
 	answer := Answer{ID: call.ID, Outcome: Lost}
 	for send := 1; send <= call.Sends; send++ {
 		left := start.Add(call.Deadline).Sub(c.clock.Now())
@@ -236,3 +236,8 @@
 		h.Set("Binding", binding)
 	}
 }
+
+// Now returns the present moment of the caller's clock.
+func (c *Caller) Now() clock.Time {
+	return c.clock.Now()
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -94,6 +94,7 @@
 	stop    chan struct{}
 	reason  string // why stop was closed
 	process string
+	conn    net.Conn
 }
 
 // NewEngine starts an engine.
@@ -187,11 +188,14 @@
 }
 
 // begin takes a request in, and restarts the engine where that is more than it bears.
-func (e *Engine) begin(id, priority string, resume, tokens int) *stream {
+func (e *Engine) begin(conn net.Conn, id, priority string, resume, tokens int) *stream {
 	fault := e.fault.get()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	s := &stream{id: id, left: tokens - resume, stop: make(chan struct{}), process: e.process, record: len(e.requests)}
+	if fault.Bears > 0 && len(e.running) >= e.bears(fault) {
+		e.sweep()
+	}
+	s := &stream{id: id, left: tokens - resume, stop: make(chan struct{}), process: e.process, conn: conn, record: len(e.requests)}
 	e.requests = append(e.requests, EngineRequest{ID: id, Priority: priority, Resume: resume, Process: e.process, End: "running"})
 	e.running[s] = true
 	e.peak = max(e.peak, len(e.running))
@@ -204,6 +208,15 @@
 	return s
 }
 
+// sweep cancels the streams whose readers have closed the connection; it needs the mutex.
+func (e *Engine) sweep() {
+	for s := range e.running {
+		if gone(s.conn) {
+			e.end(s, "cancel")
+		}
+	}
+}
+
 // crash restarts the engine because of one of its requests.
 func (e *Engine) crash(s *stream) {
 	fault := e.fault.get()
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -46,7 +46,7 @@
 	if tracked, ok := run.conn.(*trackedConn); ok {
 		run.before = tracked.events.Load()
 	}
-	run.stream = e.begin(id, c.Get("Priority"), resume, prompt.Tokens)
+	run.stream = e.begin(run.conn, id, c.Get("Priority"), resume, prompt.Tokens)
 	run.cut = e.takeCut()
 	run.swap = e.takeSwap()
 	c.Set(fiber.HeaderContentType, "text/event-stream")
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -165,6 +166,27 @@
 		}
 		assert.Equal(t, 1, e.Record().Overload)
 	})
+	t.Run("a closed connection gives its place back", func(t *testing.T) {
+		e := startEngine(t, func(f *EngineFault) { f.Bears = 1; f.Cold = 1; f.Stall = true })
+		ctx, cancel := context.WithCancel(t.Context())
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL()+"/generate", strings.NewReader(`{"prompt":"p"}`))
+		require.NoError(t, err)
+		request.Close = true
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			if response, err := http.DefaultTransport.RoundTrip(request); err == nil {
+				_, _ = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+		}()
+		eventually(t, "running", func() bool { return len(e.Record().Requests) == 1 })
+		cancel()
+		<-ended
+		e.SetFault(func(f *EngineFault) { f.Stall = false })
+		assert.NotNil(t, generate(t, e, "b", "p", 2, 0).end)
+		assert.Zero(t, e.Record().Overload)
+	})
 	t.Run("cuts a stream before an event", func(t *testing.T) {
 		e := startEngine(t, func(f *EngineFault) { f.Cut = 3; f.Cuts = 1 })
 		d := generate(t, e, "a", "p", 5, 0)
