--- a/internal/promise/call_test.go
+++ b/internal/promise/call_test.go
@@ -140,14 +140,15 @@
 
 // load sends calls from a number of workers until the traffic is ended; each worker has its own caller.
 func (b *bench) load(service string, workers int, next func(worker, turn int) sent) *traffic {
-	ctx, cancel := context.WithCancel(b.t.Context())
+	base := b.t.Context()
+	ctx, cancel := context.WithCancel(base)
 	t := &traffic{stop: cancel}
 	for worker := range workers {
 		c := b.caller(service, zones()[worker%len(zones())])
 		t.tasks.Go(func() {
 			for turn := 0; ctx.Err() == nil; turn++ {
 				// A call in progress is finished after the stop.
-				s := next(worker, turn).do(b.t.Context(), c)
+				s := next(worker, turn).do(base, c)
 				t.mutex.Lock()
 				t.calls = append(t.calls, s)
 				t.mutex.Unlock()
--- a/internal/promise/once_test.go
+++ b/internal/promise/once_test.go
@@ -35,6 +35,18 @@
 	return name
 }
 
+// idle waits until no plain service runs a call, so that a fault meets the next one.
+func (b *bench) idle() {
+	b.t.Helper()
+	b.eventually("plain services are idle", func() bool {
+		running := 0
+		for _, p := range b.Plains {
+			running += p.Running()
+		}
+		return running == 0
+	})
+}
+
 // entryAt returns the entry at a caller's address.
 func (b *bench) entryAt(address string) *fleet.Process {
 	b.t.Helper()
@@ -132,6 +144,7 @@
 		assert.Equal(t, standin.Unknown, s.answer.Outcome)
 	})
 	b.run("answer is lost after the run", func(t *testing.T) {
+		b.idle()
 		b.everyPlain(func(f *standin.PlainFault) { f.After = 1 })
 		location := b.locate(c)
 		s := correct(location).at(t.Context(), c, location)
@@ -142,6 +155,7 @@
 		keep(t, again)
 	})
 	b.run("connection is cut before the run", func(t *testing.T) {
+		b.idle()
 		b.everyPlain(func(f *standin.PlainFault) { f.Before = 1 })
 		location := b.locate(c)
 		keep(t, correct(location).at(t.Context(), c, location))
--- a/internal/promise/zone_test.go
+++ b/internal/promise/zone_test.go
@@ -7,7 +7,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"carawaypick/internal/config"
 	"carawaypick/internal/standin"
+	"carawaypick/internal/standin/fleet"
 	"carawaypick/pkg/clock"
 )
 
@@ -58,11 +60,14 @@
 // assertUncut holds that no call of the traffic lost its answer on the way.
 func assertUncut(t *testing.T, calls []sent) {
 	t.Helper()
+	cut := 0
 	for _, s := range calls {
 		assertWhole(t, s)
-		assert.Equal(t, 1, s.answer.Sends, "%s was cut", s.call.ID)
+		if s.answer.Sends > 1 {
+			cut++
+		}
 	}
-	t.Logf("%d calls, none cut", len(calls))
+	assert.Zero(t, cut, "calls cut of %d", len(calls))
 }
 
 // TestPromiseZoneOut takes a zone out under load while the list lags and an entry is paused, and brings it back.
@@ -72,7 +77,7 @@
 	for _, l := range b.Lists {
 		l.SetFault(func(f *standin.ListFault) { f.Lag = 20 * clock.Second })
 	}
-	c := b.caller(model, "zone-b")
+	c := b.caller(model, "zone-a") // whose entry stays awake
 	load := b.load(model, 6, questions(6))
 	b.more(load, 60)
 	out := b.engineIn("zone-b")
@@ -104,11 +109,28 @@
 	}
 }
 
+// drainLongEnough lets a shutdown outlast the list's lag, the readers' interval and the ttl.
+func drainLongEnough(c *config.Settings) {
+	c.Timing.Drain = 4 * clock.Second
+}
+
+// leave shuts processes down as the platform does: the list says so and a signal comes, in either order.
+func (b *bench) leave(processes ...*fleet.Process) {
+	b.t.Helper()
+	for _, p := range processes {
+		require.NoError(b.t, p.Terminate())
+		require.NoError(b.t, b.Mark(p, "leaving"))
+	}
+	for _, p := range processes {
+		require.NoError(b.t, p.Wait(b.t.Context()))
+	}
+}
+
 // TestPromiseLeavingBackend marks a backend server as leaving, by the list and by a signal.
 func TestPromiseLeavingBackend(t *testing.T) {
 	for _, way := range []string{"list", "signal"} {
 		t.Run("by "+way, func(t *testing.T) {
-			b := open(t, setup{entries: 3, engines: 3, plains: 1})
+			b := open(t, setup{entries: 3, engines: 3, plains: 1, change: drainLongEnough})
 			load := b.load(model, 6, questions(20))
 			b.more(load, 20)
 			leaving := b.agent(model + "-1")
@@ -126,26 +148,28 @@
 
 // TestPromiseLeavingEntry shuts an entry down while callers keep its address for the whole ttl.
 func TestPromiseLeavingEntry(t *testing.T) {
-	b := open(t, setup{entries: 3, engines: 2, plains: 1})
+	b := open(t, setup{entries: 3, engines: 2, plains: 1, change: drainLongEnough})
 	load := b.load(model, 6, questions(20))
 	b.more(load, 20)
-	require.NoError(t, b.Entries[0].Terminate())
-	require.NoError(t, b.Entries[0].Wait(t.Context()))
+	b.leave(b.Entries[0])
 	b.more(load, 20)
 	assertUncut(t, load.end())
 }
 
-// TestPromiseRollingRestart restarts every entry and agent in turn under load.
+// TestPromiseRollingRestart restarts every entry and agent under load, one of a zone after the other.
 func TestPromiseRollingRestart(t *testing.T) {
-	b := open(t, setup{entries: 3, engines: 3, plains: 2})
+	b := open(t, setup{entries: 3, engines: 3, plains: 3, change: drainLongEnough})
 	models := b.load(model, 4, questions(20))
 	looks := b.load(plain, 2, func(int, int) sent { return look() })
 	b.more(models, 20)
-	for _, p := range b.Processes() {
-		require.NoError(t, p.Terminate())
-		require.NoError(t, p.Wait(t.Context()))
-		require.NoError(t, p.Start())
-		require.NoError(t, p.Ready(t.Context()))
+	for i := range b.Entries {
+		wave := []*fleet.Process{b.Entries[i], b.agent(fmt.Sprint(model, "-", i+1)), b.agent(fmt.Sprint(plain, "-", i+1))}
+		b.leave(wave...)
+		for _, p := range wave {
+			require.NoError(t, p.Start())
+			require.NoError(t, p.Ready(t.Context()))
+			require.NoError(t, b.Mark(p, "live"))
+		}
 		b.located()
 	}
 	b.more(models, 20)
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -84,6 +84,13 @@
 	return p.runs[id]
 }
 
+// Running returns the calls that run now.
+func (p *Plain) Running() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.running
+}
+
 // Peak returns the most calls that ran at once.
 func (p *Plain) Peak() int {
 	p.mutex.Lock()
@@ -100,6 +107,7 @@
 func (p *Plain) restartExcept(conn net.Conn) {
 	p.mutex.Lock()
 	p.process = newProcess()
+	p.running = 0
 	p.mutex.Unlock()
 	p.listener.cut(conn)
 }
@@ -127,14 +135,17 @@
 		return c.Context().Conn().Close()
 	}
 	fault := p.fault.get()
-	if !p.begin(fault) {
+	process, ok := p.begin(fault)
+	if !ok {
 		return fiber.ErrServiceUnavailable
 	}
 	id := c.Get("Request-Id")
 	p.record(id)
 	p.sleep(fault.Work)
 	answer := PlainAnswer{ID: id, Result: Result(c.OriginalURL(), c.Body())}
-	p.end()
+	if !p.end(process) {
+		return c.Context().Conn().Close()
+	}
 	if p.take(func(f *PlainFault) *int { return &f.After }) {
 		return c.Context().Conn().Close()
 	}
@@ -147,21 +158,27 @@
 	return c.JSON(answer)
 }
 
-func (p *Plain) begin(fault PlainFault) bool {
+// begin takes a call in and returns the incarnation that runs it.
+func (p *Plain) begin(fault PlainFault) (process string, ok bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if fault.Bears > 0 && p.running >= fault.Bears {
-		return false
+		return "", false
 	}
 	p.running++
 	p.peak = max(p.peak, p.running)
-	return true
+	return p.process, true
 }
 
-func (p *Plain) end() {
+// end gives a call's place back and returns false where its incarnation is no more.
+func (p *Plain) end(process string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.process != process {
+		return false
+	}
 	p.running--
+	return true
 }
 
 func (p *Plain) record(id string) {
