Give a slot on only once the backend server has let go of it

The agent freed a slot when a request's deadline passed and its connection was closed, but the engine notices that only at its next write; the next request made one too many. Ruled out: the ramp (windows were at or below what the engines bear) and grants (the agent's window holds whatever the entries do). Change: a stream that did not end whole is cancelled by the engine's own call before its slot is free; a plain call, which can't be cancelled, keeps its slot until it ends. The entry still gets its answer at once. Conclusion: a slot belongs to the backend server's work, not to the request's caller.

--- a/internal/backend/agent_test.go
+++ b/internal/backend/agent_test.go
@@ -43,6 +43,8 @@
 	peak    atomic.Int32
 	work    func(ctx context.Context, task Task, emit func(Piece) error) (End, error)
 	number  int
+	letGo   chan struct{} // holds cancel calls back where not nil
+	cancels atomic.Int32
 }
 
 func newBench(t *testing.T) *bench {
@@ -62,7 +64,7 @@
 		},
 	})
 	b.publish(`"zones":{"z1":{"state":"in"}},"services":{"desk":{"kind":"plain","model":"","idempotent":true,"stall":300,"bears":4,"cold":4}}`)
-	Dialects.Register(t.Name(), func(string) (Dialect, error) { return Dialect{Run: b.run, Load: b.report}, nil })
+	Dialects.Register(t.Name(), func(string) (Dialect, error) { return Dialect{Run: b.run, Load: b.report, Cancel: b.cancel}, nil })
 	s := config.Defaults()
 	s.Name, s.Zone = "a1", "z1"
 	s.Backend = config.Backend{Service: "desk", Kind: t.Name()}
@@ -124,6 +126,17 @@
 	return load, err
 }
 
+func (b *bench) cancel(context.Context, string) error {
+	b.mu.Lock()
+	letGo := b.letGo
+	b.mu.Unlock()
+	b.cancels.Add(1)
+	if letGo != nil {
+		<-letGo
+	}
+	return nil
+}
+
 func (b *bench) set(change func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -320,6 +333,45 @@
 		}
 		assert.EqualValues(t, bears, b.peak.Load())
 	})
+	t.Run("a slot only once the backend server has let go of it", func(t *testing.T) {
+		b := newBench(t)
+		open := b.gate()
+		defer open()
+		letGo := make(chan struct{})
+		b.set(func() { b.letGo = letGo })
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range bears {
+			r := request(fmt.Sprint("r", i))
+			r.Stream = true
+			r.Service = "desk"
+			go func() { _ = b.agent.Run(r, &wire{ctx: ctx}) }()
+		}
+		b.eventually(func() bool { return b.running.Load() == bears })
+		cancel()
+		b.eventually(func() bool { return b.cancels.Load() == bears })
+		b.start(request("next"))
+		b.eventually(func() bool { return b.agent.report("").GetQueued() == 1 })
+		b.agent.pump()
+		assert.Zero(t, b.ran("next"))
+		close(letGo)
+		b.eventually(func() bool { return b.ran("next") == 1 })
+	})
+	t.Run("a plain call keeps its slot until it ends, though its entry is gone", func(t *testing.T) {
+		b := newBench(t)
+		open := b.gate()
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range bears {
+			go func() { _ = b.agent.Run(request(fmt.Sprint("r", i)), &wire{ctx: ctx}) }()
+		}
+		b.eventually(func() bool { return b.running.Load() == bears })
+		cancel()
+		next := b.start(request("next"))
+		b.eventually(func() bool { return b.agent.report("").GetQueued() == 1 })
+		b.agent.pump()
+		assert.Zero(t, b.ran("next"))
+		open()
+		require.NotNil(t, (<-next).GetFinal())
+	})
 	t.Run("nothing once the zone is out, and what runs is finished", func(t *testing.T) {
 		b := newBench(t)
 		open := b.gate()
--- a/internal/backend/dialect.go
+++ b/internal/backend/dialect.go
@@ -48,6 +48,9 @@
 	// Run hands a task over with one write and passes each event to emit in order.
 	// Errors carry ErrNever where no byte was written, otherwise the task may have run.
 	Run func(ctx context.Context, task Task, emit func(Piece) error) (End, error)
+	// Cancel ends a task whose answer is no longer wanted and returns once the backend server has let go of it.
+	// It is nil where the protocol has no such call: there a task runs to its end.
+	Cancel func(ctx context.Context, id string) error
 	// Load returns the backend server's report.
 	Load func(ctx context.Context) (Load, error)
 }
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return Dialect{}, err
 	}
-	return Dialect{Run: t.generate, Load: t.load}, nil
+	return Dialect{Run: t.generate, Cancel: t.cancel, Load: t.load}, nil
 }
 
 // token is one event of an engine's stream.
@@ -156,3 +156,33 @@
 	}
 	return &End{Count: event.Count, Hash: hash, Status: fasthttp.StatusOK, Content: "text/event-stream"}, nil
 }
+
+// cancellation is the body of a cancel call.
+type cancellation struct {
+	ID string `json:"id"`
+}
+
+// cancel ends a request at the engine.
+func (t transport) cancel(ctx context.Context, id string) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "cancel")
+		}
+	}()
+	ctx, stop := context.WithTimeout(ctx, reportPeriod.Duration())
+	defer stop()
+	content, err := json.Marshal(cancellation{ID: id})
+	if err != nil {
+		return err
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("/cancel")
+	request.Header.SetContentType("application/json")
+	request.SetBodyRaw(content)
+	return t.exchange(ctx, request, func(response *fasthttp.Response) error {
+		_, err := body(response, reportBytes)
+		return err
+	})
+}
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
 
 	"carawaypick/internal/binding"
 	"carawaypick/internal/peer/peerpb"
@@ -114,10 +115,23 @@
 		span.Fail(err)
 	}
 	refusal := a.judge(w, err)
+	w.reply(end, refusal)
+	a.release(w, err)
 	a.finish(w, end, refusal)
 	a.pump()
 }
 
+// release makes the backend server let go of a task whose answer did not come whole,
+// so that the slot is not given on while the task still runs there.
+func (a *Agent) release(w *work, err error) {
+	if err == nil || a.dialect.Cancel == nil || errors.Is(err, ErrNever) {
+		return
+	}
+	if err := a.dialect.Cancel(w.root, w.request.GetId()); err != nil {
+		level.Debug(a.telemetry.Logger).Log("msg", "cancel failed", "id", w.request.GetId(), "err", err)
+	}
+}
+
 // handOver checks once more what may have changed while the work waited, then runs it.
 func (a *Agent) handOver(ctx context.Context, w *work) (end End, err error) {
 	now := a.clock.Now()
@@ -145,7 +159,7 @@
 	}
 	if !w.request.GetStream() {
 		task.Limit = a.settings.Limits.Body
-		return a.dialect.Run(ctx, task, w.emit)
+		return a.runOut(w, task)
 	}
 	timer := newStall(a.stall(), func() { cancel(ErrStall) })
 	defer timer.stop()
@@ -160,6 +174,14 @@
 	return end, err
 }
 
+// runOut runs a task to its end even where nobody waits for the answer any more:
+// a plain service can't be told to stop, and its slot is taken until it has.
+func (a *Agent) runOut(w *work, task Task) (end End, err error) {
+	ctx, cancel := context.WithTimeout(w.root, a.settings.Timing.Keep.Duration())
+	defer cancel()
+	return a.dialect.Run(ctx, task, w.emit)
+}
+
 // stall returns the milliseconds without progress after which an answer is given up.
 func (a *Agent) stall() clock.Span {
 	s := a.member.State().Objects.Services[a.settings.Backend.Service]
--- a/internal/backend/serve.go
+++ b/internal/backend/serve.go
@@ -104,7 +104,6 @@
 			return a.conclusion(s, w)
 		case <-ctx.Done():
 			w.cancel()
-			<-w.done
 			return ctx.Err()
 		}
 	}
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -72,6 +72,13 @@
 	})
 }
 
+// reply ends free work for its entry before the backend server has let go of it.
+func (w *work) reply(end End, refusal *peerpb.Refusal) {
+	if !w.bound {
+		w.close(end, refusal)
+	}
+}
+
 // emit passes an event on, or keeps it where the work is bound.
 func (w *work) emit(p Piece) error {
 	if w.bound {
