--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,14 +8,20 @@
 
 	"carawaypick/internal/capacity"
 	"carawaypick/internal/choice"
+	"carawaypick/internal/latency"
 	"carawaypick/internal/measure"
+	"carawaypick/internal/outage"
+	"carawaypick/internal/spread"
 )
 
 // measurements returns the rows of each measurement by its name.
 func measurements() map[string]func() ([]measure.Row, error) {
 	return map[string]func() ([]measure.Row, error){
 		"capacity": capacity.Rows,
+		"zone":     outage.Rows,
 		"choice":   choice.Rows,
+		"spread":   spread.Rows,
+		"path":     latency.Rows,
 	}
 }
 
