Try a holder of the prefix before random candidates

Cause: what overloads its homes went to random backend servers, which hold the prefix seldom. Change: where the homes are overloaded, the least loaded candidate whose late cache events name the prefix is tried as well. With the holder left out the new test was seen red.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -24,7 +24,7 @@
 	Age         clock.Span // time since that report
 	Window      uint32     // requests that it bears now, 0 where it has not reported
 	Grant       uint32     // own part of the window
-	Rate        uint64     // tokens a second while busy, 0 where unknown
+	Rate        uint64     // tokens a second while busy, 0 where unknown; a choice does not weigh it
 	Down        bool
 	Cached      bool // its cache events say that it holds the prefix
 }
@@ -76,6 +76,7 @@
 	}
 	p.tryHomes(key, c.Tuning.Homes)
 	if p.best < 0 || p.overloaded(p.best) {
+		p.try(p.holder())
 		p.tryRandom(c.Random, c.Tuning.Choices)
 	}
 	return p.best, p.best >= 0
@@ -192,6 +193,24 @@
 	}
 }
 
+// holder returns the least loaded eligible candidate that holds the prefix and was not tried yet, or -1.
+func (p *pick) holder() int {
+	best := -1
+	var least float64
+	for i := range p.candidates {
+		d := &p.candidates[i]
+		if !d.Cached || !p.eligible(d) || p.wasTried(i) {
+			continue
+		}
+		load := p.load(d)
+		if best >= 0 && load >= least {
+			continue
+		}
+		best, least = i, load
+	}
+	return best
+}
+
 func (p *pick) tryRandom(random func() uint64, count int) {
 	for range count {
 		p.try(p.draw(random))
--- a/internal/balance/choose_test.go
+++ b/internal/balance/choose_test.go
@@ -129,6 +129,25 @@
 		i, _ = Chooser{Random: rand.New(rand.NewPCG(1, 2)).Uint64, Tuning: tuning}.Pick(call, candidates)
 		assert.Zero(t, i)
 	})
+	t.Run("work that overloads its homes goes to another holder of the prefix", func(t *testing.T) {
+		candidates := idle(16)
+		c, call := chooser(), Call{Fingerprint: 1, Prefix: 5, Tokens: 100, Zone: "a"}
+		var homes []int
+		for range 2 {
+			i, _ := c.Pick(call, candidates)
+			candidates[i].Tokens = 100_000
+			homes = append(homes, i)
+		}
+		holder := 0
+		for slices.Contains(homes, holder) {
+			holder++
+		}
+		candidates[holder].Cached = true
+		for range 50 {
+			i, _ := c.Pick(call, candidates)
+			assert.Equal(t, holder, i)
+		}
+	})
 	t.Run("one hot content does not overload its homes", func(t *testing.T) {
 		c, candidates := chooser(), idle(16)
 		for range 1600 {
