Judge a team's wait by what it was served while it waited

Cause: refusals of a low-share team came only when their time was over (p95 2.6 s at 95% of capacity with a zone out): the estimate counted rivals that wait, but a team whose jobs are served as they come does not wait. Ruled out: the measured rate of the backend server (it is that of a full window). Change: each team's pace while it has jobs waiting gives the expected wait of its next.

--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -92,6 +92,7 @@
 			return r
 		}
 	}
+	t.pace.pass(now, true)
 	q.add(it)
 	return nil
 }
@@ -107,6 +108,7 @@
 	q.virtual = t.start
 	t.start += float64(it.job.Tokens) / t.weight
 	q.remove(it)
+	t.pace.serve(now, it.job.Tokens, len(t.jobs) > 0)
 	return it.job, true
 }
 
--- a/internal/balance/queue_test.go
+++ b/internal/balance/queue_test.go
@@ -311,3 +311,34 @@
 		assert.LessOrEqual(t, len(q.teams), 3*idleTeams)
 	})
 }
+
+// TestQueueRefusesAtOnce lets a team of low share wait behind one that is always served at once:
+// what can't be served in time is refused when it comes, not when its time is over.
+func TestQueueRefusesAtOnce(t *testing.T) {
+	const (
+		tokens = 10
+		wait   = 2 * clock.Second
+		turn   = 10 * clock.Millisecond
+	)
+	q := NewQueue[int](1000)
+	q.SetShares([]Share{{Team: "high", Weight: 9}, {Team: "low", Weight: 1}})
+	q.SetRate(uint64(tokens * clock.Second / turn))
+	refused, expired := 0, 0
+	for n := range 2000 {
+		now := clock.Time(n) * clock.Time(turn)
+		push := func(team string, number int) {
+			err := q.Push(now, Job[int]{ID: fmt.Sprint(team, number), Team: team, Deadline: now.Add(wait), Tokens: tokens})
+			if err != nil {
+				refused++
+			}
+		}
+		if n%10 > 0 { // the high team takes nine turns of ten, each as it comes
+			push("high", n)
+		}
+		push("low", n)
+		q.Pop(now)
+		expired += len(q.Expired(now))
+	}
+	assert.Greater(t, refused, 1000)
+	assert.Less(t, expired, refused/10, "jobs waited in vain")
+}
--- a/internal/balance/queueheap.go
+++ b/internal/balance/queueheap.go
@@ -32,6 +32,7 @@
 	weight float64
 	start  float64 // virtual time at which its next job starts
 	tokens uint64
+	pace   teamPace
 	jobs   jobHeap[T]
 	place  int // in the heap of active teams
 }
--- a/internal/balance/queuejudge.go
+++ b/internal/balance/queuejudge.go
@@ -55,6 +55,9 @@
 	if t := q.teams[j.Team]; t != nil {
 		own = t.tokens
 		ahead += t.ahead(&it)
+		if wait, ok := t.pace.wait(ahead); ok && len(t.jobs) > 0 {
+			return wait
+		}
 	}
 	others := float64(ahead) * q.rivals(j.Team) / q.weight(j.Team)
 	others = min(others, float64(q.tokens-own))
