Draw at random only where the holder is overloaded as well

Copies of one content sent by several entries at once spread by random draws from overloaded homes and cost a third backend server. Change: random candidates are tried only where homes and holder are all overloaded.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -77,6 +77,8 @@
 	p.tryHomes(key, c.Tuning.Homes)
 	if p.best < 0 || p.overloaded(p.best) {
 		p.try(p.holder())
+	}
+	if p.best < 0 || p.overloaded(p.best) {
 		p.tryRandom(c.Random, c.Tuning.Choices)
 	}
 	return p.best, p.best >= 0
