--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,12 +8,17 @@
 
 	"carawaypick/internal/capacity"
 	"carawaypick/internal/measure"
+	"carawaypick/internal/skew"
 )
 
+// folder takes the plots.
+const folder = ".out"
+
 // measurements returns the rows of each measurement by its name.
 func measurements() map[string]func() ([]measure.Row, error) {
 	return map[string]func() ([]measure.Row, error){
 		"capacity": capacity.Rows,
+		"skew":     func() ([]measure.Row, error) { return skew.Rows(folder) },
 	}
 }
 
--- a/internal/skew/run.go
+++ b/internal/skew/run.go
@@ -19,26 +19,41 @@
 	Loads  []int     // experts loaded after each step
 }
 
-// Run plays the workload under the policy; a map takes effect in the step after the report that led to it.
-func Run(w *Workload, p Policy) (trace Trace, err error) {
+// Run plays the workload under each policy; a map takes effect in the step after the report that led to it.
+func Run(w *Workload, policies []Policy) (traces []Trace, err error) {
 	defer func() {
 		if err != nil {
-			err = errors.Wrapf(err, "run %s under %s", w.Kind, p.Name)
+			err = errors.Wrapf(err, "run %s", w.Kind)
 		}
 	}()
-	now := expert.RoundRobin(w.Shape)
+	traces = make([]Trace, len(policies))
+	maps := make([]expert.Map, len(policies))
+	for i := range maps {
+		maps[i] = expert.RoundRobin(w.Shape)
+	}
 	for step := range uint64(w.Steps) {
-		layers := w.Draw(step)
-		trace.Skews = append(trace.Skews, expert.Skew(now, layers))
-		trace.Bounds = append(trace.Bounds, expert.Bound(w.Shape, layers))
-		next, loads, err := p.Next(expert.Report{
-			Step: step, Ranks: w.Shape.Ranks, Slots: w.Shape.Slots, Weight: weight, Rate: rate, Layers: layers,
-		})
-		if err != nil {
-			return trace, err
+		r := report(w, step)
+		bound := expert.Bound(w.Shape, r.Layers)
+		for i, p := range policies {
+			next, loads, err := p.Next(r)
+			if err != nil {
+				return nil, errors.Wrap(err, p.Name)
+			}
+			traces[i].add(expert.Skew(maps[i], r.Layers), bound, loads)
+			maps[i] = next
 		}
-		trace.Loads = append(trace.Loads, loads)
-		now = next
 	}
-	return trace, nil
+	return traces, nil
+}
+
+func report(w *Workload, step uint64) expert.Report {
+	return expert.Report{
+		Step: step, Ranks: w.Shape.Ranks, Slots: w.Shape.Slots, Weight: weight, Rate: rate, Layers: w.Draw(step),
+	}
+}
+
+func (t *Trace) add(skew, bound float64, loads int) {
+	t.Skews = append(t.Skews, skew)
+	t.Bounds = append(t.Bounds, bound)
+	t.Loads = append(t.Loads, loads)
 }
--- a/internal/skew/workload.go
+++ b/internal/skew/workload.go
@@ -32,17 +32,17 @@
 
 // Workload draws the reports of a group whose experts' popularity drifts.
 type Workload struct {
-	Kind  string
-	Shape expert.Shape
-	Steps int
+	Kind   string
+	Shape  expert.Shape
+	Steps  int
+	Breaks []uint64 // steps at which news breaks
 
 	random *rand.Rand
 	base   [][]float64   // log popularity by layer and expert
 	effect [][][]float64 // by topic, layer and expert
 	level  []float64     // of each topic
 	phase  []float64
-	breaks []uint64 // steps at which news breaks
-	hot    [][]int  // hot expert by news and layer
+	hot    [][]int // hot expert by news and layer
 }
 
 // NewWorkload returns a workload that depends on nothing but its arguments.
@@ -57,7 +57,7 @@
 		w.phase = append(w.phase, w.random.Float64()*2*math.Pi)
 	}
 	for i := range 2 {
-		w.breaks = append(w.breaks, uint64(steps*(2*i+1)/4))
+		w.Breaks = append(w.Breaks, uint64(steps*(2*i+1)/4))
 		w.hot = append(w.hot, w.experts())
 	}
 	return w
@@ -143,7 +143,7 @@
 
 // report shifts tokens to the experts that the news has made hot.
 func (w *Workload) report(shares []float64, layer int, step uint64) {
-	for i, at := range w.breaks {
+	for i, at := range w.Breaks {
 		if step < at {
 			continue
 		}
