Accept a joining rank's state only on the newest answer

Ruled out: one lock at a time, because a late ask of a dead rank then releases a live one. Change: a state is taken only if it rests on the newest answer given.

--- a/pkg/expert/join.go
+++ b/pkg/expert/join.go
@@ -28,13 +28,13 @@
 // that its state must carry; a repeated ask gets the same.
 func (r *Rank) lock(name string, ask uint64) uint64 {
 	l, ok := r.locks[name]
-	if ok && l.ask == ask {
+	if ok && l.ask == ask && l.token == r.token {
 		return l.token
 	}
-	r.count++
-	r.locks[name] = lock{ask: ask, token: r.mark + r.count}
+	r.token++
+	r.locks[name] = lock{ask: ask, token: r.token}
 	r.forget()
-	return r.locks[name].token
+	return r.token
 }
 
 // gather collects the answers to a cold rank until all have told.
@@ -96,10 +96,11 @@
 	return f
 }
 
-// join goes on from a joining rank's state, if this rank's answer to it is the newest.
+// join goes on from a joining rank's state, if that rests on the newest answer that this rank has given;
+// otherwise another joining rank may already have begun from that.
 func (r *Rank) join(m Message) {
 	l, ok := r.locks[m.From]
-	if !ok || l.token != m.Token || m.View == nil || m.View.Generation.Count <= r.generation.Count {
+	if !ok || l.token != m.Token || m.Token != r.token || m.View == nil || m.View.Generation.Count <= r.generation.Count {
 		return
 	}
 	delete(r.locks, m.From)
--- a/pkg/expert/rank.go
+++ b/pkg/expert/rank.go
@@ -36,8 +36,7 @@
 	planner string            // who asked for it
 	have    map[Fence]bool    // maps whose weights are loaded
 	nonce   uint64            // token of the present asks
-	count   uint64            // tokens given to joining ranks
-	mark    uint64            // random, names this start of the rank
+	token   uint64            // newest given to a joining rank
 	locks   map[string]lock   // by joining rank
 	tokens  map[string]uint64 // tokens of those answers, for a cold rank
 	told    map[string]View   // answers to the present asks
@@ -61,7 +60,7 @@
 		cold:   true,
 		have:   map[Fence]bool{},
 		nonce:  mark,
-		mark:   mark,
+		token:  mark,
 		locks:  map[string]lock{},
 		told:   map[string]View{},
 		tokens: map[string]uint64{},
--- a/pkg/expert/switch_test.go
+++ b/pkg/expert/switch_test.go
@@ -240,6 +240,83 @@
 			g.assertAdvances(t, g.step+10)
 		})
 	})
+	t.Run("holds while ranks restart in the middle of a vote", func(t *testing.T) {
+		testkit.Property(t, func(t *rapid.T) {
+			g := newGroup(rapid.IntRange(2, 4).Draw(t, "ranks"))
+			g.assertAdvances(t, 20)
+			for range rapid.IntRange(1, 3).Draw(t, "votes") {
+				g.vote(t)
+			}
+			g.assertAdvances(t, g.step+10)
+		})
+	})
+}
+
+// vote brings an order to the point where all ranks are asked to promise it, and then has things go wrong.
+func (g *group) vote(t *rapid.T) {
+	planner := rapid.SampledFrom([]string{"planner0", "planner1"}).Draw(t, "planner")
+	g.propose(planner, uint64(rapid.IntRange(1, 3).Draw(t, "number")))
+	for range 40 {
+		if g.planners[planner].State != Loading {
+			break
+		}
+		g.quietly()
+	}
+	for range rapid.IntRange(1, 60).Draw(t, "actions") {
+		g.disturb(t)
+	}
+}
+
+// quietly delivers all that is on the wire once and loads what is wanted, without a step.
+func (g *group) quietly() {
+	g.tick()
+	for range len(g.wire) {
+		g.deliver(g.take(0))
+	}
+	for _, name := range g.names {
+		g.load(name)
+	}
+}
+
+// disturb does one thing of those that may happen while ranks vote and join.
+func (g *group) disturb(t *rapid.T) {
+	name := rapid.SampledFrom(g.names).Draw(t, "rank")
+	kind := rapid.SampledFrom([]string{
+		"one", "one", "one", "one", "one", "one", "rank", "rank", "step", "step", "cold", "tick", "tick", "double", "drop",
+	}).Draw(t, "kind")
+	switch kind {
+	case "one":
+		g.message(t, "deliver")
+	case "rank":
+		g.deliverTo(name)
+	case "step":
+		g.load(name)
+		g.begin(t, name)
+	case "cold":
+		g.restart(name)
+	case "tick":
+		for range 4 {
+			g.tick()
+		}
+	default:
+		g.message(t, kind)
+	}
+}
+
+// deliverTo delivers all messages to one process, the oldest first.
+func (g *group) deliverTo(name string) {
+	var rest, mine []Envelope
+	for _, e := range g.wire {
+		if e.To == name {
+			mine = append(mine, e)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	g.wire = rest
+	for _, e := range mine {
+		g.deliver(e)
+	}
 }
 
 // fault does one thing of those that may happen at any moment.
