--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -9,6 +9,7 @@
 	"carawaypick/internal/capacity"
 	"carawaypick/internal/latency"
 	"carawaypick/internal/measure"
+	"carawaypick/internal/outage"
 )
 
 // measurements returns the rows of each measurement by its name.
@@ -16,6 +17,7 @@
 	return map[string]func() ([]measure.Row, error){
 		"capacity": capacity.Rows,
 		"path":     latency.Rows,
+		"zone":     outage.Rows,
 	}
 }
 
