--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,9 +7,11 @@
 	"slices"
 
 	"carawaypick/internal/capacity"
+	"carawaypick/internal/choice"
 	"carawaypick/internal/latency"
 	"carawaypick/internal/measure"
 	"carawaypick/internal/outage"
+	"carawaypick/internal/spread"
 )
 
 // measurements returns the rows of each measurement by its name.
@@ -18,6 +20,10 @@
 		"capacity": capacity.Rows,
 		"path":     latency.Rows,
 		"zone":     outage.Rows,
+		"zone":     outage.Rows,
+		"choice":   choice.Rows,
+		"spread":   spread.Rows,
+		"path":     latency.Rows,
 	}
 }
 
