Count each decision where it is made

Cause: 13 of the declared metrics were set by nobody, and explain showed no choice. Ruled out: keeping metrics for hedges and expert map switches that no process makes yet. Change: time to the first event and the whole answer, load at the choice, tokens and queue time by team, calls to the platform and their faults; explain shows what the entry knew of the chosen backend server; unused metrics are gone. Conclusion: every metric left is set by a process.

--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -97,6 +97,8 @@
 func (a *Agent) begin(w *work) {
 	w.incarnation = a.load.Incarnation
 	w.started = a.clock.Now()
+	a.telemetry.Metrics.Share.Get(w.request.GetTeam()).Add(int(w.request.GetTokens()))
+	a.telemetry.Metrics.Wait.Get(w.request.GetTeam()).Update(float64(w.started.Sub(w.arrived)))
 	a.running[w] = struct{}{}
 	a.meter.Start(w.started)
 	a.measure()
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -21,6 +21,7 @@
 	token       binding.Token
 	bound       bool // may not be repeated
 	deadline    clock.Time
+	arrived     clock.Time      // when it came in
 	started     clock.Time      // when it was handed over
 	root        context.Context // of the process
 	ctx         context.Context
@@ -55,6 +56,7 @@
 	return &work{
 		root:     context.WithoutCancel(ctx),
 		request:  request,
+		arrived:  now,
 		deadline: now.Add(span),
 		ctx:      ctx,
 		cancel:   cancel,
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -46,6 +46,7 @@
 	Service    string
 	Kind       string // model, plain
 	Priority   int32
+	Start      clock.Time // when it came in
 	Deadline   clock.Time
 	Idempotent bool
 	Binding    string
@@ -92,6 +93,7 @@
 		Path:    "/" + c.Params("*"),
 		Body:    bytes.Clone(c.Body()),
 		Trace:   c.Get(HeaderTrace),
+		Start:   now,
 	}
 	if query := string(c.Request().URI().QueryString()); query != "" {
 		call.Path += "?" + query
--- a/internal/caller/http.go
+++ b/internal/caller/http.go
@@ -92,6 +92,9 @@
 		defer span.End()
 		r := &run{entry: e, call: call, trace: span.Parent()}
 		r.answer = newAnswer(func(index uint64, data []byte) error {
+			if index == 0 {
+				e.telemetry.Metrics.First.Get(call.Service).Update(float64(e.clock.Since(call.Start)))
+			}
 			select {
 			case pieces <- piece{index: index, data: data}:
 				return nil
@@ -118,6 +121,7 @@
 			"service", call.Service, "outcome", v.outcome, "reason", v.reason, "ticket", e.member.State().Number)
 	}
 	e.telemetry.Metrics.Calls.Get(name).Inc()
+	e.telemetry.Metrics.Latency.Get(call.Service).Update(float64(e.clock.Since(call.Start)))
 }
 
 // begin answers a call whose first event has come.
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -137,10 +137,28 @@
 	if !ok {
 		return Target{}, false
 	}
-	r.entry.telemetry.Metrics.Choices.Get(targets[i].Zone).Inc()
+	r.chose(candidates[i])
 	return targets[i], true
 }
 
+// chose keeps a choice for metrics and operators.
+func (r *run) chose(c balance.Candidate) {
+	m := r.entry.telemetry.Metrics
+	m.Choices.Get(c.Zone).Inc()
+	m.Load.Get(r.call.Service).Update(float64(c.Outstanding))
+	d := r.decision("choose", c.Name, "")
+	d.Attempt++
+	d.Candidates = []operator.Candidate{{
+		Name:        c.Name,
+		Zone:        c.Zone,
+		Outstanding: c.Outstanding,
+		Grant:       c.Grant,
+		Load:        c.Load,
+		Age:         c.Age,
+	}}
+	r.entry.ring.Add(d)
+}
+
 // routeBound asks the one agent that may run the call, again where its word was lost.
 func (r *run) routeBound(ctx context.Context) verdict {
 	t, ok := r.entry.board.Target(r.call.Token.Agent)
@@ -175,7 +193,11 @@
 }
 
 func (r *run) note(kind, backend, reason string) {
-	r.entry.ring.Add(operator.Decision{
+	r.entry.ring.Add(r.decision(kind, backend, reason))
+}
+
+func (r *run) decision(kind, backend, reason string) operator.Decision {
+	return operator.Decision{
 		Time:    clock.Wall(),
 		Process: r.entry.settings.Name,
 		Key:     r.call.ID,
@@ -184,5 +206,5 @@
 		Backend: backend,
 		Reason:  reason,
 		Ticket:  uint64(r.entry.member.State().Number),
-	})
+	}
 }
--- a/internal/cli/process_test.go
+++ b/internal/cli/process_test.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"carawaypick/internal/config"
 	"carawaypick/internal/operator"
@@ -130,6 +132,15 @@
 	return names
 }
 
+// scraped returns the metrics of a process.
+func scraped(t *testing.T, address string) string {
+	t.Helper()
+	status, content, err := fasthttp.Get(nil, "http://"+address+operator.PathMetrics)
+	require.NoError(t, err)
+	require.Equal(t, fasthttp.StatusOK, status)
+	return string(content)
+}
+
 func TestRetriedRequest(t *testing.T) {
 	f, folder := processes(t)
 	answer := retried(t, f)
@@ -155,7 +166,21 @@
 	t.Run("explain shows each attempt", func(t *testing.T) {
 		o := command(&app{}, "explain", answer.ID, "--ask", asked[0], "--ask", asked[1], "--ask", asked[2])
 		for attempt := 1; attempt <= answer.Attempt; attempt++ {
-			assert.Regexp(t, fmt.Sprintf(`(?m)^%d +entry-1 +`, attempt), o.stdout)
+			assert.Regexp(t, fmt.Sprintf(`(?m)^%d +entry-1 +choose +check-[12]`, attempt), o.stdout)
+			assert.Regexp(t, fmt.Sprintf(`(?m)^%d +check-[12] +run`, attempt), o.stdout)
+		}
+	})
+	t.Run("metrics count each decision", func(t *testing.T) {
+		entry, agents := scraped(t, asked[0]), scraped(t, asked[1])+scraped(t, asked[2])
+		for _, name := range []string{
+			`calls_total{outcome="whole"}`, `retries_total{reason="cut"}`, `resumes_total{reason="cut"}`, `choices_total{zone="lima-a"}`,
+			`choice_load_count{service="check"}`, `call_ms_count{service="check"}`, `first_event_ms_count{service="check"}`,
+			`platform_calls_total{kind="list"}`, `ticket_number`,
+		} {
+			assert.Regexp(t, `(?m)^carawaypick_`+regexp.QuoteMeta(name)+` [1-9]`, entry)
+		}
+		for _, name := range []string{`share_tokens_total{team="politica"}`, `queue_wait_ms_count{team="politica"}`, `ramp_window`} {
+			assert.Regexp(t, `(?m)^carawaypick_`+regexp.QuoteMeta(name)+` [1-9]`, agents)
 		}
 	})
 	require.NoError(t, f.Terminate(context.Background()))
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -23,7 +23,7 @@
 		Seal:   s.Timing.Seal,
 		Cold:   member.DefaultCold,
 		Keep:   member.DefaultKeep,
-		Reader: platform.NewReader(s.Platform.Tickets, s.Platform.List),
+		Reader: counted(platform.NewReader(s.Platform.Tickets, s.Platform.List), n.Telemetry.Metrics),
 		Call: func(ctx context.Context, address string, q *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
 			conn, err := n.Pool.Conn(address)
 			if err != nil {
--- a/internal/operator/ask_test.go
+++ b/internal/operator/ask_test.go
@@ -41,7 +41,7 @@
 	ring := NewRing(4)
 	ring.Add(Decision{
 		Key: "k.1", Attempt: uint32(number), Process: name, Kind: "choose", Backend: "a1",
-		Candidates: []Candidate{{Name: "a1", Zone: "lima-a", Score: 0.5}},
+		Candidates: []Candidate{{Name: "a1", Zone: "lima-a", Outstanding: 2, Grant: 4}},
 	})
 	return views(Status{Name: name, Role: "entry", Zone: "lima-a", State: "live", Number: number, Hash: hash}, ring)
 }
@@ -65,7 +65,7 @@
 		assert.Equal(t, []string{"e2", "e1"}, []string{all[0].Process, all[1].Process})
 		var out bytes.Buffer
 		require.NoError(t, WriteDecisions(&out, all))
-		assert.Contains(t, out.String(), "zone lima-a, score 0.500")
+		assert.Contains(t, out.String(), "zone lima-a, outstanding 2 of 4")
 	})
 	t.Run("given addresses are asked over HTTP", func(t *testing.T) {
 		given := Client{Asked: []string{served(t, entry("e9", 7, "0c"))}}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -67,20 +67,21 @@
 	Process    string      `json:"process"`
 	Key        string      `json:"key"` // request id
 	Attempt    uint32      `json:"attempt"`
-	Kind       string      `json:"kind"` // choose, retry, resume, refuse, admit, run, drop, final
+	Kind       string      `json:"kind"` // choose, attempt, run, final
 	Backend    string      `json:"backend,omitempty"`
 	Reason     string      `json:"reason,omitempty"`
 	Ticket     uint64      `json:"ticket"` // ticket number in force
 	Candidates []Candidate `json:"candidates,omitempty"`
 }
 
-// Candidate is one backend server that was weighed, with the lowest score chosen.
+// Candidate is what an entry knew of a backend server when it chose it.
 type Candidate struct {
-	Name        string  `json:"name"`
-	Zone        string  `json:"zone"`
-	Score       float64 `json:"score"`
-	Outstanding uint32  `json:"outstanding"`
-	Load        uint64  `json:"load"` // tokens reported
+	Name        string     `json:"name"` // of its agent
+	Zone        string     `json:"zone"`
+	Outstanding uint32     `json:"outstanding"` // requests of this entry in progress there
+	Grant       uint32     `json:"grant"`       // requests that the agent admits from this entry
+	Load        uint64     `json:"load"`        // tokens by the agent's last report
+	Age         clock.Span `json:"age"`         // ms since that report
 }
 
 // Answer is the body of the status and explain calls.
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -77,7 +77,8 @@
 	for _, d := range decisions {
 		fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%d\t%s\n", d.Attempt, d.Process, d.Kind, d.Backend, d.Ticket, d.Reason)
 		for _, c := range d.Candidates {
-			fmt.Fprintf(t, "\t\t\t%s\t\tzone %s, score %.3f, outstanding %d, load %d tokens\n", c.Name, c.Zone, c.Score, c.Outstanding, c.Load)
+			fmt.Fprintf(t, "\t\t\t%s\t\tzone %s, outstanding %d of %d, load %d tokens %s ago\n",
+				c.Name, c.Zone, c.Outstanding, c.Grant, c.Load, age(c.Age))
 		}
 	}
 	return errors.Wrap(t.Flush(), "write table")
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -19,23 +19,17 @@
 	Choices  Counters   // backend servers chosen, by availability zone
 	Load     Histograms // requests outstanding at the chosen backend server, by service
 	Retries  Counters   // attempts after the first, by reason
-	Hedges   Counters   // second attempts beside a slow one, by result
 	Refusals Counters   // refusals, by reason
 	Resumes  Counters   // streams resumed elsewhere, by reason
 	Dropped  Counters   // answers dropped because id, attempt or index did not match, by reason
 	Crashes  Counters   // crashes of the backend server, by evidence: alone, shared, none
-	Condemns Counters   // requests refused for their content, by reason
 
 	Ramp    *metrics.Gauge // requests that the backend server bears now
 	Running *metrics.Gauge // requests at the backend server or in progress at the entry
 	Queued  *metrics.Gauge // requests waiting
 	Wait    Histograms     // ms waited in the queue, by team
-	Share   Gauges         // tokens queued and running, by team
-	Shed    Counters       // requests refused for the team's share, by team
+	Share   Counters       // expected tokens handed to the backend server, by team
 	Skew    Gauges         // step time of the slowest rank over the mean, by group
-	Steps   Histograms     // step-time skew, by group
-	Maps    Counters       // expert map switches, by result
-	Moved   Counters       // expert weights moved, by group
 
 	Ticket   *metrics.Gauge // highest ticket number in force
 	Age      *metrics.Gauge // ms since that ticket came into force
@@ -48,7 +42,6 @@
 	Bad      Counters       // malformed input refused, by source
 	Bindings *metrics.Gauge // outcomes and bindings held
 	Shutdown *metrics.Gauge // 1 while the process shuts down gracefully
-	Drained  Counters       // requests that ended during shutdown, by outcome
 }
 
 // NewMetrics returns the metrics of a new process.
@@ -67,12 +60,10 @@
 	m.Choices = m.counters("choices_total", "zone")
 	m.Load = m.histograms("choice_load", "service")
 	m.Retries = m.counters("retries_total", "reason")
-	m.Hedges = m.counters("hedges_total", "result")
 	m.Refusals = m.counters("refusals_total", "reason")
 	m.Resumes = m.counters("resumes_total", "reason")
 	m.Dropped = m.counters("dropped_answers_total", "reason")
 	m.Crashes = m.counters("backend_crashes_total", "evidence")
-	m.Condemns = m.counters("condemned_total", "reason")
 }
 
 func (m *Metrics) agent() {
@@ -80,15 +71,10 @@
 	m.Running = m.gauge("running")
 	m.Queued = m.gauge("queued")
 	m.Wait = m.histograms("queue_wait_ms", "team")
-	m.Share = m.gauges("share_tokens", "team")
-	m.Shed = m.counters("shed_total", "team")
+	m.Share = m.counters("share_tokens_total", "team")
 	m.Skew = m.gauges("step_skew", "group")
-	m.Steps = m.histograms("step_skew_ratio", "group")
-	m.Maps = m.counters("map_switches_total", "result")
-	m.Moved = m.counters("experts_moved_total", "group")
 	m.Bindings = m.gauge("bindings")
 	m.Shutdown = m.gauge("shutdown")
-	m.Drained = m.counters("drained_total", "outcome")
 }
 
 func (m *Metrics) tickets() {
