Bound the agent's HTTP server like the entry's

Cause: the agent's operator routes had a bound on bodies only, none on headers, connections and idle time. Ruled out: a second copy of the entry's configuration in the agent. Change: operator.NewApp gives the bounded server; the unused Serve is gone. Before and after: a body over the limit got 413 and headers over 8 KB got 431 in the new subtest.

--- a/internal/backend/process.go
+++ b/internal/backend/process.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/gofiber/fiber/v2"
 
 	"carawaypick/internal/config"
 	"carawaypick/internal/kernel"
@@ -35,8 +34,7 @@
 		State:   n.State,
 		Metrics: t.Metrics,
 	}
-	app := fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: s.Limits.Body})
-	operator.Register(app, n.Views)
+	app := operator.NewApp(s.Limits, n.Views)
 	err = n.Run(ctx, node.Role{
 		Start: a.Start,
 		HTTP: func(l net.Listener) <-chan error {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"carawaypick/internal/config"
+	"carawaypick/internal/kernel"
 	"carawaypick/internal/operator"
 	"carawaypick/internal/telemetry"
 )
@@ -55,16 +56,16 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := operator.Serve(ctx, l, config.Defaults().Limits, operator.Views{
+	app := operator.NewApp(config.Defaults().Limits, operator.Views{
 		Status:  func() operator.Status { return s },
 		Explain: func(string) []operator.Decision { return decisions },
 		State: func() ([]byte, error) {
 			return []byte(`{"number":4,"objects":{"zones":{"lima-a":{"state":"in"}}}}`), nil
 		},
 	})
+	done := kernel.Start(context.Background(), func(context.Context) error { return app.Listener(l) })
 	t.Cleanup(func() {
-		cancel()
+		require.NoError(t, app.Shutdown())
 		require.NoError(t, <-done)
 	})
 	return l.Addr().String()
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -1,16 +1,13 @@
 package operator
 
 import (
-	"context"
 	"encoding/json"
-	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/recover"
 
 	"carawaypick/internal/config"
-	"carawaypick/internal/kernel"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
@@ -30,7 +27,6 @@
 	maxHeader   = 8 << 10 // bytes
 	readTimeout = 10 * clock.Second
 	idleTimeout = 60 * clock.Second
-	stopTimeout = 2 * clock.Second
 )
 
 // Views are the functions through which operators see a process.
@@ -127,8 +123,8 @@
 	return c.Send(content)
 }
 
-// Serve answers operators on l until ctx ends; the channel gives the server's end.
-func Serve(ctx context.Context, l net.Listener, limits config.Limits, v Views) <-chan error {
+// NewApp returns a bounded HTTP server with the operators' routes.
+func NewApp(limits config.Limits, v Views) *fiber.App {
 	app := fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             limits.Body,
@@ -139,15 +135,5 @@
 	})
 	app.Use(recover.New())
 	Register(app, v)
-	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() {
-		stopped <- app.ShutdownWithTimeout(stopTimeout.Duration())
-	})
-	return kernel.Start(ctx, func(context.Context) error {
-		err := app.Listener(l)
-		if !stop() {
-			err = errors.CombineErrors(err, <-stopped)
-		}
-		return errors.Wrap(err, "serve operators")
-	})
+	return app
 }
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -33,10 +35,10 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := Serve(ctx, l, config.Defaults().Limits, v)
+	app := NewApp(config.Defaults().Limits, v)
+	done := kernel.Start(context.Background(), func(context.Context) error { return app.Listener(l) })
 	t.Cleanup(func() {
-		cancel()
+		require.NoError(t, app.Shutdown())
 		require.NoError(t, <-done)
 	})
 	return l.Addr().String()
@@ -75,6 +77,18 @@
 		_, err := get("http://" + address + PathExplain)
 		assert.ErrorContains(t, err, "status 400 key: got nothing")
 	})
+	t.Run("refuses a body and headers beyond the limits", func(t *testing.T) {
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		request.SetRequestURI("http://" + address + PathHealth)
+		request.Header.SetMethod(fasthttp.MethodPost)
+		request.SetBody(make([]byte, config.Defaults().Limits.Body+1))
+		require.NoError(t, fasthttp.Do(request, response))
+		assert.Equal(t, fasthttp.StatusRequestEntityTooLarge, response.StatusCode())
+		request.SetBody(nil)
+		request.Header.Set("Long", strings.Repeat("x", maxHeader))
+		require.NoError(t, fasthttp.Do(request, response))
+		assert.Equal(t, fasthttp.StatusRequestHeaderFieldsTooLarge, response.StatusCode())
+	})
 	t.Run("says why it is not ready", func(t *testing.T) {
 		v.Ready = func() error { return errors.New("no ticket yet") }
 		_, err := get("http://" + served(t, v) + PathReady)
