Show how long a ticket has been in force, and mend a flaky test

Cause: the age of a ticket was always 0. Ruled out: accepting a reset as a refusal; the request now carries only its header, and headers that fill the buffer exactly. Change: node keeps since when the present state is in force; the unset field heard is gone. Conclusion: refusals are read, not guessed from a broken connection.

--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -50,6 +50,7 @@
 		Uptime: clock.Span(now),
 		Number: uint64(state.Number),
 		Hash:   fmt.Sprintf("%016x", state.Hash),
+		Age:    n.ticketAge(),
 		List:   n.Member.List().Version,
 	}
 	if number, since, ok := book.Missing(now); ok {
@@ -61,10 +62,15 @@
 	for _, k := range state.Skipped {
 		s.Skipped = append(s.Skipped, operator.Skip{Number: uint64(k.Number), Reason: k.Reason})
 	}
-	n.Telemetry.Metrics.Ticket.Set(float64(state.Number))
 	return s
 }
 
+// ticketAge returns the ms for which the present state of the tickets has been in force.
+func (n *Node) ticketAge() clock.Span {
+	state := n.Member.State()
+	return n.force.age(n.Clock.Now(), state.Number, state.Hash)
+}
+
 // State returns the folded state of the tickets in force as JSON.
 func (n *Node) State() ([]byte, error) {
 	return n.Member.State().Snapshot()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	Views     operator.Views
 
 	notify atomic.Pointer[func()]
+	force  force
 }
 
 // Role is what an entry or an agent adds to a node.
@@ -111,6 +112,7 @@
 
 // hear passes news on to the role once it runs.
 func (n *Node) hear() {
+	n.ticketAge()
 	if notify := n.notify.Load(); notify != nil {
 		(*notify)()
 	}
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -10,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"github.com/valyala/fasthttp"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -78,16 +78,12 @@
 		assert.ErrorContains(t, err, "status 400 key: got nothing")
 	})
 	t.Run("refuses a body and headers beyond the limits", func(t *testing.T) {
-		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		request.SetRequestURI("http://" + address + PathHealth)
-		request.Header.SetMethod(fasthttp.MethodPost)
-		request.SetBody(make([]byte, config.Defaults().Limits.Body+1))
-		require.NoError(t, fasthttp.Do(request, response))
-		assert.Equal(t, fasthttp.StatusRequestEntityTooLarge, response.StatusCode())
-		request.SetBody(nil)
-		request.Header.Set("Long", strings.Repeat("x", maxHeader))
-		require.NoError(t, fasthttp.Do(request, response))
-		assert.Equal(t, fasthttp.StatusRequestHeaderFieldsTooLarge, response.StatusCode())
+		head := "POST " + PathHealth + " HTTP/1.1\r\nHost: x\r\n"
+		body := fmt.Sprintf("Content-Length: %d\r\n\r\n", config.Defaults().Limits.Body+1)
+		assert.Equal(t, "HTTP/1.1 413 Request Entity Too Large", statusLine(t, address, head+body))
+		long := head + "Long: "
+		long += strings.Repeat("x", maxHeader-len(long))
+		assert.Equal(t, "HTTP/1.1 431 Request Header Fields Too Large", statusLine(t, address, long))
 	})
 	t.Run("says why it is not ready", func(t *testing.T) {
 		v.Ready = func() error { return errors.New("no ticket yet") }
@@ -98,6 +94,19 @@
 	})
 }
 
+// statusLine sends exactly these bytes, so that the server leaves none unread, and returns the answer's first line.
+func statusLine(t *testing.T, address, request string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, conn.Close()) }()
+	_, err = conn.Write([]byte(request))
+	require.NoError(t, err)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	require.NoError(t, err)
+	return strings.TrimSpace(line)
+}
+
 func TestRing(t *testing.T) {
 	r := NewRing(3)
 	for i := range 5 {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -13,7 +13,6 @@
 	Number    uint64     `json:"number"`            // highest ticket number in force
 	Hash      string     `json:"hash"`              // over all tickets up to number, 16 hex digits
 	Age       clock.Span `json:"age"`               // ms since that ticket came into force
-	Heard     clock.Span `json:"heard"`             // ms since the process last heard of tickets from anyone
 	Missing   *Missing   `json:"missing,omitempty"` // nil where no ticket is held back
 	Conflicts []uint64   `json:"conflicts,omitempty"`
 	Skipped   []Skip     `json:"skipped,omitempty"`
