--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -1,9 +1,11 @@
 package operator
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -33,10 +35,10 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := Serve(ctx, l, config.Defaults().Limits, v)
+	app := NewApp(config.Defaults().Limits, v)
+	done := kernel.Start(context.Background(), func(context.Context) error { return app.Listener(l) })
 	t.Cleanup(func() {
-		cancel()
+		require.NoError(t, app.Shutdown())
 		require.NoError(t, <-done)
 	})
 	return l.Addr().String()
@@ -75,6 +77,14 @@
 		_, err := get("http://" + address + PathExplain)
 		assert.ErrorContains(t, err, "status 400 key: got nothing")
 	})
+	t.Run("refuses a body and headers beyond the limits", func(t *testing.T) {
+		head := "POST " + PathHealth + " HTTP/1.1\r\nHost: x\r\n"
+		body := fmt.Sprintf("Content-Length: %d\r\n\r\n", config.Defaults().Limits.Body+1)
+		assert.Equal(t, "HTTP/1.1 413 Request Entity Too Large", statusLine(t, address, head+body))
+		long := head + "Long: "
+		long += strings.Repeat("x", maxHeader-len(long))
+		assert.Equal(t, "HTTP/1.1 431 Request Header Fields Too Large", statusLine(t, address, long))
+	})
 	t.Run("says why it is not ready", func(t *testing.T) {
 		v.Ready = func() error { return errors.New("no ticket yet") }
 		_, err := get("http://" + served(t, v) + PathReady)
@@ -84,6 +94,19 @@
 	})
 }
 
+// statusLine sends exactly these bytes, so that the server leaves none unread, and returns the answer's first line.
+func statusLine(t *testing.T, address, request string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, conn.Close()) }()
+	_, err = conn.Write([]byte(request))
+	require.NoError(t, err)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	require.NoError(t, err)
+	return strings.TrimSpace(line)
+}
+
 func TestRing(t *testing.T) {
 	r := NewRing(3)
 	for i := range 5 {
