--- a/internal/promise/bench_test.go
+++ b/internal/promise/bench_test.go
@@ -104,7 +104,7 @@
 	})
 	require.NoError(t, err)
 	b.Fleet = f
-	t.Cleanup(b.close)
+	t.Cleanup(b.shut)
 	b.publish(baseObjects(s))
 	return b
 }
@@ -118,8 +118,8 @@
 	return b
 }
 
-func (b *bench) close() {
-	b.Fleet.Close()
+func (b *bench) shut() {
+	b.Close()
 	for _, p := range b.proxies {
 		p.Stop()
 	}
--- a/internal/promise/zone_test.go
+++ b/internal/promise/zone_test.go
@@ -167,8 +167,8 @@
 		b.leave(wave...)
 		for _, p := range wave {
 			require.NoError(t, p.Start())
-			require.NoError(t, p.Ready(t.Context()))
 			require.NoError(t, b.Mark(p, "live"))
+			require.NoError(t, p.Ready(t.Context()))
 		}
 		b.located()
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -30,6 +30,9 @@
 // sharedKey proves the processes of one fleet to each other.
 const sharedKey = "loopback-shared-key"
 
+// seedCount is the number of entries that a cold process asks first.
+const seedCount = 3
+
 // Service is one service and the number of its backend servers.
 type Service struct {
 	Name  string
@@ -67,6 +70,8 @@
 	Agents  []*Process
 
 	plan  Plan
+	peers []string // peer addresses of the entries
+	seeds []string
 	state map[string]string // states in the instance list by process
 	stops []func()
 }
@@ -87,8 +92,12 @@
 	if err := f.openPlatform(); err != nil {
 		return f, err
 	}
+	if err := f.chooseSeeds(); err != nil {
+		return f, err
+	}
 	for i := range plan.Entries {
-		settings := f.settings(fmt.Sprintf("entry-%d", i+1), i)
+		settings := f.settings(entryName(i), i)
+		settings.Peer = f.peers[i]
 		if err := f.add(Entry, &f.Entries, settings); err != nil {
 			return f, err
 		}
@@ -103,6 +112,35 @@
 	return f, f.Publish()
 }
 
+func entryName(turn int) string {
+	return fmt.Sprintf("entry-%d", turn+1)
+}
+
+// chooseSeeds draws the entries' peer addresses and makes the first of them the seeds of all.
+func (f *Fleet) chooseSeeds() error {
+	for i := range f.plan.Entries {
+		peer, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		f.peers = append(f.peers, peer)
+		if i >= seedCount {
+			continue
+		}
+		seed, err := f.plan.Wire(Link{From: f.zone(i), Kind: PeerLink, To: entryName(i)}, peer)
+		if err != nil {
+			return err
+		}
+		f.seeds = append(f.seeds, seed)
+	}
+	return nil
+}
+
+// zone returns the availability zone of the process whose turn it is.
+func (f *Fleet) zone(turn int) string {
+	return f.plan.Zones[turn%len(f.plan.Zones)]
+}
+
 func (f *Fleet) openPlatform() (err error) {
 	if f.Tickets, err = standin.NewTickets("", f.plan.Folder); err != nil {
 		return err
@@ -126,10 +164,10 @@
 func (f *Fleet) settings(name string, turn int) config.Settings {
 	s := config.Defaults()
 	s.Name = name
-	s.Zone = f.plan.Zones[turn%len(f.plan.Zones)]
+	s.Zone = f.zone(turn)
 	s.Region = f.plan.Region
 	s.Key = sharedKey
-	s.Seeds = []string{}
+	s.Seeds = append([]string{}, f.seeds...)
 	return s
 }
 
@@ -168,8 +206,10 @@
 	if settings.Listen, err = FreeAddress(); err != nil {
 		return err
 	}
-	if settings.Peer, err = FreeAddress(); err != nil {
-		return err
+	if settings.Peer == "" {
+		if settings.Peer, err = FreeAddress(); err != nil {
+			return err
+		}
 	}
 	tickets, err := f.plan.Wire(Link{From: settings.Name, Kind: TicketLink, To: TicketLink}, f.Tickets.Address)
 	if err != nil {
--- a/internal/standin/peek.go
+++ b/internal/standin/peek.go
@@ -23,10 +23,8 @@
 	closed := false
 	err = raw.Control(func(descriptor uintptr) {
 		count, _, err := syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == nil:
-			closed = count == 0
-		default:
+		closed = count == 0
+		if err != nil {
 			closed = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 		}
 	})
