--- a/internal/promise/bench_test.go
+++ b/internal/promise/bench_test.go
@@ -29,7 +29,8 @@
 const (
 	patience = 30 * time.Second // a condition that never comes
 	glance   = 10 * time.Millisecond
-	grace    = 3 * clock.Second // after which what is out or leaving gets no new work
+	fresh    = 300 * clock.Millisecond // age of a report that an entry acts on
+	grace    = 3 * clock.Second        // after which what is out or leaving gets no new work
 	team     = "politica"
 	model    = "check"
 	plain    = "desk"
@@ -100,7 +101,7 @@
 				s.change(c)
 			}
 		},
-		Wire: func(link fleet.Link, address string) (string, error) { return b.wire(s.proxied, link, address) },
+		Wire: func(link fleet.Link, address string) (string, error) { return b.wire(s, link, address) },
 	})
 	require.NoError(t, err)
 	b.Fleet = f
@@ -246,7 +247,7 @@
 
 func liveBackends(s operator.Status) (count int) {
 	for _, backend := range s.Backends {
-		if backend.State == "live" {
+		if backend.State == "live" && backend.Age < fresh {
 			count++
 		}
 	}
--- a/internal/promise/call_test.go
+++ b/internal/promise/call_test.go
@@ -140,11 +140,16 @@
 
 // load sends calls from a number of workers until the traffic is ended; each worker has its own caller.
 func (b *bench) load(service string, workers int, next func(worker, turn int) sent) *traffic {
+	return b.loadAs(team, service, workers, next)
+}
+
+func (b *bench) loadAs(name, service string, workers int, next func(worker, turn int) sent) *traffic {
 	base := b.t.Context()
 	ctx, cancel := context.WithCancel(base)
 	t := &traffic{stop: cancel}
 	for worker := range workers {
 		c := b.caller(service, zones()[worker%len(zones())])
+		c.Team = name
 		t.tasks.Go(func() {
 			for turn := 0; ctx.Err() == nil; turn++ {
 				// A call in progress is finished after the stop.
--- a/internal/promise/proxy_test.go
+++ b/internal/promise/proxy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/Shopify/toxiproxy/v2"
 	"github.com/stretchr/testify/require"
@@ -11,8 +10,8 @@
 )
 
 // wire puts a proxy into a link where its kind is proxied.
-func (b *bench) wire(proxied []string, link fleet.Link, address string) (string, error) {
-	if !slices.Contains(proxied, link.Kind) {
+func (b *bench) wire(s setup, link fleet.Link, address string) (string, error) {
+	if !slices.Contains(s.proxied, link.Kind) {
 		return address, nil
 	}
 	if link.Kind == fleet.PeerLink {
@@ -56,12 +55,3 @@
 	b.t.Helper()
 	require.NoError(b.t, b.proxy(link).Start())
 }
-
-// poison adds a toxic to a link and returns the function that takes it away.
-func (b *bench) poison(link fleet.Link, toxic string) (clean func()) {
-	b.t.Helper()
-	p := b.proxy(link)
-	wrapper, err := p.Toxics.AddToxicJson(strings.NewReader(toxic))
-	require.NoError(b.t, err)
-	return func() { require.NoError(b.t, p.Toxics.RemoveToxic(wrapper.Name)) }
-}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -70,8 +70,7 @@
 	Agents  []*Process
 
 	plan  Plan
-	peers []string // peer addresses of the entries
-	seeds []string
+	peers []string          // peer addresses of the entries
 	state map[string]string // states in the instance list by process
 	stops []func()
 }
@@ -92,7 +91,7 @@
 	if err := f.openPlatform(); err != nil {
 		return f, err
 	}
-	if err := f.chooseSeeds(); err != nil {
+	if err := f.drawPeers(); err != nil {
 		return f, err
 	}
 	for i := range plan.Entries {
@@ -116,24 +115,29 @@
 	return fmt.Sprintf("entry-%d", turn+1)
 }
 
-// chooseSeeds draws the entries' peer addresses and makes the first of them the seeds of all.
-func (f *Fleet) chooseSeeds() error {
-	for i := range f.plan.Entries {
+// drawPeers draws the entries' peer addresses, which are needed as seeds before any entry is there.
+func (f *Fleet) drawPeers() error {
+	for range f.plan.Entries {
 		peer, err := FreeAddress()
 		if err != nil {
 			return err
 		}
 		f.peers = append(f.peers, peer)
-		if i >= seedCount {
-			continue
-		}
-		seed, err := f.plan.Wire(Link{From: f.zone(i), Kind: PeerLink, To: entryName(i)}, peer)
+	}
+	return nil
+}
+
+// seeds returns the first entries' peer addresses as a zone reaches them.
+func (f *Fleet) seeds(zone string) (seeds []string, err error) {
+	seeds = []string{}
+	for i, peer := range f.peers[:min(seedCount, len(f.peers))] {
+		seed, err := f.plan.Wire(Link{From: zone, Kind: PeerLink, To: entryName(i)}, peer)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		f.seeds = append(f.seeds, seed)
+		seeds = append(seeds, seed)
 	}
-	return nil
+	return seeds, nil
 }
 
 // zone returns the availability zone of the process whose turn it is.
@@ -167,7 +171,6 @@
 	s.Zone = f.zone(turn)
 	s.Region = f.plan.Region
 	s.Key = sharedKey
-	s.Seeds = append([]string{}, f.seeds...)
 	return s
 }
 
@@ -211,6 +214,9 @@
 			return err
 		}
 	}
+	if settings.Seeds, err = f.seeds(settings.Zone); err != nil {
+		return err
+	}
 	tickets, err := f.plan.Wire(Link{From: settings.Name, Kind: TicketLink, To: TicketLink}, f.Tickets.Address)
 	if err != nil {
 		return err
