Test resends after an agent is gone

Cause: no test resent a request whose agent incarnation was gone. Change: TestPromiseRunsAtMostOnce resends while the agent is dead, forgotten and back. Conclusion: the answer stays unknown and the service's record stays at one.

--- a/internal/promise/once_test.go
+++ b/internal/promise/once_test.go
@@ -1,12 +1,15 @@
 package promise
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"carawaypick/internal/operator"
 	"carawaypick/internal/standin"
 	"carawaypick/internal/standin/fleet"
 	"carawaypick/pkg/clock"
@@ -47,6 +50,23 @@
 	})
 }
 
+// again sends a call once more, as the second send.
+func (s sent) again(ctx context.Context, c *standin.Caller, location standin.Location) sent {
+	s.answer = c.Send(ctx, s.call, location.Addresses[0], location.Binding, 2, s.call.Deadline)
+	return s
+}
+
+// forgotten waits until no entry knows a backend server any more.
+func (b *bench) forgotten(name string) {
+	b.t.Helper()
+	for _, p := range b.Entries {
+		b.eventually(name+" is forgotten at "+p.Settings.Name, func() bool {
+			s, ok := b.status(p)
+			return ok && !slices.ContainsFunc(s.Backends, func(o operator.Backend) bool { return o.Name == name })
+		})
+	}
+}
+
 // entryAt returns the entry at a caller's address.
 func (b *bench) entryAt(address string) *fleet.Process {
 	b.t.Helper()
@@ -127,16 +147,24 @@
 		keep(t, s)
 		b.located()
 	})
-	b.run("agent dies", func(t *testing.T) {
+	b.run("agent dies, is forgotten and comes back", func(t *testing.T) {
 		var died *fleet.Process
-		s := b.midway(c, func(name string, _ standin.Location) {
-			died = b.agent(name)
+		var location standin.Location
+		s := b.midway(c, func(name string, l standin.Location) {
+			died, location = b.agent(name), l
 			require.NoError(t, died.Kill())
 		})
-		require.NoError(t, died.Start())
-		b.located()
 		keep(t, s)
 		assert.Equal(t, standin.Unknown, s.answer.Outcome)
+		require.NoError(t, b.Mark(died, ""))
+		b.forgotten(died.Settings.Name)
+		keep(t, s.again(t.Context(), c, location))
+		require.NoError(t, died.Start())
+		require.NoError(t, b.Mark(died, "live"))
+		b.located()
+		again := s.again(t.Context(), c, location)
+		keep(t, again)
+		assert.Equal(t, standin.Unknown, again.answer.Outcome, "a resend")
 	})
 	b.run("backend server dies", func(t *testing.T) {
 		s := b.midway(c, func(name string, _ standin.Location) { b.Plains[name].Restart() })
@@ -150,7 +178,7 @@
 		s := correct(location).at(t.Context(), c, location)
 		b.everyPlain(func(f *standin.PlainFault) { f.After = 0 })
 		keep(t, s)
-		again := s.at(t.Context(), c, location)
+		again := s.again(t.Context(), c, location)
 		assert.Equal(t, standin.Unknown, again.answer.Outcome, "a resend")
 		keep(t, again)
 	})
@@ -180,7 +208,7 @@
 	for _, result := range results {
 		assertWhole(t, <-result)
 	}
-	b.assertAtMostOnce(s.at(t.Context(), c, location))
+	b.assertAtMostOnce(s.again(t.Context(), c, location))
 	b.run("another content under the same id is refused", func(t *testing.T) {
 		other := s
 		other.call.Body = []byte(`{"story":"another"}`)
