Wait for agents that may be there, and take suspicion off content that ran whole

Cause: three faults that the promise tests found. An entry that had just started refused calls because it had not heard of its agents; entries never cleared content that came whole; condemnation lasted a constant time. Change: an entry waits up to 2 s for listed agents' first reports and is not ready before; whole runs clear content at entries as well, and content that ran whole lately is condemned only by a crash alone; timing.condemn bounds the condemnation.

--- a/internal/backend/agent.go
+++ b/internal/backend/agent.go
@@ -20,7 +20,6 @@
 
 const (
 	grantKeep    = 3 * clock.Second        // how long an entry's part of the window stays its own
-	suspectKeep  = 5 * clock.Minute        // how long crash evidence holds
 	probePeriod  = 200 * clock.Millisecond // between two reports of the backend server
 	probeFresh   = 50 * clock.Millisecond  // age up to which a report needs no repeat before an idle backend server gets work
 	ringSize     = 4096                    // decisions kept for explain
@@ -103,7 +102,7 @@
 		queue:       balance.NewQueue[*work](s.Limits.Queue),
 		ramp:        balance.NewRamp(defaultCold, defaultWarm),
 		grants:      balance.NewGrants(grantKeep),
-		suspects:    balance.NewSuspects(suspectKeep),
+		suspects:    balance.NewSuspects(s.Timing.Condemn),
 		running:     make(map[*work]struct{}),
 		bears:       defaultWarm,
 		cold:        defaultCold,
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -240,16 +240,12 @@
 func (a *Agent) finish(w *work, end End, refusal *peerpb.Refusal) {
 	now := a.clock.Now()
 	a.mu.Lock()
-	if a.alone {
-		a.alone = false
-		if refusal == nil {
-			a.suspects.Clear(now, w.request.GetFingerprint())
-		}
-	}
+	a.alone = false // where w ran alone, nothing else ran
 	tokens := uint32(0)
 	if refusal == nil {
 		tokens = max(w.request.GetTokens(), 1)
 		a.ramp.Done(now, tokens)
+		a.suspects.Whole(now, w.request.GetFingerprint())
 		a.pace.done(tokens)
 	}
 	a.meter.Done(now, tokens, now.Sub(w.started))
--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -19,8 +19,8 @@
 	maxCrashes = 256
 	// maxContents bounds the contents of one crash.
 	maxContents = 1024
-	// maxCleared bounds the contents that are remembered as cleared.
-	maxCleared = 4096
+	// maxWhole bounds the contents that are remembered as run whole; the oldest is forgotten first.
+	maxWhole = 4096
 	// condemning is the number of crashes with a content in flight that condemns it.
 	condemning = 2
 	// shortPart divides the time of a condemnation for which the content never ran alone.
@@ -31,12 +31,13 @@
 type Suspects struct {
 	keep    clock.Span
 	crashes []Crash
-	cleared map[uint64]clock.Time
+	whole   map[uint64]clock.Time // when a content last ran whole
+	order   []uint64              // of whole, oldest first
 }
 
 // NewSuspects returns an empty record that forgets a crash after keep ms.
 func NewSuspects(keep clock.Span) *Suspects {
-	return &Suspects{keep: keep, cleared: make(map[uint64]clock.Time)}
+	return &Suspects{keep: keep, whole: make(map[uint64]clock.Time)}
 }
 
 // Add records a crash and reports whether it was new; one crash has one name, whoever reports it.
@@ -62,10 +63,11 @@
 // Condemned reports whether content must not run, and for how many ms.
 //
 // Two crashes with the content in flight condemn it: for the whole time where it ran alone at one of them, for a
-// quarter where it never ran alone, because then another content in flight or an outage may be the cause.
+// quarter where it never ran alone, because then another content in flight or an outage may be the cause. Content
+// that ran whole within the time is condemned only by a crash alone.
 func (s *Suspects) Condemned(now clock.Time, content uint64) (after clock.Span, condemned bool) {
 	w := s.weigh(now, content)
-	if w.count < condemning {
+	if w.count < condemning || (w.proven && !w.alone) {
 		return 0, false
 	}
 	keep := s.keep
@@ -76,17 +78,17 @@
 	return max(after, 0), after > 0
 }
 
-// Clear records that content ran whole until now, so that earlier crashes do not count against it.
-func (s *Suspects) Clear(now clock.Time, content uint64) {
-	if !s.Suspect(now, content) {
-		return
-	}
-	if len(s.cleared) >= maxCleared {
-		s.sweep(now)
-	}
-	if len(s.cleared) < maxCleared {
-		s.cleared[content] = now
+// Whole records that content ran whole until now: earlier crashes don't count against it, and later ones in
+// company don't condemn it, since content that many callers send is in flight wherever a rack fails.
+func (s *Suspects) Whole(now clock.Time, content uint64) {
+	if _, known := s.whole[content]; !known {
+		if len(s.order) >= maxWhole {
+			delete(s.whole, s.order[0])
+			s.order = s.order[1:]
+		}
+		s.order = append(s.order, content)
 	}
+	s.whole[content] = now
 }
 
 // Crashes returns the crashes that still count.
@@ -97,20 +99,22 @@
 
 // evidence is what the record holds against one content.
 type evidence struct {
-	count int
-	alone bool
-	last  clock.Time
+	count  int
+	alone  bool
+	last   clock.Time
+	proven bool // it ran whole lately
 }
 
 func (s *Suspects) weigh(now clock.Time, content uint64) evidence {
 	var e evidence
-	cleared, wasCleared := s.cleared[content]
+	whole, known := s.whole[content]
+	e.proven = known && now.Sub(whole) < s.keep
 	for i := range s.crashes {
 		c := &s.crashes[i]
 		if now.Sub(c.At) >= s.keep || !slices.Contains(c.Contents, content) {
 			continue
 		}
-		if wasCleared && c.At <= cleared {
+		if known && c.At <= whole {
 			continue
 		}
 		e.count++
@@ -123,11 +127,6 @@
 // sweep forgets what no longer counts.
 func (s *Suspects) sweep(now clock.Time) {
 	s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool { return now.Sub(c.At) >= s.keep })
-	for content, at := range s.cleared {
-		if now.Sub(at) >= s.keep {
-			delete(s.cleared, content)
-		}
-	}
 }
 
 func (s *Suspects) dropOldest() {
--- a/internal/caller/board.go
+++ b/internal/caller/board.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	lostKeep   = 500 * clock.Millisecond // how long an agent that could not be reached is passed over
-	staleAfter = 5                       // periods without a report after which an agent counts as lost
-	reportCost = 10 * clock.Millisecond  // of the period for each agent: at most 100 reports a second are asked for
+	lostKeep    = 500 * clock.Millisecond // how long an agent that could not be reached is passed over
+	unheardSpan = 2 * clock.Second        // time that a newly listed agent has for its first report
+	staleAfter  = 5                       // periods without a report after which an agent counts as lost
+	reportCost  = 10 * clock.Millisecond  // of the period for each agent: at most 100 reports a second are asked for
 )
 
 // Target is one agent as an attempt uses it.
@@ -31,6 +32,7 @@
 	service     string
 	listed      bool // live by the instance list
 	report      *peerpb.Report
+	added       clock.Time // when the agent was first listed
 	at          clock.Time // when the report came
 	asked       clock.Time // when a report was last asked for
 	lost        clock.Time // until when the agent is passed over
@@ -45,6 +47,7 @@
 	poll   clock.Span
 	agents map[string]*view
 	order  map[string][]*view // by service, in the order of names
+	known  bool               // an instance list has come
 }
 
 // NewBoard returns an empty board for reports that come every poll milliseconds.
@@ -56,12 +59,13 @@
 func (b *Board) Update(agents []platform.Instance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.known = true
 	seen := make(map[string]struct{}, len(agents))
 	for _, i := range agents {
 		seen[i.Name] = struct{}{}
 		v := b.agents[i.Name]
 		if v == nil || v.target.Address != i.Peer {
-			v = &view{}
+			v = &view{added: b.clock.Now()}
 			b.agents[i.Name] = v
 		}
 		v.target = Target{Name: i.Name, Zone: i.Zone, Address: i.Peer}
@@ -117,6 +121,35 @@
 	}
 }
 
+// Unheard tells whether agents of a service may be there that have not had the time to report yet:
+// the instance list has not come, or it names agents that were added lately and have not answered.
+func (b *Board) Unheard(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	if !b.known {
+		return true
+	}
+	for _, v := range b.order[service] {
+		if v.listed && v.report == nil && now.Sub(v.added) < unheardSpan {
+			return true
+		}
+	}
+	return false
+}
+
+// Settled tells whether every service has an agent that answered or had its time to.
+func (b *Board) Settled() bool {
+	b.mu.Lock()
+	services := make([]string, 0, len(b.order))
+	for service := range b.order {
+		services = append(services, service)
+	}
+	known := b.known
+	b.mu.Unlock()
+	return known && !slices.ContainsFunc(services, b.Unheard)
+}
+
 // Begin counts an attempt at an agent, and End takes it off again.
 func (b *Board) Begin(name string, tokens uint32) {
 	b.count(name, 1, int64(tokens))
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -25,7 +25,6 @@
 	subsetSize   = 64                      // agents of one service that an entry knows
 	retryRatio   = 0.2                     // retries for each call, for a team and for the entry
 	retryBurst   = 32                      // retries allowed at once
-	suspectKeep  = 5 * clock.Minute        // how long crash evidence holds
 	ringSize     = 4096                    // decisions kept for explain
 	refusedAfter = 500 * clock.Millisecond // when a new send makes sense where no backend server may get the call
 	boardPeriod  = 200 * clock.Millisecond // between two looks at the instance list and at reports that are due
@@ -64,7 +63,7 @@
 		chooser:   balance.Chooser{Random: rand.Uint64, Tuning: balance.DefaultTuning()},
 		budget:    &budget{clock: c, retries: balance.NewBudget(retryRatio, retryBurst)},
 		ring:      operator.NewRing(ringSize),
-		suspects:  balance.NewSuspects(suspectKeep),
+		suspects:  balance.NewSuspects(s.Timing.Condemn),
 	}
 }
 
@@ -152,6 +151,13 @@
 	return patienceMore * e.settings.Timing.Stall
 }
 
+// whole takes suspicion off content that ran whole.
+func (e *Entry) whole(content uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.suspects.Whole(e.clock.Now(), content)
+}
+
 // Start keeps the board up to date until ctx ends and reports its end.
 func (e *Entry) Start(ctx context.Context) <-chan error {
 	return kernel.Start(ctx, func(ctx context.Context) error {
@@ -170,6 +176,9 @@
 
 // refresh takes the entry's agents from the instance list and asks those that are silent for a report.
 func (e *Entry) refresh(ctx context.Context) {
+	if e.member.List().Version == 0 {
+		return
+	}
 	e.board.Update(e.agents())
 	var polls []<-chan error
 	for _, t := range e.board.Due() {
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -48,6 +48,7 @@
 		v := r.attempt(ctx, t)
 		r.note("attempt", t.Name, v.reason)
 		if v.whole {
+			r.entry.whole(r.call.Content)
 			return v
 		}
 		r.learn(t, v)
@@ -107,19 +108,18 @@
 	return v
 }
 
-// choose picks the next agent; a stream that has begun waits a while for one.
+// choose picks the next agent; a stream that has begun waits a while for one, and so does
+// any call of an entry that has just started and has not heard of its agents yet.
 func (r *run) choose(ctx context.Context) (t Target, ok bool) {
 	for {
 		t, ok = r.pick()
-		if ok || r.answer.count == 0 || r.waited >= resumeWait {
+		worth := r.answer.count > 0 || r.entry.board.Unheard(r.call.Service)
+		if ok || !worth || r.waited >= resumeWait {
 			return t, ok
 		}
 		r.exclude = nil
-		r.waited += resumePause
-		select {
-		case <-ctx.Done():
+		if !r.pause(ctx) {
 			return Target{}, false
-		case <-time.After(resumePause.Duration()):
 		}
 	}
 }
@@ -161,7 +161,7 @@
 
 // routeBound asks the one agent that may run the call, again where its word was lost.
 func (r *run) routeBound(ctx context.Context) verdict {
-	t, ok := r.entry.board.Target(r.call.Token.Agent)
+	t, ok := r.home(ctx)
 	if !ok || t.Address != r.call.Token.Address {
 		return r.unproven(verdict{outcome: NotRun, reason: ReasonNone, after: refusedAfter})
 	}
@@ -184,6 +184,30 @@
 	}
 }
 
+// home returns the agent that the binding names; an entry that has just started waits a while for its list.
+func (r *run) home(ctx context.Context) (t Target, ok bool) {
+	for {
+		t, ok = r.entry.board.Target(r.call.Token.Agent)
+		if ok || !r.entry.board.Unheard(r.call.Service) || r.waited >= resumeWait {
+			return t, ok
+		}
+		if !r.pause(ctx) {
+			return Target{}, false
+		}
+	}
+}
+
+// pause waits a little; it tells false where the call's time is over.
+func (r *run) pause(ctx context.Context) bool {
+	r.waited += resumePause
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(resumePause.Duration()):
+		return true
+	}
+}
+
 // unproven allows the entry's own "not run" only where the caller says that no send went before.
 func (r *run) unproven(v verdict) verdict {
 	if v.outcome == NotRun && !r.call.Idempotent && r.call.Send != 1 {
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -46,6 +46,8 @@
 	switch {
 	case !e.member.Ready():
 		return errors.New("no configuration yet")
+	case !e.board.Settled():
+		return errors.New("no reports of the agents yet")
 	case e.leaving.Load():
 		return errors.New("shutting down")
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -52,15 +52,16 @@
 
 // Timing holds intervals and lifetimes in milliseconds.
 type Timing struct {
-	TTL    clock.Span `json:"ttl" jsonschema:"minimum=100,maximum=600000" jsonschema_description:"Time in ms that callers keep a located address"`
-	Life   clock.Span `json:"life" jsonschema:"minimum=100,maximum=3600000" jsonschema_description:"Lifetime of a binding in ms, at least ttl"`
-	Keep   clock.Span `json:"keep" jsonschema:"minimum=1000,maximum=86400000" jsonschema_description:"Time in ms that an agent keeps the outcome of a request that may not be repeated, more than life"`
-	Poll   clock.Span `json:"poll" jsonschema:"minimum=10,maximum=60000" jsonschema_description:"Interval in ms between load reports"`
-	Gossip clock.Span `json:"gossip" jsonschema:"minimum=10,maximum=60000" jsonschema_description:"Interval in ms between exchanges with a peer"`
-	Settle clock.Span `json:"settle" jsonschema:"minimum=0,maximum=600000" jsonschema_description:"Time in ms that a new ticket is held for a second content of its number"`
-	Seal   clock.Span `json:"seal" jsonschema:"minimum=1000,maximum=86400000" jsonschema_description:"Time in ms after the first sight of a ticket number in which another content of it can still win"`
-	Stall  clock.Span `json:"stall" jsonschema:"minimum=10,maximum=600000" jsonschema_description:"Time in ms without progress after which an attempt counts as stalled"`
-	Drain  clock.Span `json:"drain" jsonschema:"minimum=0,maximum=3600000" jsonschema_description:"Least time in ms that a graceful shutdown serves on, at least ttl"`
+	TTL     clock.Span `json:"ttl" jsonschema:"minimum=100,maximum=600000" jsonschema_description:"Time in ms that callers keep a located address"`
+	Life    clock.Span `json:"life" jsonschema:"minimum=100,maximum=3600000" jsonschema_description:"Lifetime of a binding in ms, at least ttl"`
+	Keep    clock.Span `json:"keep" jsonschema:"minimum=1000,maximum=86400000" jsonschema_description:"Time in ms that an agent keeps the outcome of a request that may not be repeated, more than life"`
+	Poll    clock.Span `json:"poll" jsonschema:"minimum=10,maximum=60000" jsonschema_description:"Interval in ms between load reports"`
+	Gossip  clock.Span `json:"gossip" jsonschema:"minimum=10,maximum=60000" jsonschema_description:"Interval in ms between exchanges with a peer"`
+	Settle  clock.Span `json:"settle" jsonschema:"minimum=0,maximum=600000" jsonschema_description:"Time in ms that a new ticket is held for a second content of its number"`
+	Seal    clock.Span `json:"seal" jsonschema:"minimum=1000,maximum=86400000" jsonschema_description:"Time in ms after the first sight of a ticket number in which another content of it can still win"`
+	Condemn clock.Span `json:"condemn" jsonschema:"minimum=1000,maximum=86400000" jsonschema_description:"Time in ms that content which crashed backend servers is refused"`
+	Stall   clock.Span `json:"stall" jsonschema:"minimum=10,maximum=600000" jsonschema_description:"Time in ms without progress after which an attempt counts as stalled"`
+	Drain   clock.Span `json:"drain" jsonschema:"minimum=0,maximum=3600000" jsonschema_description:"Least time in ms that a graceful shutdown serves on, at least ttl"`
 }
 
 // Log says where log lines go and which of them.
@@ -80,15 +81,16 @@
 	return Settings{
 		Limits: Limits{Body: 1 << 20, Calls: 4096, Queue: 256, Event: 64 << 10, Connections: 4096},
 		Timing: Timing{
-			TTL:    5 * clock.Second,
-			Life:   10 * clock.Second,
-			Keep:   10 * clock.Minute,
-			Poll:   clock.Second,
-			Gossip: clock.Second,
-			Settle: clock.Second,
-			Seal:   10 * clock.Minute,
-			Stall:  2 * clock.Second,
-			Drain:  30 * clock.Second,
+			TTL:     5 * clock.Second,
+			Life:    10 * clock.Second,
+			Keep:    10 * clock.Minute,
+			Poll:    clock.Second,
+			Gossip:  clock.Second,
+			Settle:  clock.Second,
+			Seal:    10 * clock.Minute,
+			Condemn: 5 * clock.Minute,
+			Stall:   2 * clock.Second,
+			Drain:   30 * clock.Second,
 		},
 		Log:   Log{Level: "info"},
 		Trace: Trace{Ratio: 0.01},
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -22,7 +22,7 @@
 		Settle: s.Timing.Settle,
 		Seal:   s.Timing.Seal,
 		Cold:   member.DefaultCold,
-		Keep:   member.DefaultKeep,
+		Keep:   s.Timing.Condemn,
 		Reader: counted(platform.NewReader(s.Platform.Tickets, s.Platform.List), n.Telemetry.Metrics),
 		Call: func(ctx context.Context, address string, q *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
 			conn, err := n.Pool.Conn(address)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -343,14 +343,15 @@
 // QuickTiming returns intervals for fleets that live for seconds.
 func QuickTiming() config.Timing {
 	return config.Timing{
-		TTL:    1 * clock.Second,
-		Life:   3 * clock.Second,
-		Keep:   30 * clock.Second,
-		Poll:   100 * clock.Millisecond,
-		Gossip: 100 * clock.Millisecond,
-		Settle: 100 * clock.Millisecond,
-		Seal:   30 * clock.Second,
-		Stall:  500 * clock.Millisecond,
-		Drain:  1500 * clock.Millisecond,
+		TTL:     1 * clock.Second,
+		Life:    3 * clock.Second,
+		Keep:    30 * clock.Second,
+		Poll:    100 * clock.Millisecond,
+		Gossip:  100 * clock.Millisecond,
+		Settle:  100 * clock.Millisecond,
+		Seal:    30 * clock.Second,
+		Condemn: 5 * clock.Second,
+		Stall:   500 * clock.Millisecond,
+		Drain:   1500 * clock.Millisecond,
 	}
 }
