--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -11,9 +11,13 @@
 	"carawaypick/internal/latency"
 	"carawaypick/internal/measure"
 	"carawaypick/internal/outage"
+	"carawaypick/internal/skew"
 	"carawaypick/internal/spread"
 )
 
+// folder takes the plots.
+const folder = ".out"
+
 // measurements returns the rows of each measurement by its name.
 func measurements() map[string]func() ([]measure.Row, error) {
 	return map[string]func() ([]measure.Row, error){
@@ -22,6 +26,7 @@
 		"choice":   choice.Rows,
 		"spread":   spread.Rows,
 		"path":     latency.Rows,
+		"skew":     func() ([]measure.Row, error) { return skew.Rows(folder) },
 	}
 }
 
