--- a/internal/choice/policy.go
+++ b/internal/choice/policy.go
@@ -35,3 +35,13 @@
 		return i
 	}
 }
+
+// withoutEvents hides from a policy what cache events tell.
+func withoutEvents(choose policy) policy {
+	return func(e *entry, call balance.Call) int {
+		for i := range e.candidates {
+			e.candidates[i].Cached = false
+		}
+		return choose(e, call)
+	}
+}
--- a/internal/choice/rows.go
+++ b/internal/choice/rows.go
@@ -44,6 +44,7 @@
 	{name: "leastoutstanding", pick: leastOutstanding},
 	{name: "rendezvous", pick: rendezvous},
 	{name: chosen, pick: power(balance.DefaultTuning())},
+	{name: "noevents", pick: withoutEvents(power(balance.DefaultTuning()))},
 }
 
 // Rows measures the choice of a backend server, the teams' shares and overload, and returns a row for each figure.
