Benchmark a pick

Cause: a pick hashes each candidate for each home. Ruled out: keeping hashes of names between picks, as a pick is a small part of a call. Change: BenchmarkPick.

--- /dev/null
+++ b/internal/balance/bench_test.go
@@ -0,0 +1,18 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+func BenchmarkPick(b *testing.B) {
+	c := Chooser{Random: rand.New(rand.NewPCG(1, 2)).Uint64}
+	for name, count := range map[string]int{"16": 16, "320": 320} {
+		b.Run(name, func(b *testing.B) {
+			candidates := idle(count)
+			for i := range b.N {
+				c.Pick(Call{Fingerprint: uint64(i + 1), Prefix: uint64(i%64 + 1), Tokens: 100, Zone: "a"}, candidates)
+			}
+		})
+	}
+}
