--- a/internal/promise/share_test.go
+++ b/internal/promise/share_test.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// TestPromiseShares floods the fleet from one team while another of the same share sends what half of it bears.
+// TestPromiseShares floods the fleet from one team while another of the same share sends twice what they bear.
 func TestPromiseShares(t *testing.T) {
 	const bears = 4
 	b := open(t, setup{entries: 3, engines: 2, plains: 1, bears: bears, cold: bears})
@@ -56,7 +56,7 @@
 		return true
 	})
 	before := flood.count()
-	modest := b.loadAs("noche", model, bears, patientQuestions(10, 10*clock.Second))
+	modest := b.loadAs("noche", model, 4*bears, patientQuestions(10, 10*clock.Second))
 	b.more(modest, 60)
 	during := flood.count() - before
 	answers := modest.end()
@@ -77,10 +77,17 @@
 	deadline := 400 * clock.Millisecond
 	b := open(t, setup{entries: 3, engines: 2, plains: 1, bears: bears, cold: bears})
 	b.everyEngine(func(f *standin.EngineFault) { f.Interval, f.Bears, f.Cold = 10, bears, bears })
+	calm := b.load(model, bears, patientQuestions(10, 10*clock.Second))
+	b.more(calm, 100)
+	for _, s := range calm.end() {
+		assertWhole(t, s)
+	}
+	_, before := b.began()
 	load := b.load(model, 12*bears, patientQuestions(10, deadline))
-	b.more(load, 400)
+	b.more(load, 600)
 	calls := load.end()
 	streams, total := b.began()
+	total -= before
 	whole, refused := 0, 0
 	for _, s := range calls {
 		if assertTrue(t, s) {
