Tell the others that a suspect ran whole

Cause: TestPromiseCrashByCoincidence was red: only the agent and entry at which a suspect ran whole learned of it, so a second coincidence elsewhere condemned innocent content. Ruled out: clearing at entries alone (the agent of the first crash still runs it as a suspect and reports the next crash as alone). Change: a whole run of a suspect is passed on like a crash; membership carries the mark. Before and after: red ('condemned' after two coincidences; and again while membership dropped the mark, which made a whole run count as a crash), green now; the agent's own test is red with the mark ignored. Conclusion: condemnation needs two crashes since the last whole run anywhere.

--- a/internal/backend/agent.go
+++ b/internal/backend/agent.go
@@ -13,6 +13,7 @@
 	"carawaypick/internal/config"
 	"carawaypick/internal/member"
 	"carawaypick/internal/operator"
+	"carawaypick/internal/peer"
 	"carawaypick/internal/peer/peerpb"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
@@ -161,15 +162,7 @@
 func (a *Agent) Hear() {
 	evidence := a.member.Evidence()
 	a.mu.Lock()
-	now := a.clock.Now()
-	for _, v := range evidence {
-		a.suspects.Add(balance.Crash{
-			Name:     v.GetCrash(),
-			Contents: v.GetContents(),
-			Alone:    v.GetAlone(),
-			At:       now.Add(-clock.Span(v.GetAge())),
-		})
-	}
+	peer.Weigh(a.clock.Now(), a.suspects, evidence)
 	a.mu.Unlock()
 	a.pump()
 }
--- a/internal/backend/agent_test.go
+++ b/internal/backend/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +29,9 @@
 	bears    = 4
 )
 
+// benches counts benches, each of which registers a dialect of its own.
+var benches atomic.Int32
+
 // bench is an agent before a fake backend server.
 type bench struct {
 	t       *testing.T
@@ -64,10 +68,11 @@
 		},
 	})
 	b.publish(`"zones":{"z1":{"state":"in"}},"services":{"desk":{"kind":"plain","model":"","idempotent":true,"stall":300,"bears":4,"cold":4}}`)
-	Dialects.Register(t.Name(), func(string) (Dialect, error) { return Dialect{Run: b.run, Load: b.report, Cancel: b.cancel}, nil })
+	dialect := fmt.Sprint(t.Name(), benches.Add(1))
+	Dialects.Register(dialect, func(string) (Dialect, error) { return Dialect{Run: b.run, Load: b.report, Cancel: b.cancel}, nil })
 	s := config.Defaults()
 	s.Name, s.Zone = "a1", "z1"
-	s.Backend = config.Backend{Service: "desk", Kind: t.Name()}
+	s.Backend = config.Backend{Service: "desk", Kind: dialect}
 	agent, err := New(s, c, telemetry.Discard(), b.member)
 	require.NoError(t, err)
 	b.agent = agent
@@ -497,6 +502,19 @@
 		requireRefusal(t, b.call(request("cut")), peerpb.Outcome_OUTCOME_UNKNOWN, ReasonCut)
 		assert.Empty(t, b.member.Evidence())
 	})
+	t.Run("a suspect that ran whole elsewhere is a suspect no more", func(t *testing.T) {
+		b := newBench(t)
+		content := request("innocent").GetFingerprint()
+		b.member.AddEvidence(&peerpb.Evidence{Crash: "a8/1/x", Contents: []uint64{content}, Age: 20})
+		require.NotNil(t, b.call(request("innocent")).GetFinal())
+		b.eventually(func() bool { return slices.ContainsFunc(b.member.Evidence(), (*peerpb.Evidence).GetWhole) })
+		other := newBench(t)
+		other.member.AddEvidence(b.member.Evidence()...)
+		crash(other, "innocent")
+		requireRefusal(t, other.call(request("innocent")), peerpb.Outcome_OUTCOME_UNKNOWN, ReasonCrash)
+		other.set(func() { other.work = whole })
+		require.NotNil(t, other.call(request("innocent")).GetFinal(), "two coincidences condemned it")
+	})
 	t.Run("evidence from elsewhere counts", func(t *testing.T) {
 		b := newBench(t)
 		content := request("poison").GetFingerprint()
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -239,12 +239,14 @@
 // finish gives the work's slot back and ends it.
 func (a *Agent) finish(w *work, end End, refusal *peerpb.Refusal) {
 	now := a.clock.Now()
+	cleared := false
 	a.mu.Lock()
 	a.alone = false // where w ran alone, nothing else ran
 	tokens := uint32(0)
 	if refusal == nil {
 		tokens = max(w.request.GetTokens(), 1)
 		a.ramp.Done(now, tokens)
+		cleared = a.suspects.Suspect(now, w.request.GetFingerprint())
 		a.suspects.Whole(now, w.request.GetFingerprint())
 		a.pace.done(tokens)
 	}
@@ -252,6 +254,9 @@
 	delete(a.running, w)
 	a.measure()
 	a.mu.Unlock()
+	if cleared {
+		a.member.AddEvidence(clearance(a.settings.Name, w.request.GetFingerprint(), now))
+	}
 	a.conclude(w, end, refusal)
 }
 
--- a/internal/backend/watch.go
+++ b/internal/backend/watch.go
@@ -10,6 +10,7 @@
 	"carawaypick/internal/balance"
 	"carawaypick/internal/kernel"
 	"carawaypick/internal/peer/peerpb"
+	"carawaypick/pkg/clock"
 )
 
 // missesDown is the number of reports that must fail in a row before the backend server counts as down.
@@ -151,3 +152,12 @@
 	}
 	return "shared"
 }
+
+// clearance tells the other processes that a suspect ran whole here.
+func clearance(name string, content uint64, now clock.Time) *peerpb.Evidence {
+	return &peerpb.Evidence{
+		Crash:    fmt.Sprintf("whole/%s/%x/%d", name, content, now),
+		Contents: []uint64{content},
+		Whole:    true,
+	}
+}
--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -88,7 +88,7 @@
 		}
 		s.order = append(s.order, content)
 	}
-	s.whole[content] = now
+	s.whole[content] = max(s.whole[content], now)
 }
 
 // Crashes returns the crashes that still count.
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -114,20 +114,7 @@
 	evidence := e.member.Evidence()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.collect(evidence)
-}
-
-// collect adds evidence to the suspects; mu is held.
-func (e *Entry) collect(evidence []*peerpb.Evidence) {
-	now := e.clock.Now()
-	for _, v := range evidence {
-		e.suspects.Add(balance.Crash{
-			Name:     v.GetCrash(),
-			Contents: v.GetContents(),
-			Alone:    v.GetAlone(),
-			At:       now.Add(-clock.Span(v.GetAge())),
-		})
-	}
+	peer.Weigh(e.clock.Now(), e.suspects, evidence)
 }
 
 func (e *Entry) condemned(content uint64) (after clock.Span, ok bool) {
--- a/internal/member/evidence.go
+++ b/internal/member/evidence.go
@@ -99,6 +99,7 @@
 			Contents: c.evidence.GetContents(),
 			Alone:    c.evidence.GetAlone(),
 			Age:      uint64(now.Sub(c.at)),
+			Whole:    c.evidence.GetWhole(),
 		})
 	}
 	return all
