--- a/pkg/expert/join.go
+++ b/pkg/expert/join.go
@@ -14,16 +14,23 @@
 		}
 		return r.reply(m.From, tell)
 	}
-	if r.cold && r.index(r.name) < r.index(m.From) {
+	if !r.favours(now, m.From) {
 		return nil
 	}
+	r.favour = m.From
+	r.quiet = now.Add(yieldFor)
 	tell.Token = r.lock(m.From, m.Token)
-	if r.cold {
-		r.quiet = now.Add(yieldFor)
-	}
 	return r.reply(m.From, tell)
 }
 
+// favours says whether a joining rank goes before all others that this one knows to be joining lately.
+func (r *Rank) favours(now clock.Time, name string) bool {
+	if r.cold && r.index(r.name) < r.index(name) {
+		return false
+	}
+	return now >= r.quiet || r.index(name) <= r.index(r.favour)
+}
+
 // lock keeps this rank from any decision until the cold one has joined, and returns the token
 // that its state must carry; a repeated ask gets the same.
 func (r *Rank) lock(name string, ask uint64) uint64 {
@@ -57,8 +64,10 @@
 	v.Generation = Generation{Count: v.Generation.Count + 1, Mark: r.nonce}
 	r.adopt(v)
 	var out []Envelope
-	for name, token := range r.tokens {
-		out = append(out, r.reply(name, Message{Kind: Join, Token: token})...)
+	for _, name := range r.ranks {
+		if token, ok := r.tokens[name]; ok {
+			out = append(out, r.reply(name, Message{Kind: Join, Token: token})...)
+		}
 	}
 	clear(r.tokens)
 	return out
@@ -119,6 +128,5 @@
 	r.next = v.Next
 	r.promise = nil
 	r.waiting = false
-	r.quiet = 0
 	r.forget()
 }
--- a/pkg/expert/rank.go
+++ b/pkg/expert/rank.go
@@ -42,7 +42,8 @@
 	told    map[string]View   // answers to the present asks
 	asked   clock.Time        // of the newest asks
 	waiting bool              // the engine waits at the step of the promise
-	quiet   clock.Time        // a cold rank doesn't ask before
+	favour  string            // joining rank that this one answered last
+	quiet   clock.Time        // no joining rank after it is answered before, and a cold one doesn't ask
 }
 
 // lock is what a rank has told one that joins.
@@ -143,7 +144,7 @@
 		r.decide(true)
 		return nil
 	}
-	if now.Sub(r.asked) < retryAfter || now < r.quiet {
+	if now.Sub(r.asked) < retryAfter || r.cold && now < r.quiet {
 		return nil
 	}
 	r.asked = now
--- a/pkg/expert/switch_test.go
+++ b/pkg/expert/switch_test.go
@@ -95,8 +95,8 @@
 			g.send(name, g.ranks[name].Tick(g.now))
 		}
 	}
-	for name, p := range g.planners {
-		g.send(name, p.Tick(g.now))
+	for _, name := range []string{"planner0", "planner1"} {
+		g.send(name, g.planners[name].Tick(g.now))
 	}
 }
 
