--- a/internal/caller/board.go
+++ b/internal/caller/board.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -13,7 +14,8 @@
 
 const (
 	lostKeep   = 500 * clock.Millisecond // how long an agent that could not be reached is passed over
-	staleAfter = 5                       // polls without a report after which an agent counts as lost
+	staleAfter = 5                       // periods without a report after which an agent counts as lost
+	reportCost = 10 * clock.Millisecond  // of the period for each agent: at most 100 reports a second are asked for
 )
 
 // Target is one agent as an attempt uses it.
@@ -42,6 +44,7 @@
 	clock  clock.Clock
 	poll   clock.Span
 	agents map[string]*view
+	order  map[string][]*view // by service, in the order of names
 }
 
 // NewBoard returns an empty board for reports that come every poll milliseconds.
@@ -72,6 +75,18 @@
 			v.listed = false
 		}
 	}
+	b.sort()
+}
+
+// sort brings the agents of each service into the order of their names; mu is held.
+func (b *Board) sort() {
+	b.order = make(map[string][]*view)
+	for _, v := range b.agents {
+		b.order[v.service] = append(b.order[v.service], v)
+	}
+	for _, views := range b.order {
+		slices.SortFunc(views, func(v, w *view) int { return cmp.Compare(v.target.Name, w.target.Name) })
+	}
 }
 
 // Heard takes a report in.
@@ -128,24 +143,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	for _, name := range b.names(service) {
-		v := b.agents[name]
-		targets = append(targets, v.target)
-		candidates = append(candidates, b.candidate(now, v, state))
+	views := b.order[service]
+	targets = make([]Target, len(views))
+	candidates = make([]balance.Candidate, len(views))
+	for i, v := range views {
+		targets[i] = v.target
+		candidates[i] = b.candidate(now, v, state)
 	}
 	return targets, candidates
 }
 
-func (b *Board) names(service string) (names []string) {
-	for name, v := range b.agents {
-		if v.service == service {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 func (b *Board) candidate(now clock.Time, v *view, state *ticket.State) balance.Candidate {
 	c := balance.Candidate{
 		Name:        v.target.Name,
@@ -169,7 +176,7 @@
 	if !v.listed || v.report == nil || now < v.lost || out(state, v.target) {
 		return false
 	}
-	return v.report.GetState() == stateLive && now.Sub(v.at) < staleAfter*b.poll
+	return v.report.GetState() == stateLive && now.Sub(v.at) < staleAfter*b.period()
 }
 
 // stateLive is the state of an agent that takes new work.
@@ -206,14 +213,21 @@
 	return v.target, true
 }
 
-// Due returns the agents from which no report came for a poll, and counts them as asked.
+// period returns the milliseconds after which an agent that sent no report is asked for one.
+// It grows with the number of agents, so that reports stay a small part of the entry's work.
+func (b *Board) period() clock.Span {
+	return max(b.poll, clock.Span(len(b.agents))*reportCost)
+}
+
+// Due returns the agents from which no report came for a period, and counts them as asked.
 func (b *Board) Due() (due []Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	period := b.period()
 	for _, v := range b.agents {
-		waited := v.asked != 0 && now.Sub(v.asked) < b.poll
-		fresh := v.report != nil && now.Sub(v.at) < b.poll
+		waited := v.asked != 0 && now.Sub(v.asked) < min(period, b.poll)
+		fresh := v.report != nil && now.Sub(v.at) < period
 		if waited || fresh {
 			continue
 		}
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +46,7 @@
 	Service    string
 	Kind       string // model, plain
 	Priority   int32
+	Start      clock.Time // when it came in
 	Deadline   clock.Time
 	Idempotent bool
 	Binding    string
@@ -91,6 +93,7 @@
 		Path:    "/" + c.Params("*"),
 		Body:    bytes.Clone(c.Body()),
 		Trace:   c.Get(HeaderTrace),
+		Start:   now,
 	}
 	if query := string(c.Request().URI().QueryString()); query != "" {
 		call.Path += "?" + query
@@ -205,6 +208,6 @@
 	if p.Tokens == 0 {
 		p.Tokens = defaultTokens
 	}
-	c.Tokens = p.Tokens + uint32(len(p.Prompt)/bytesPerToken)
+	c.Tokens = uint32(min(uint64(p.Tokens)+uint64(len(p.Prompt)/bytesPerToken), math.MaxUint32))
 	c.Prefix = xxhash.Sum64String(p.Prompt[:min(len(p.Prompt), prefixBytes)])
 }
