--- /dev/null
+++ b/internal/group/doc.go
@@ -0,0 +1,2 @@
+// Package group drives the expert map switch of one rank over gRPC.
+package group
--- a/pkg/expert/plan.go
+++ b/pkg/expert/plan.go
@@ -69,8 +69,10 @@
 
 // Adopt makes m the map in force, where another planner or an aborted switch has decided otherwise.
 func (p *Planner) Adopt(m Map) (err error) {
-	if err := m.Check(p.shape); err != nil {
-		return err
+	if p.started {
+		if err := m.Check(p.shape); err != nil {
+			return err
+		}
 	}
 	p.current = m.Clone()
 	return nil
@@ -78,30 +80,50 @@
 
 // Next takes one report and returns the plan that follows from all reports so far, or a ShapeError.
 func (p *Planner) Next(r Report) (plan Plan, err error) {
+	newest, err := p.take(r)
+	if err != nil || !newest {
+		return Plan{Stay: true}, err
+	}
+	return p.plan(r), nil
+}
+
+// Observe takes one report without planning, as while a switch is under way; it returns a ShapeError.
+func (p *Planner) Observe(r Report) (err error) {
+	_, err = p.take(r)
+	return err
+}
+
+// take adds a report and says whether it is the newest.
+func (p *Planner) take(r Report) (newest bool, err error) {
 	if err := r.Check(); err != nil {
-		return Plan{}, err
+		return false, err
 	}
 	if !p.started {
-		p.start(r)
+		if err := p.start(r); err != nil {
+			return false, err
+		}
 	}
 	if r.Shape() != p.shape {
-		return Plan{}, &ShapeError{Field: p.changed(r.Shape()), Reason: "changed since the first report"}
+		return false, &ShapeError{Field: p.changed(r.Shape()), Reason: "changed since the first report"}
 	}
-	if !p.observe(r) {
-		return Plan{Stay: true}, nil
-	}
-	return p.plan(r), nil
+	return p.observe(r), nil
 }
 
-func (p *Planner) start(r Report) {
-	p.started = true
+func (p *Planner) start(r Report) error {
 	p.shape = r.Shape()
-	p.current = RoundRobin(p.shape)
+	if p.current == nil {
+		p.current = RoundRobin(p.shape)
+	}
+	if err := p.current.Check(p.shape); err != nil {
+		return err
+	}
+	p.started = true
 	p.newest = r.Step
 	p.estimates = make([]*estimate, p.shape.Layers)
 	for l := range p.estimates {
 		p.estimates[l] = newEstimate(p.settings.Decays, p.shape.Experts)
 	}
+	return nil
 }
 
 func (p *Planner) changed(s Shape) string {
--- a/pkg/expert/plan_test.go
+++ b/pkg/expert/plan_test.go
@@ -152,7 +152,9 @@
 	for _, step := range order {
 		r := report(s, uint64(step), lines[step]...)
 		if !p.started {
-			p.start(r)
+			if err := p.start(r); err != nil {
+				return nil
+			}
 		}
 		p.observe(r)
 	}
