Spend more loads where they pay and judge early lines strictly

Change: trigger 0.02, least gain of a load 0.004 over the ranks, goal at half the noise; the deviations a change must exceed grow with ranks and layers and while lines are few; one plan makes at most 800 changes.

--- a/internal/skew/policy.go
+++ b/internal/skew/policy.go
@@ -6,7 +6,7 @@
 const (
 	Never    = "never"    // the first map for ever
 	Full     = "full"     // a new map from nothing after each step
-	Previous = "previous" // the planner with one decay and no estimate of noise
+	Previous = "previous" // the first version: one decay and no estimate of noise, with the present search
 	Planner  = "planner"  // the planner as it is
 )
 
--- a/pkg/expert/estimate.go
+++ b/pkg/expert/estimate.go
@@ -6,6 +6,7 @@
 const (
 	memory     = 16 // steps that the comparison of decays looks back
 	clip       = 4  // one step raises the noise by at most this factor of itself
+	early      = 4  // lines after which half of the caution is gone
 	priorLines = 2  // lines that the assumption of Poisson noise is worth
 )
 
@@ -17,6 +18,7 @@
 	tokens float64   // tokens of the newest line
 	noise  float64   // variance of counts over that of independent tokens
 	lines  float64   // lines that the noise was drawn from
+	count  float64   // lines with tokens
 }
 
 type decayed struct {
@@ -44,6 +46,7 @@
 	if shares == nil {
 		return
 	}
+	e.count++
 	tokens := total(counts)
 	for i := range e.sums {
 		e.sums[i].judge(shares, tokens)
@@ -52,6 +55,12 @@
 	e.measure(shares, tokens)
 }
 
+// caution returns the factor by which noise counts more while lines are few, since each line then
+// is nearly a new draw of all shares.
+func (e *estimate) caution() float64 {
+	return 1 + early/(early+e.count)
+}
+
 // late takes the counts of a step that is age steps before the newest.
 func (e *estimate) late(counts []int64, age uint64) {
 	tokens := total(counts)
--- a/pkg/expert/plan.go
+++ b/pkg/expert/plan.go
@@ -16,7 +16,7 @@
 	Trigger float64    // least skew that a change must take from a layer
 	Least   float64    // least skew that each load must take from its layer, times the number of ranks
 	Goal    float64    // skew above the bound that a change aims at
-	Sigma   float64    // standard deviations of the busiest rank's load that a change must exceed
+	Sigma   float64    // least standard deviations of the busiest rank's load that a change must exceed, 0 for no estimate of noise
 }
 
 // Defaults returns the settings that the measurements were made with.
@@ -26,10 +26,10 @@
 		Horizon: 200,
 		Step:    50 * clock.Millisecond,
 		Stall:   0.01,
-		Trigger: 0.01,
-		Least:   0.012,
+		Trigger: 0.02,
+		Least:   0.004,
 		Goal:    0.005,
-		Sigma:   4.5,
+		Sigma:   3.5,
 	}
 }
 
@@ -38,10 +38,13 @@
 
 // Bounds of the search in one plan, which keep its time bounded; the next line carries on.
 const (
-	changes = 1200 // over all layers
-	fewest  = 16   // in each layer
+	changes = 800 // over all layers
+	fewest  = 12  // in each layer
 )
 
+// beyond is the distance from the expected greatest draw to what counts as no noise, in standard deviations.
+const beyond = 0.6
+
 // Plan is a planner's answer to one line.
 type Plan struct {
 	Stay   bool
@@ -204,9 +207,9 @@
 		}
 		noise := p.noise(p.current[l], shares, tokens/e.noise)
 		bound := LayerBound(p.shape, shares)
-		least := max(p.settings.Trigger, p.settings.Sigma*noise)
+		least := max(p.settings.Trigger, p.sigma()*noise*e.caution())
 		if skew-bound >= least {
-			tasks = append(tasks, task{layer: l, shares: shares, goal: bound + max(p.settings.Goal, noise), least: least})
+			tasks = append(tasks, task{layer: l, shares: shares, goal: bound + max(p.settings.Goal, noise/2), least: least})
 		}
 	}
 	return tasks
@@ -230,6 +233,16 @@
 	return max(p.settings.Least/float64(p.shape.Ranks), lost/horizon*float64(p.shape.Layers))
 }
 
+// sigma returns the standard deviations that a change must exceed: more where more ranks and layers
+// are watched, since the greatest of many draws lies further out.
+func (p *Planner) sigma() float64 {
+	watched := float64(p.shape.Ranks * p.shape.Layers)
+	if p.settings.Sigma == 0 {
+		return 0
+	}
+	return max(p.settings.Sigma, beyond+math.Sqrt(2*math.Log(watched)))
+}
+
 // noise returns the standard deviation of the busiest rank's load over the mean load
 // if the shares rest on so many independent tokens.
 func (p *Planner) noise(ranks [][]int, shares []float64, tokens float64) float64 {
