Split the planner's files and pin the vow of a rank that answers

Ruled out: nothing. Before and after: behaviour unchanged, go test ./pkg/expert green; with the vow off the new rule is red.

--- a/pkg/expert/improve.go
+++ b/pkg/expert/improve.go
@@ -1,9 +1,7 @@
 package expert
 
 import (
-	"cmp"
 	"math"
-	"slices"
 )
 
 // Stage is a change that is made whole or not at all: one load or an exchange of two experts.
@@ -15,24 +13,6 @@
 // patience is the number of changes for the worse that a search makes without a new lowest skew.
 const patience = 3
 
-// reach is the number of light ranks that are considered for another replica.
-const reach = 6
-
-// placement is one layer's map under improvement, with loads in units of the mean rank's.
-type placement struct {
-	layer    int
-	ranks    [][]int
-	shares   []float64 // times the number of ranks
-	holders  [][]int   // ranks by expert, once for each slot
-	loads    []float64
-	powers   []float64
-	lightest []int     // ranks by load, nil until asked for
-	change   []float64 // scratch: change of load by rank
-	left     []bool    // by expert and rank: taken from it by an earlier change
-	locked   []bool    // by expert and rank: put on it by an escape
-	touched  []int     // scratch: ranks with a change
-}
-
 // candidate is a change under consideration; other is -1 where it is a load and not an exchange.
 type candidate struct {
 	rank, slot   int
@@ -41,60 +21,6 @@
 	score        float64 // fall of the sum of powers for each load
 }
 
-func newPlacement(layer int, ranks [][]int, shares []float64) *placement {
-	p := &placement{
-		layer:   layer,
-		ranks:   ranks,
-		shares:  make([]float64, len(shares)),
-		holders: make([][]int, len(shares)),
-		loads:   make([]float64, len(ranks)),
-		powers:  make([]float64, len(ranks)),
-		change:  make([]float64, len(ranks)),
-		left:    make([]bool, len(ranks)*len(shares)),
-		locked:  make([]bool, len(ranks)*len(shares)),
-	}
-	for e, s := range shares {
-		p.shares[e] = s * float64(len(ranks))
-	}
-	for r, slots := range ranks {
-		for _, e := range slots {
-			p.holders[e] = append(p.holders[e], r)
-		}
-	}
-	p.sum()
-	return p
-}
-
-func (p *placement) sum() {
-	for r, slots := range p.ranks {
-		load := 0.0
-		for _, e := range slots {
-			load += p.part(e)
-		}
-		p.loads[r] = load
-		p.powers[r] = power(load)
-	}
-}
-
-// part returns the load of one replica of the expert.
-func (p *placement) part(e int) float64 {
-	return p.shares[e] / float64(len(p.holders[e]))
-}
-
-func (p *placement) busiest() int {
-	busiest := 0
-	for r, l := range p.loads {
-		if l > p.loads[busiest] {
-			busiest = r
-		}
-	}
-	return busiest
-}
-
-func (p *placement) skew() float64 {
-	return p.loads[p.busiest()]
-}
-
 // improve makes the best change for the busiest rank, load for load, until the skew reaches the goal
 // or the loads are spent.
 //
@@ -162,17 +88,6 @@
 	}
 }
 
-// heaviest returns the slot of the rank with the greatest load.
-func (p *placement) heaviest(rank int) int {
-	heaviest := 0
-	for slot, e := range p.ranks[rank] {
-		if p.part(e) > p.part(p.ranks[rank][heaviest]) {
-			heaviest = slot
-		}
-	}
-	return heaviest
-}
-
 // banned says whether the change puts an expert back on a rank that it was taken from,
 // or takes away a replica that an escape has made.
 func (p *placement) banned(c candidate) bool {
@@ -186,11 +101,6 @@
 	return p.left[p.at(old, c.other)] || p.locked[p.at(c.expert, c.other)]
 }
 
-// at returns the place of a pair of expert and rank in left and locked.
-func (p *placement) at(expert, rank int) int {
-	return expert*len(p.ranks) + rank
-}
-
 // exchanges considers trading the expert in a busy slot for a lighter one of another rank.
 func (p *placement) exchanges(busy, slot int, keep func(candidate)) {
 	heavy := p.ranks[busy][slot]
@@ -225,17 +135,6 @@
 	}
 }
 
-// light returns the few ranks with the least load.
-func (p *placement) light() []int {
-	if p.lightest == nil {
-		for r := range p.loads {
-			p.lightest = append(p.lightest, r)
-		}
-		slices.SortStableFunc(p.lightest, func(a, b int) int { return cmp.Compare(p.loads[a], p.loads[b]) })
-	}
-	return p.lightest[:min(reach, len(p.lightest))]
-}
-
 // replacements considers putting a lighter expert in the place of a spare replica in a busy slot.
 func (p *placement) replacements(busy, slot int, keep func(candidate)) {
 	spare := p.ranks[busy][slot]
@@ -289,21 +188,3 @@
 	p.lightest = nil
 	return moves
 }
-
-func (p *placement) put(rank, slot, expert int) Move {
-	old := p.ranks[rank][slot]
-	i := slices.Index(p.holders[old], rank)
-	p.holders[old] = slices.Delete(p.holders[old], i, i+1)
-	p.holders[expert] = append(p.holders[expert], rank)
-	p.ranks[rank][slot] = expert
-	p.left[p.at(old, rank)] = true
-	return Move{Layer: p.layer, Rank: rank, Slot: slot, Expert: expert}
-}
-
-// power returns x to the sixteenth power, which stresses the busiest ranks.
-func power(x float64) float64 {
-	x *= x
-	x *= x
-	x *= x
-	return x * x
-}
--- a/pkg/expert/rules_test.go
+++ b/pkg/expert/rules_test.go
@@ -100,6 +100,14 @@
 		g.pass(Commit, "rank0")
 		assertPromised(t, g.ranks["rank0"])
 	})
+	t.Run("a rank that has answered an undecided one never promises that order", func(t *testing.T) {
+		g := trio(t)
+		g.pass(Prepare, "rank1")
+		g.ranks["rank1"].Begin(g.ranks["rank1"].promise.Step)
+		g.deliver(g.asking("rank1", "rank0"))
+		g.pass(Prepare, "rank0")
+		assert.Nil(t, g.ranks["rank0"].promise)
+	})
 	t.Run("an order of an older generation is refused", func(t *testing.T) {
 		g := trio(t)
 		m := g.pick(Prepare, "rank0")[0].Message
