--- a/pkg/expert/plan.go
+++ b/pkg/expert/plan.go
@@ -1,7 +1,6 @@
 package expert
 
 import (
-	"math"
 	"slices"
 
 	"carawaypick/pkg/clock"
@@ -16,7 +15,7 @@
 	Trigger float64    // least skew that a change must take from a layer
 	Least   float64    // least skew that each load must take from its layer, times the number of ranks
 	Goal    float64    // skew above the bound that a change aims at
-	Sigma   float64    // standard deviations of the busiest rank's load that a change must exceed
+	Sigma   float64    // least standard deviations of the busiest rank's load that a change must exceed, 0 for no estimate of noise
 }
 
 // Defaults returns the settings that the measurements were made with.
@@ -26,10 +25,10 @@
 		Horizon: 200,
 		Step:    50 * clock.Millisecond,
 		Stall:   0.01,
-		Trigger: 0.01,
-		Least:   0.012,
+		Trigger: 0.02,
+		Least:   0.004,
 		Goal:    0.005,
-		Sigma:   4.5,
+		Sigma:   3.5,
 	}
 }
 
@@ -38,8 +37,8 @@
 
 // Bounds of the search in one plan, which keep its time bounded; the next line carries on.
 const (
-	changes = 1200 // over all layers
-	fewest  = 16   // in each layer
+	changes = 800 // over all layers
+	fewest  = 12  // in each layer
 )
 
 // Plan is a planner's answer to one line.
@@ -69,8 +68,10 @@
 
 // Adopt makes m the map in force, where another planner or an aborted switch has decided otherwise.
 func (p *Planner) Adopt(m Map) (err error) {
-	if err := m.Check(p.shape); err != nil {
-		return err
+	if p.started {
+		if err := m.Check(p.shape); err != nil {
+			return err
+		}
 	}
 	p.current = m.Clone()
 	return nil
@@ -78,30 +79,50 @@
 
 // Next takes one report and returns the plan that follows from all reports so far, or a ShapeError.
 func (p *Planner) Next(r Report) (plan Plan, err error) {
+	newest, err := p.take(r)
+	if err != nil || !newest {
+		return Plan{Stay: true}, err
+	}
+	return p.plan(r), nil
+}
+
+// Observe takes one report without planning, as while a switch is under way; it returns a ShapeError.
+func (p *Planner) Observe(r Report) (err error) {
+	_, err = p.take(r)
+	return err
+}
+
+// take adds a report and says whether it is the newest.
+func (p *Planner) take(r Report) (newest bool, err error) {
 	if err := r.Check(); err != nil {
-		return Plan{}, err
+		return false, err
 	}
 	if !p.started {
-		p.start(r)
+		if err := p.start(r); err != nil {
+			return false, err
+		}
 	}
 	if r.Shape() != p.shape {
-		return Plan{}, &ShapeError{Field: p.changed(r.Shape()), Reason: "changed since the first report"}
-	}
-	if !p.observe(r) {
-		return Plan{Stay: true}, nil
+		return false, &ShapeError{Field: p.changed(r.Shape()), Reason: "changed since the first report"}
 	}
-	return p.plan(r), nil
+	return p.observe(r), nil
 }
 
-func (p *Planner) start(r Report) {
-	p.started = true
+func (p *Planner) start(r Report) error {
 	p.shape = r.Shape()
-	p.current = RoundRobin(p.shape)
+	if p.current == nil {
+		p.current = RoundRobin(p.shape)
+	}
+	if err := p.current.Check(p.shape); err != nil {
+		return err
+	}
+	p.started = true
 	p.newest = r.Step
 	p.estimates = make([]*estimate, p.shape.Layers)
 	for l := range p.estimates {
 		p.estimates[l] = newEstimate(p.settings.Decays, p.shape.Experts)
 	}
+	return nil
 }
 
 func (p *Planner) changed(s Shape) string {
@@ -161,76 +182,6 @@
 	return plan
 }
 
-// task is a layer whose skew is above what noise explains.
-type task struct {
-	layer  int
-	shares []float64
-	goal   float64 // skew to reach
-	least  float64 // skew that a change must take
-}
-
-func (p *Planner) tasks() []task {
-	var tasks []task
-	for l, e := range p.estimates {
-		shares, tokens := e.best()
-		if shares == nil {
-			continue
-		}
-		skew := LayerSkew(p.current[l], shares)
-		if skew < 1+p.settings.Trigger {
-			continue
-		}
-		noise := p.noise(p.current[l], shares, tokens/e.noise)
-		bound := LayerBound(p.shape, shares)
-		least := max(p.settings.Trigger, p.settings.Sigma*noise)
-		if skew-bound >= least {
-			tasks = append(tasks, task{layer: l, shares: shares, goal: bound + max(p.settings.Goal, noise), least: least})
-		}
-	}
-	return tasks
-}
-
-// improveLayer returns the layer's next placement and the stages to it, none where staying is better.
-func (p *Planner) improveLayer(t task, price float64, loads int) ([][]int, []Stage) {
-	now := p.current[t.layer]
-	next := newPlacement(t.layer, cloneLayer(now), t.shares)
-	stages, gain := worth(next.improve(t.goal, loads), price)
-	if gain < t.least {
-		return nil, nil
-	}
-	return replay(now, stages), stages
-}
-
-// price returns the skew that one load must take from its layer to pay for itself.
-func (p *Planner) price(r Report) float64 {
-	lost := r.load() * p.settings.Stall * float64(clock.Second)
-	horizon := float64(p.settings.Horizon) * float64(p.settings.Step)
-	return max(p.settings.Least/float64(p.shape.Ranks), lost/horizon*float64(p.shape.Layers))
-}
-
-// noise returns the standard deviation of the busiest rank's load over the mean load
-// if the shares rest on so many independent tokens.
-func (p *Planner) noise(ranks [][]int, shares []float64, tokens float64) float64 {
-	copies := make([]float64, len(shares))
-	for _, slots := range ranks {
-		for _, e := range slots {
-			copies[e]++
-		}
-	}
-	most, variance := -1.0, 0.0
-	for _, slots := range ranks {
-		load, sum := 0.0, 0.0
-		for _, e := range slots {
-			load += shares[e] / copies[e]
-			sum += shares[e] / (copies[e] * copies[e])
-		}
-		if load > most {
-			most, variance = load, sum
-		}
-	}
-	return float64(len(ranks)) * math.Sqrt(variance/tokens)
-}
-
 // worth cuts the stages where what follows doesn't pay for itself and returns the gain of the rest.
 func worth(stages []Stage, price float64) ([]Stage, float64) {
 	best, length, net, gain, kept := 0.0, 0, 0.0, 0.0, 0.0
