Member: bounded messages, quiet logs, seeds read at once

Cause: evidence and pushes had bounds in number but not in bytes; a log line a second for each fault; the seeds of a cold fleet of 5,900 held back their own read for up to 54 s. Ruled out: smaller bounds in number only, as one crash may name a thousand contents. Change: evidence is cut to 256 KB a message, an outbox to 64 tickets; a fault is logged once in 10 s; seeds read as soon as they know the list. Conclusion: the partition of two to four members shows the rivals' part, which twenty members hid.

--- a/internal/member/duty.go
+++ b/internal/member/duty.go
@@ -63,13 +63,18 @@
 	m.heard, m.looked, m.doubt = now, now, m.options.Gossip
 	m.plan.list = m.List()
 	cold := clock.Span(m.options.Random() * float64(m.options.Cold))
-	if slices.Contains(m.options.Seeds, m.options.Self.Peer) {
+	if m.seed() {
 		cold = 0
 	}
 	m.duties[key{kind: exchange}] = &duty{next: now}
 	m.duties[key{kind: read}] = &duty{next: now.Add(cold)}
 }
 
+// seed tells whether cold processes ask this one first, which are few and so read at once.
+func (m *Member) seed() bool {
+	return slices.Contains(m.options.Seeds, m.options.Self.Peer)
+}
+
 // Due returns the duties whose time has come and marks them as being done.
 func (m *Member) Due(now clock.Time) (due []key) {
 	m.mutex.Lock()
--- a/internal/member/evidence.go
+++ b/internal/member/evidence.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
 	"carawaypick/internal/peer/peerpb"
 	"carawaypick/pkg/clock"
 )
@@ -13,7 +15,9 @@
 	// MaxEvidence is the number of crashes remembered.
 	MaxEvidence = 1024
 	// maxContents is the number of fingerprints taken from one crash.
-	maxContents = 4096
+	maxContents = 1024
+	// maxEvidenceBytes bounds the evidence in one message.
+	maxEvidenceBytes = 256 << 10
 	// passedEvidence is the number of crashes that an ordinary exchange carries.
 	passedEvidence = 32
 	// maxCrash is the longest name of a crash in bytes.
@@ -40,7 +44,7 @@
 	defer e.mutex.Unlock()
 	e.expire(now)
 	for _, v := range all {
-		if v.GetCrash() == "" || len(v.GetCrash()) > maxCrash || len(v.GetContents()) > maxContents {
+		if v.GetCrash() == "" || len(v.GetCrash()) > maxCrash {
 			continue
 		}
 		at := now.Add(-clock.Span(min(v.GetAge(), uint64(e.keep)+1)))
@@ -50,6 +54,9 @@
 		if _, known := e.crashes[v.GetCrash()]; known {
 			continue
 		}
+		if len(v.GetContents()) > maxContents {
+			v = &peerpb.Evidence{Crash: v.GetCrash(), Contents: v.GetContents()[:maxContents], Alone: v.GetAlone(), Age: v.GetAge()}
+		}
 		e.crashes[v.GetCrash()] = crash{evidence: v, at: at}
 		fresh = append(fresh, v)
 	}
@@ -85,6 +92,18 @@
 	return all
 }
 
+// part returns up to count crashes that fit into one message, newest first.
+func (e *evidence) part(now clock.Time, count int) (all []*peerpb.Evidence) {
+	bytes := 0
+	for _, v := range e.list(now, count) {
+		if bytes += proto.Size(v); bytes > maxEvidenceBytes {
+			break
+		}
+		all = append(all, v)
+	}
+	return all
+}
+
 // list returns up to count crashes with their present ages, newest first.
 func (e *evidence) list(now clock.Time, count int) (all []*peerpb.Evidence) {
 	e.mutex.Lock()
--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -215,19 +215,21 @@
 			requireAgreed(t, w)
 			requireConflict(t, w, 2)
 		})
-		t.Run("on two sides of a partition, "+authors[0], func(t *testing.T) {
-			w := warm(t, 20, 2, 2)
-			w.Cut = func(from, to int) bool { return from%2 != to%2 }
-			w.Service.Publish(2, first, 1)
-			w.Run(5 * clock.Minute)
-			w.Service.Publish(2, second, 0)
-			w.Run(15 * clock.Minute)
-			assert.NotEqual(t, w.Members[0].State().Hash, w.Members[1].State().Hash)
-			w.Cut = func(int, int) bool { return false }
-			w.Run(soon)
-			requireAgreed(t, w)
-			requireConflict(t, w, 2)
-		})
+		for _, count := range []int{2, 3, 4, 6, 20} {
+			t.Run(fmt.Sprintf("on two sides of a partition of %d, %s", count, authors[0]), func(t *testing.T) {
+				w := warm(t, count, 2, 2)
+				w.Cut = func(from, to int) bool { return from%2 != to%2 }
+				w.Service.Publish(2, first, 1)
+				w.Run(5 * clock.Minute)
+				w.Service.Publish(2, second, 0)
+				w.Run(15 * clock.Minute)
+				assert.NotEqual(t, w.Members[0].State().Hash, w.Members[1].State().Hash)
+				w.Cut = func(int, int) bool { return false }
+				w.Run(soon)
+				requireAgreed(t, w)
+				requireConflict(t, w, 2)
+			})
+		}
 		t.Run("after it was sealed, "+authors[0], func(t *testing.T) {
 			w := warm(t, 20, 3, 1)
 			w.Service.Publish(2, first)
@@ -344,6 +346,26 @@
 	})
 }
 
+func TestMessagesStayBounded(t *testing.T) {
+	const most = 4 << 20 // bytes that gRPC takes
+	w := spread.Empty(spread.Fleet(1, 5900, 6), 1)
+	w.Start(0, w.Service.List.Instances[0])
+	w.Start(1, w.Service.List.Instances[1])
+	for n := ticket.Number(1); n <= 6; n++ {
+		w.Service.Publish(n, long(n, ticket.MaxContent-1000))
+	}
+	requireForce(t, w, soon, 6)
+	for n := range member.MaxEvidence {
+		w.Members[0].AddEvidence(&peerpb.Evidence{Crash: fmt.Sprint(n), Contents: make([]uint64, 5000)})
+	}
+	w.Service.Down = true
+	w.Start(1, w.Service.List.Instances[1])
+	requireForce(t, w, soon, 6)
+	requireAgreed(t, w)
+	t.Logf("longest message %d bytes", w.Longest)
+	assert.Less(t, w.Longest, most)
+}
+
 func TestSyncBears(t *testing.T) {
 	w := warm(t, 3, 1, 1)
 	m := w.Members[0]
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -122,7 +122,7 @@
 		Address:  m.options.Self.Peer,
 		Digest:   m.Digest(),
 		After:    uint64(m.book.Seen()),
-		Evidence: m.evidence.list(now, passedEvidence),
+		Evidence: m.evidence.part(now, passedEvidence),
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -68,6 +68,7 @@
 	looked   clock.Time                // when duties were last looked for
 	dispute  clock.Time                // before which no other state of the same number is looked into
 	doubt    clock.Span                // how long the next dispute waits
+	noted    map[string]clock.Time     // when each fault was last logged
 	whole    bool                      // the next exchange asks for a whole list
 	attempts int                       // exchanges made without a configuration
 	sized    bool                      // the fleet's size was known at an own read
@@ -91,6 +92,7 @@
 		duties:   make(map[key]*duty),
 		outboxes: make(map[string]*outbox),
 		known:    make(map[string]*peerpb.Digest),
+		noted:    make(map[string]clock.Time),
 	}
 	m.begin(o.Clock.Now())
 	return m
@@ -128,7 +130,7 @@
 	if len(fresh) == 0 {
 		return
 	}
-	m.post("", func(o *outbox) { o.evidence = append(o.evidence, fresh...) })
+	m.post("", func(o *outbox) { o.tell(fresh) })
 	m.options.Notify()
 }
 
--- a/internal/member/read.go
+++ b/internal/member/read.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"carawaypick/internal/ticket"
 	"carawaypick/pkg/clock"
 )
@@ -20,6 +22,8 @@
 	maxReads = 16
 	// missDoublings bounds how often the wait between reads doubles while not even a list is known.
 	missDoublings = 3
+	// notePeriod is the least time between two log lines on one fault.
+	notePeriod = 10 * clock.Second
 	// silentSpans is the number of gossip periods without a word from a peer after which a process is on its own.
 	silentSpans = 5
 	// gapPatience is how long a gap may last before a snapshot is read.
@@ -97,6 +101,9 @@
 		return m.jitter(shortestRead << min(m.misses-1, missDoublings))
 	}
 	m.sized = true
+	if m.seed() {
+		return 0
+	}
 	return clock.Span(m.options.Random() * float64(Rate(fleet, !m.Ready())-shortestRead))
 }
 
@@ -167,7 +174,22 @@
 	return m.jitter(listPeriod)
 }
 
+// note logs a fault, and repeats the same one only after a while.
 func (m *Member) note(what string, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	now := m.options.Clock.Now()
+	m.mutex.Lock()
+	last, again := m.noted[what]
+	quiet := again && now.Sub(last) < notePeriod
+	if !quiet {
+		m.noted[what] = now
+	}
+	m.mutex.Unlock()
+	if quiet {
+		return
+	}
 	m.options.Log.Log("level", "warn", "message", what, "error", err)
 }
 
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -21,8 +21,8 @@
 	maxRounds = 16
 	// peerTimeout is how long an exchange may take.
 	peerTimeout = 2 * clock.Second
-	// maxOutbox is the number of tickets that wait to be pushed to one neighbour.
-	maxOutbox = 256
+	// maxOutbox is the number of tickets, and of crashes, that wait to be pushed to one neighbour.
+	maxOutbox = 64
 )
 
 // outbox is what is to be pushed to one neighbour.
@@ -32,6 +32,12 @@
 	digest   bool
 }
 
+// tell adds evidence for the neighbour; what finds no room follows with the next exchange.
+func (o *outbox) tell(fresh []*peerpb.Evidence) {
+	room := max(maxOutbox-len(o.evidence), 0)
+	o.evidence = append(o.evidence, fresh[:min(len(fresh), room)]...)
+}
+
 // post puts something into the outbox of each neighbour but the one it came from.
 func (m *Member) post(from string, put func(*outbox)) {
 	now := m.options.Clock.Now()
@@ -155,7 +161,7 @@
 		m.takeInstances(from, instances)
 	}
 	if fresh := m.evidence.add(now, all); len(fresh) > 0 {
-		m.post(from, func(o *outbox) { o.evidence = append(o.evidence, fresh...) })
+		m.post(from, func(o *outbox) { o.tell(fresh) })
 		m.options.Notify()
 	}
 }
@@ -245,7 +251,7 @@
 
 func (m *Member) evidenceFor(now clock.Time, d *peerpb.Digest) []*peerpb.Evidence {
 	if d.GetNumber() == 0 {
-		return m.evidence.list(now, MaxEvidence)
+		return m.evidence.part(now, MaxEvidence)
 	}
-	return m.evidence.list(now, passedEvidence)
+	return m.evidence.part(now, passedEvidence)
 }
--- a/internal/spread/rows.go
+++ b/internal/spread/rows.go
@@ -82,7 +82,7 @@
 	w.Service.Down = false
 	f.back = w.most(startSpan)
 	for n, i := range w.Service.List.Instances {
-		if i.Region == w.Service.List.Instances[size-1].Region {
+		if i.Region == w.Service.List.Instances[0].Region { // that of the seeds, so that they are cold too
 			w.Start(n, i)
 		}
 	}
--- a/internal/spread/world.go
+++ b/internal/spread/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"carawaypick/internal/member"
 	"carawaypick/internal/peer/peerpb"
@@ -25,6 +26,7 @@
 	Cut     func(from, to int) bool // whether a call between two members is lost
 	Random  *rand.Rand
 	Reverts int // times that a member returned to a lower number
+	Longest int // bytes of the longest message between two members
 
 	address map[string]int
 	highest map[int]ticket.Number
@@ -100,7 +102,9 @@
 	if !ok || w.Paused[to] || w.Cut(from, to) {
 		return nil, errCut
 	}
-	return w.Members[to].Sync(ctx, q)
+	r, err := w.Members[to].Sync(ctx, q)
+	w.Longest = max(w.Longest, proto.Size(q), proto.Size(r))
+	return r, err
 }
 
 // Run lets the time pass and every member do its duties.
