--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,15 +7,26 @@
 	"slices"
 
 	"carawaypick/internal/capacity"
+	"carawaypick/internal/choice"
+	"carawaypick/internal/latency"
 	"carawaypick/internal/measure"
+	"carawaypick/internal/outage"
+	"carawaypick/internal/skew"
 	"carawaypick/internal/spread"
 )
 
+// folder takes the plots.
+const folder = ".out"
+
 // measurements returns the rows of each measurement by its name.
 func measurements() map[string]func() ([]measure.Row, error) {
 	return map[string]func() ([]measure.Row, error){
 		"capacity": capacity.Rows,
+		"zone":     outage.Rows,
+		"choice":   choice.Rows,
 		"spread":   spread.Rows,
+		"path":     latency.Rows,
+		"skew":     func() ([]measure.Row, error) { return skew.Rows(folder) },
 	}
 }
 
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
 
 	"carawaypick/internal/binding"
 	"carawaypick/internal/peer/peerpb"
@@ -95,7 +96,11 @@
 
 func (a *Agent) begin(w *work) {
 	w.incarnation = a.load.Incarnation
+	w.started = a.clock.Now()
+	a.telemetry.Metrics.Share.Get(w.request.GetTeam()).Add(int(w.request.GetTokens()))
+	a.telemetry.Metrics.Wait.Get(w.request.GetTeam()).Update(float64(w.started.Sub(w.arrived)))
 	a.running[w] = struct{}{}
+	a.meter.Start(w.started)
 	a.measure()
 }
 
@@ -114,10 +119,23 @@
 		span.Fail(err)
 	}
 	refusal := a.judge(w, err)
+	w.reply(end, refusal)
+	a.release(w, err)
 	a.finish(w, end, refusal)
 	a.pump()
 }
 
+// release makes the backend server let go of a task whose answer did not come whole,
+// so that the slot is not given on while the task still runs there.
+func (a *Agent) release(w *work, err error) {
+	if err == nil || a.dialect.Cancel == nil || errors.Is(err, ErrNever) {
+		return
+	}
+	if err := a.dialect.Cancel(w.root, w.request.GetId()); err != nil {
+		level.Debug(a.telemetry.Logger).Log("msg", "cancel failed", "id", w.request.GetId(), "err", err)
+	}
+}
+
 // handOver checks once more what may have changed while the work waited, then runs it.
 func (a *Agent) handOver(ctx context.Context, w *work) (end End, err error) {
 	now := a.clock.Now()
@@ -145,7 +163,7 @@
 	}
 	if !w.request.GetStream() {
 		task.Limit = a.settings.Limits.Body
-		return a.dialect.Run(ctx, task, w.emit)
+		return a.runOut(w, task)
 	}
 	timer := newStall(a.stall(), func() { cancel(ErrStall) })
 	defer timer.stop()
@@ -160,6 +178,14 @@
 	return end, err
 }
 
+// runOut runs a task to its end even where nobody waits for the answer any more:
+// a plain service can't be told to stop, and its slot is taken until it has.
+func (a *Agent) runOut(w *work, task Task) (end End, err error) {
+	ctx, cancel := context.WithTimeout(w.root, a.settings.Timing.Keep.Duration())
+	defer cancel()
+	return a.dialect.Run(ctx, task, w.emit)
+}
+
 // stall returns the milliseconds without progress after which an answer is given up.
 func (a *Agent) stall() clock.Span {
 	s := a.member.State().Objects.Services[a.settings.Backend.Service]
@@ -220,10 +246,13 @@
 			a.suspects.Clear(now, w.request.GetFingerprint())
 		}
 	}
+	tokens := uint32(0)
 	if refusal == nil {
-		a.ramp.Done(now, max(w.request.GetTokens(), 1))
-		a.pace.done(max(w.request.GetTokens(), 1))
+		tokens = max(w.request.GetTokens(), 1)
+		a.ramp.Done(now, tokens)
+		a.pace.done(tokens)
 	}
+	a.meter.Done(now, tokens, now.Sub(w.started))
 	delete(a.running, w)
 	a.measure()
 	a.mu.Unlock()
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -20,7 +21,8 @@
 	token       binding.Token
 	bound       bool // may not be repeated
 	deadline    clock.Time
-	asked       clock.Time
+	arrived     clock.Time      // when it came in
+	started     clock.Time      // when it was handed over
 	root        context.Context // of the process
 	ctx         context.Context
 	incarnation string // of the backend server that it runs on
@@ -54,8 +56,8 @@
 	return &work{
 		root:     context.WithoutCancel(ctx),
 		request:  request,
+		arrived:  now,
 		deadline: now.Add(span),
-		asked:    now,
 		ctx:      ctx,
 		cancel:   cancel,
 		pieces:   make(chan Piece, pieceBuffer),
@@ -63,6 +65,11 @@
 	}
 }
 
+// key tells this work from other attempts at the same identifier.
+func (w *work) key() string {
+	return fmt.Sprintf("%s/%s/%d", w.request.GetId(), w.request.GetEntry(), w.request.GetAttempt())
+}
+
 // close ends the work once; a nil refusal means a whole answer.
 func (w *work) close(end End, refusal *peerpb.Refusal) {
 	w.once.Do(func() {
@@ -72,6 +79,13 @@
 	})
 }
 
+// reply ends free work for its entry before the backend server has let go of it.
+func (w *work) reply(end End, refusal *peerpb.Refusal) {
+	if !w.bound {
+		w.close(end, refusal)
+	}
+}
+
 // emit passes an event on, or keeps it where the work is bound.
 func (w *work) emit(p Piece) error {
 	if w.bound {
--- a/internal/balance/choose_test.go
+++ b/internal/balance/choose_test.go
@@ -122,13 +122,32 @@
 	t.Run("a cached prefix does not draw work to an overloaded backend server", func(t *testing.T) {
 		candidates := []Candidate{{Name: "a", Zone: "a", Cached: true, Tokens: 200}, {Name: "b", Zone: "a"}, {Name: "c", Zone: "a"}}
 		call := Call{Tokens: 100, Zone: "a"}
-		tuning := Tuning{Choices: 3, Affinity: 3, Bound: 1.25, HalfLife: 1}
+		tuning := Tuning{Choices: 3, Affinity: 3, Bound: 1.25, Slack: 1, HalfLife: 1}
 		i, _ := Chooser{Random: rand.New(rand.NewPCG(1, 2)).Uint64, Tuning: tuning}.Pick(call, candidates)
 		assert.NotZero(t, i)
 		candidates[0].Tokens = 150
 		i, _ = Chooser{Random: rand.New(rand.NewPCG(1, 2)).Uint64, Tuning: tuning}.Pick(call, candidates)
 		assert.Zero(t, i)
 	})
+	t.Run("work that overloads its homes goes to another holder of the prefix", func(t *testing.T) {
+		candidates := idle(16)
+		c, call := chooser(), Call{Fingerprint: 1, Prefix: 5, Tokens: 100, Zone: "a"}
+		var homes []int
+		for range 2 {
+			i, _ := c.Pick(call, candidates)
+			candidates[i].Tokens = 100_000
+			homes = append(homes, i)
+		}
+		holder := 0
+		for slices.Contains(homes, holder) {
+			holder++
+		}
+		candidates[holder].Cached = true
+		for range 50 {
+			i, _ := c.Pick(call, candidates)
+			assert.Equal(t, holder, i)
+		}
+	})
 	t.Run("one hot content does not overload its homes", func(t *testing.T) {
 		c, candidates := chooser(), idle(16)
 		for range 1600 {
@@ -155,7 +174,7 @@
 		p := pick{tuning: DefaultTuning()}
 		fresh := p.load(&Candidate{Load: 1000, Tokens: 100})
 		old := p.load(&Candidate{Load: 1000, Tokens: 100, Age: 10 * clock.Second})
-		assert.InDelta(t, 1000, fresh, 1e-9)
+		assert.InDelta(t, 1100, fresh, 1e-9)
 		assert.Less(t, old, fresh)
 		assert.Greater(t, old, 100.0)
 	})
