Member: pushes are tried again; cold processes ask seeds and instances by turns

Ruled out: more neighbours, which would cost bytes in calm. Change: a push that failed is tried again up to four times with growing waits; without a configuration every other exchange goes to a seed. Conclusion: losses are met where they happen.

--- a/internal/member/duty.go
+++ b/internal/member/duty.go
@@ -194,10 +194,15 @@
 	if k.kind == pull && !slices.Contains(m.plan.neighbours, k.address) {
 		delete(m.known, k.address)
 	}
-	if k.kind == push && m.outboxes[k.address] != nil {
-		m.duties[k] = &duty{next: now}
-		m.rouse()
+	o := m.outboxes[k.address]
+	if k.kind != push || o == nil {
+		return
+	}
+	if o.tries > 0 {
+		now = now.Add(m.jitter(retryPause << (o.tries - 1)))
 	}
+	m.duties[k] = &duty{next: now}
+	m.rouse()
 }
 
 // rouse makes the loop look for duties.
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -30,30 +31,45 @@
 	return m.jitter(firstCold << doublings)
 }
 
-// partner chooses whom to exchange with next.
+// partner chooses whom to exchange with next: a neighbour in turn, or without a configuration a seed and any
+// instance by turns, as a list may name few that are alive.
 func (m *Member) partner() string {
-	l := m.List()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.replan(m.options.Clock.Now())
-	if !m.Ready() && len(l.Instances) > 0 && m.attempts > 0 {
-		if i := l.Instances[m.pick(len(l.Instances))]; i.Peer != m.options.Self.Peer {
-			return i.Peer
+	if !m.Ready() && m.attempts%2 == 1 {
+		if address := m.anyone(); address != "" {
+			return address
 		}
 	}
-	if all := m.plan.neighbours; len(all) > 0 {
+	if all := m.plan.neighbours; m.Ready() && len(all) > 0 {
 		m.plan.turn++
 		return all[m.plan.turn%len(all)]
 	}
-	if len(m.options.Seeds) == 0 {
+	return m.anySeed()
+}
+
+// anyone returns the address of some other instance of the list, if there is one.
+func (m *Member) anyone() string {
+	l := m.plan.list
+	if len(l.Instances) == 0 {
 		return ""
 	}
-	if s := m.options.Seeds[m.pick(len(m.options.Seeds))]; s != m.options.Self.Peer {
-		return s
+	if i := l.Instances[m.pick(len(l.Instances))]; i.Peer != m.options.Self.Peer {
+		return i.Peer
 	}
 	return ""
 }
 
+// anySeed returns the address of a seed, or of any instance where there is none but this process.
+func (m *Member) anySeed() string {
+	others := slices.DeleteFunc(slices.Clone(m.options.Seeds), func(s string) bool { return s == m.options.Self.Peer })
+	if len(others) == 0 {
+		return m.anyone()
+	}
+	return others[m.pick(len(others))]
+}
+
 func (m *Member) pick(count int) int {
 	return min(int(m.options.Random()*float64(count)), count-1)
 }
@@ -176,9 +192,28 @@
 		q.Instances = content
 	}
 	r, err := m.call(ctx, address, q)
-	if err == nil { // a failure is counted there, and the next exchange tries again
-		m.Heard(r.GetDigest(), address)
+	if err != nil {
+		m.putBack(address, o)
+		return
+	}
+	m.Heard(r.GetDigest(), address)
+}
+
+// putBack keeps what a neighbour was not told for another try; after the last one, exchanges have to do.
+func (m *Member) putBack(address string, o *outbox) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if o.tries++; o.tries > maxTries || !slices.Contains(m.plan.neighbours, address) {
+		return
+	}
+	if later := m.outboxes[address]; later != nil {
+		o.tickets = append(o.tickets, later.tickets...)
+		o.evidence = append(o.evidence, later.evidence...)
+		o.digest = o.digest || later.digest
 	}
+	o.tickets = o.tickets[:min(len(o.tickets), maxOutbox)]
+	o.evidence = o.evidence[:min(len(o.evidence), maxOutbox)]
+	m.outboxes[address] = o
 }
 
 // call makes one call to a peer and takes in its reply.
--- a/internal/member/read.go
+++ b/internal/member/read.go
@@ -190,7 +190,7 @@
 	if quiet {
 		return
 	}
-	m.options.Log.Log("level", "warn", "message", what, "error", err)
+	m.options.Log.Log("level", "warn", "msg", what, "error", err)
 }
 
 // refuse counts and logs a value that could not be read.
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -21,6 +21,9 @@
 	maxRounds = 16
 	// peerTimeout is how long an exchange may take.
 	peerTimeout = 2 * clock.Second
+	// maxTries is the number of times that a push is tried again, and retryPause the mean wait before the first.
+	maxTries   = 4
+	retryPause = 100 * clock.Millisecond
 	// maxOutbox is the number of tickets, and of crashes, that wait to be pushed to one neighbour.
 	maxOutbox = 64
 )
@@ -30,6 +33,7 @@
 	tickets  []*peerpb.Ticket
 	evidence []*peerpb.Evidence
 	digest   bool
+	tries    int // that failed
 }
 
 // tell adds evidence for the neighbour; what finds no room follows with the next exchange.
