Ticket: tests of validity, fold, difference and bounds

Cause: only the share had a test of its own. Change: a table over every field, shared states, forgetting, what a gap may hold. Before and after: pass at the first run; TestBookBoundsWhatAGapHolds and TestBookForgets are not yet seen red.

--- /dev/null
+++ b/internal/ticket/check_test.go
@@ -0,0 +1,180 @@
+package ticket
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// whole returns objects of every kind that are valid together.
+func whole() Objects {
+	return Objects{
+		Teams:    map[string]*Team{"desk": {Share: 2, Priority: 3, Limit: 1000}},
+		Zones:    map[string]*Zone{"lima-a": {State: In}},
+		Services: map[string]*Service{"check": {Kind: ModelService, Model: "m", Bears: 16, Cold: 2}, "archive": {Kind: PlainService, Bears: 1, Cold: 1}},
+		Models:   map[string]*Model{"m": {Version: "v1", Adapters: []string{"a", "b"}}},
+		Backends: map[string]*Backend{"e1": {State: Out, Role: PrefillRole}},
+		Groups:   map[string]*Group{"g": {Ranks: []string{"e1", "e2"}, Slots: 8}},
+	}
+}
+
+// assertField checks that an error is an InvalidError of a field, or that there is none where the field is empty.
+func assertField(t *testing.T, err error, field string) {
+	t.Helper()
+	var e *InvalidError
+	if field == "" {
+		assert.NoError(t, err)
+	} else if assert.True(t, errors.As(err, &e), "%v", err) {
+		assert.Equal(t, field, e.Field)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	for _, c := range []struct {
+		name, field string
+		change      func(*Ticket)
+	}{
+		{"whole", "", func(*Ticket) {}},
+		{"nothing", "", func(k *Ticket) { k.Objects = Objects{} }},
+		{"no author", "author", func(k *Ticket) { k.Author = "" }},
+		{"number in force", "number", func(k *Ticket) { k.Number = 1 }},
+		{"share 0", "teams.desk.share", func(k *Ticket) { k.Objects.Teams["desk"].Share = 0 }},
+		{"share endless", "teams.desk.share", func(k *Ticket) { k.Objects.Teams["desk"].Share = math.Inf(1) }},
+		{"share not a number", "teams.desk.share", func(k *Ticket) { k.Objects.Teams["desk"].Share = math.NaN() }},
+		{"empty name", "teams", func(k *Ticket) { k.Objects.Teams[""] = nil }},
+		{"name with a slash", "teams", func(k *Ticket) { k.Objects.Teams["a/b"] = nil }},
+		{"long name", "zones", func(k *Ticket) { k.Objects.Zones[strings.Repeat("z", maxName+1)] = nil }},
+		{"zone state", "zones.lima-a.state", func(k *Ticket) { k.Objects.Zones["lima-a"].State = "half" }},
+		{"service kind", "services.check.kind", func(k *Ticket) { k.Objects.Services["check"].Kind = "" }},
+		{"plain service with a model", "services.archive.model", func(k *Ticket) { k.Objects.Services["archive"].Model = "m" }},
+		{"model service without one", "services.check.model", func(k *Ticket) { k.Objects.Services["check"].Model = "" }},
+		{"model that does not exist", "services.check.model", func(k *Ticket) { k.Objects.Services["check"].Model = "n" }},
+		{"model removed from under a service", "services.check.model", func(k *Ticket) { k.Objects.Models["m"] = nil }},
+		{"model and service removed", "", func(k *Ticket) { k.Objects.Models["m"], k.Objects.Services["check"] = nil, nil }},
+		{"bears nothing", "services.check.bears", func(k *Ticket) { k.Objects.Services["check"].Bears = 0 }},
+		{"cold above warm", "services.check.cold", func(k *Ticket) { k.Objects.Services["check"].Cold = 17 }},
+		{"cold bears nothing", "services.check.cold", func(k *Ticket) { k.Objects.Services["check"].Cold = 0 }},
+		{"long stall", "services.check.stall", func(k *Ticket) { k.Objects.Services["check"].Stall = maxStall + 1 }},
+		{"no version", "models.m.version", func(k *Ticket) { k.Objects.Models["m"].Version = "" }},
+		{"adapter twice", "models.m.adapters", func(k *Ticket) { k.Objects.Models["m"].Adapters = []string{"a", "a"} }},
+		{"backend state", "backends.e1.state", func(k *Ticket) { k.Objects.Backends["e1"].State = "" }},
+		{"backend role", "backends.e1.role", func(k *Ticket) { k.Objects.Backends["e1"].Role = "cook" }},
+		{"no ranks", "groups.g.ranks", func(k *Ticket) { k.Objects.Groups["g"].Ranks = nil }},
+		{"rank twice", "groups.g.ranks", func(k *Ticket) { k.Objects.Groups["g"].Ranks = []string{"e1", "e1"} }},
+		{"no slots", "groups.g.slots", func(k *Ticket) { k.Objects.Groups["g"].Slots = 0 }},
+		{"rank in two groups", "groups.h.ranks", func(k *Ticket) { k.Objects.Groups["h"] = &Group{Ranks: []string{"e2"}, Slots: 1} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := Ticket{Number: 2, Author: "ana", Objects: whole()}
+			c.change(&k)
+			assertField(t, Check(&State{Number: 1}, k), c.field)
+		})
+	}
+	t.Run("a state beyond its bound", func(t *testing.T) {
+		s := &State{}
+		for n := Number(1); s.Size < MaxState/2; n++ {
+			k := Ticket{Number: n, Author: "ana", Objects: Objects{Teams: make(map[string]*Team)}}
+			for i := range 10_000 {
+				k.Objects.Teams[fmt.Sprintf("%s-%d-%d", strings.Repeat("t", 80), n, i)] = &Team{Share: 1}
+			}
+			s = s.Apply(k)
+			require.Empty(t, s.Skipped)
+		}
+		k := Ticket{Number: s.Number + 1, Author: "ana", Objects: Objects{Teams: make(map[string]*Team)}}
+		for i := range 10_000 {
+			k.Objects.Teams[fmt.Sprintf("%s-more-%d", strings.Repeat("t", 80), i)] = &Team{Share: 1}
+		}
+		assertField(t, Check(s, k), "objects")
+	})
+}
+
+func TestFoldShares(t *testing.T) {
+	s := (&State{}).Apply(Ticket{Number: 1, Author: "ana", Objects: whole()})
+	next := s.Apply(Ticket{Number: 2, Author: "ana", Objects: Objects{Zones: map[string]*Zone{"lima-a": nil, "lima-b": {State: Out}}}})
+	t.Run("the earlier state stays", func(t *testing.T) {
+		assert.Equal(t, whole(), s.Objects)
+	})
+	t.Run("an object is removed by null and the rest stays", func(t *testing.T) {
+		assert.Equal(t, map[string]*Zone{"lima-b": {State: Out}}, next.Objects.Zones)
+		assert.Equal(t, s.Objects.Teams, next.Objects.Teams)
+	})
+	t.Run("the hash is that of the objects, whatever led there", func(t *testing.T) {
+		content, err := next.Snapshot()
+		require.NoError(t, err)
+		cold, err := DecodeSnapshot(content)
+		require.NoError(t, err)
+		assert.Equal(t, next.Hash, cold.Hash)
+		assert.NotEqual(t, next.Hash, next.Apply(Ticket{Number: 3, Author: "ana"}).Hash)
+	})
+}
+
+func TestDiff(t *testing.T) {
+	s := (&State{}).Apply(Ticket{Number: 1, Author: "ana", Objects: whole()})
+	lines, err := Change(s, Ticket{Number: 2, Author: "ana", Objects: Objects{
+		Teams:    map[string]*Team{"desk": {Share: 3, Priority: 3, Limit: 1000}, "night": {Share: 1}},
+		Backends: map[string]*Backend{"e1": nil, "e9": nil},
+		Zones:    map[string]*Zone{"lima-a": {State: In}},
+	}})
+	require.NoError(t, err)
+	assert.Equal(t, "~ teams.desk.share 2 -> 3\n"+
+		"+ teams.night {\"share\":1,\"priority\":0,\"limit\":0}\n"+
+		"- backends.e1 {\"state\":\"out\",\"role\":\"prefill\",\"fence\":false}\n", Render(lines))
+	t.Run("an invalid ticket changes nothing", func(t *testing.T) {
+		lines, err := Change(s, Ticket{Number: 1, Author: "ana"})
+		assertField(t, err, "number")
+		assert.Empty(t, lines)
+	})
+}
+
+func TestBookForgets(t *testing.T) {
+	const seal = 1000
+	b, cold := NewBook(0, seal), NewBook(0, seal)
+	last := Number(keepTickets + 300)
+	for n := Number(1); n <= last; n++ {
+		add(t, b, 0, encode(t, n, "ana", float64(n)), 0)
+	}
+	require.Equal(t, last, b.State().Number)
+	t.Run("nothing before it is sealed", func(t *testing.T) {
+		assert.Zero(t, b.Base())
+	})
+	b.Advance(seal + 1)
+	t.Run("all but the last tickets once they are", func(t *testing.T) {
+		assert.Equal(t, last-keepTickets, b.Base())
+		assert.Equal(t, last, b.Unsealed(seal+1))
+	})
+	t.Run("and brings a cold peer to the same state by a snapshot", func(t *testing.T) {
+		items, err := b.After(seal+1, 0, MaxState)
+		require.NoError(t, err)
+		require.True(t, items[0].Snapshot)
+		_, err = cold.AddSnapshot(0, items[0].Content)
+		require.NoError(t, err)
+		for _, i := range items[1:] {
+			add(t, cold, 0, i.Content, i.Age)
+		}
+		assertSameObjects(t, b, cold)
+	})
+	t.Run("and takes a rival of what it has forgotten for nothing", func(t *testing.T) {
+		before := b.State()
+		add(t, b, seal+1, encode(t, 3, "eva", 9), seal)
+		assert.Same(t, before, b.State())
+	})
+}
+
+func TestBookBoundsWhatAGapHolds(t *testing.T) {
+	b := NewBook(0, 1000)
+	pad := strings.Repeat("p", MaxContent-200)
+	for n := Number(40); n >= 2; n-- {
+		_, err := b.Add(0, []byte(fmt.Sprintf(`{"number":%d,"pad":"%s"}`, n, pad)), 0)
+		require.NoError(t, err)
+	}
+	assert.LessOrEqual(t, b.bytes, keepBytes)
+	assert.True(t, b.Holds(2), "the lowest is needed first")
+	assert.False(t, b.Holds(40))
+	add(t, b, 0, encode(t, 1, "ana", 1), 0)
+	assert.Greater(t, b.State().Number, Number(5))
+}
