--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -17,7 +17,7 @@
 	// callTimeout is how long a call may take besides the time it is asked to wait.
 	callTimeout = 5 * clock.Second
 	// maxConnections is the most connections to one service.
-	maxConnections = 4
+	maxConnections = 8
 )
 
 // Reader reads the platform through its function fields, so that another dialect fills them in another way.
