--- /dev/null
+++ b/internal/member/faults_test.go
@@ -0,0 +1,78 @@
+package member_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"carawaypick/internal/spread"
+	"carawaypick/internal/testkit"
+	"carawaypick/internal/ticket"
+	"carawaypick/pkg/clock"
+)
+
+const faultyMembers = 8
+
+// faults are what may go wrong, each for some member or for the platform.
+var faults = map[string]func(w *spread.World, member int){
+	"outage": func(w *spread.World, _ int) { w.Service.Down = true },
+	"away":   func(w *spread.World, member int) { w.Service.Away[member] = true },
+	"pause":  func(w *spread.World, member int) { w.Paused[member] = true },
+	"death":  func(w *spread.World, member int) { w.Start(member, w.Service.List.Instances[member]) },
+	"split": func(w *spread.World, member int) {
+		w.Cut = func(from, to int) bool { return (from < member) != (to < member) }
+	},
+	"isolate": func(w *spread.World, member int) {
+		w.Cut = func(from, to int) bool { return from == member || to == member }
+	},
+	"loss": func(w *spread.World, _ int) { w.Cut = func(int, int) bool { return w.Random.Float64() < 0.5 } },
+}
+
+// heal ends all faults.
+func heal(w *spread.World) {
+	w.Service.Down = false
+	clear(w.Service.Away)
+	clear(w.Paused)
+	w.Cut = func(int, int) bool { return false }
+}
+
+// publishSome puts the next ticket at all replicas, at one, or as two contents at two.
+func publishSome(t *rapid.T, w *spread.World, n ticket.Number) {
+	switch rapid.SampledFrom([]string{"all", "one", "rivals"}).Draw(t, "publish") {
+	case "all":
+		w.Service.Publish(n, share(n, "ana", float64(n)))
+	case "one":
+		w.Service.Publish(n, share(n, "ana", float64(n)), rapid.IntRange(0, 1).Draw(t, "stale"))
+	case "rivals":
+		w.Service.Publish(n, share(n, "ana", float64(n)), 0)
+		w.Service.Publish(n, share(n, "eva", float64(n)+0.5), 1)
+	}
+}
+
+func TestFaultsTogether(t *testing.T) {
+	testkit.Property(t, func(t *rapid.T) {
+		w := spread.NewWorld(faultyMembers, 2, 2)
+		names := slices.Sorted(maps.Keys(faults))
+		last := ticket.Number(rapid.IntRange(2, 6).Draw(t, "tickets"))
+		for n := ticket.Number(1); n <= last; n++ {
+			publishSome(t, w, n)
+			for i := range rapid.IntRange(0, 2).Draw(t, "faults") {
+				name := rapid.SampledFrom(names).Draw(t, fmt.Sprint("fault", i))
+				faults[name](w, rapid.IntRange(0, faultyMembers-1).Draw(t, "member"))
+			}
+			w.Run(clock.Span(rapid.IntRange(0, 8000).Draw(t, "ms")))
+			if rapid.Bool().Draw(t, "heal") {
+				heal(w)
+			}
+		}
+		heal(w)
+		took, ok := w.RunUntil(20*clock.Second, func() bool { return inForce(w, last) })
+		require.True(t, ok, "numbers %v after %d ms", numbers(w), took)
+		w.Run(40 * clock.Second) // an audit finds what only the other replica holds
+		requireAgreed(t, w)
+	})
+}
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -60,8 +60,7 @@
 }
 
 // requireAgreed checks that no member has reverted and that all hold the same state and list.
-func requireAgreed(t *testing.T, w *spread.World) {
-	t.Helper()
+func requireAgreed(t require.TestingT, w *spread.World) {
 	require.Zero(t, w.Reverts)
 	first := w.Members[0]
 	for n, m := range w.Members {
--- a/internal/ticket/book_test.go
+++ b/internal/ticket/book_test.go
@@ -91,6 +91,18 @@
 		add(t, b, 0, []byte(`{ "author":"ana", "number":1, "objects":{} }`), 0)
 		assert.Empty(t, b.Conflicts(0))
 	})
+	t.Run("a snapshot that is not ahead changes nothing", func(t *testing.T) {
+		b := NewBook(0, 60000)
+		add(t, b, 0, encode(t, 1, "ana", 1), 0)
+		add(t, b, 0, encode(t, 2, "ana", 2), 0)
+		before := b.State()
+		for _, content := range []string{`{"number":1,"objects":{}}`, `{"number":2,"objects":{}}`} {
+			changed, err := b.AddSnapshot(0, []byte(content))
+			require.NoError(t, err)
+			assert.False(t, changed)
+			assert.Same(t, before, b.State())
+		}
+	})
 	t.Run("a rival seen too late is refused and told", func(t *testing.T) {
 		low, high := ordered(t)
 		b := NewBook(1000, 60000)
