Run all measurements by make measure

Cause: the target had no recipe. Ruled out: go run without a build before it, since the path is measured with the built binary. Change: make measure builds, then runs every measurement.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,9 @@
 demo: build
 	.out/standin demo --binary .out/carawaypick --folder demo
 
+measure: build
+	.out/measure
+
 tools: $(TOOLS)/golangci-lint $(TOOLS)/buf
 
 $(TOOLS)/golangci-lint: tools/lint/go.sum
