End every call to the platform with its context

Cause: a new test that runs entry and agent to their end found a goroutine of platform.client.get, which waited for a watch up to 35 s after Run had returned. Ruled out: closing all pooled connections when one context ends, which cuts other calls; leaving the goroutine to its timeout, as it reports its end to nobody. Change: each call has a connection of its own that closes with its context, and one attempt only (fasthttp made up to five for a failed read, which the call count did not show). TestGoroutinesEnd looks at all stacks of the product, gRPC, fasthttp clients and traces after Run. Conclusion: nothing of a process outlives its Run.

--- /dev/null
+++ b/internal/cli/end_test.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"runtime/pprof"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"carawaypick/internal/config"
+	"carawaypick/internal/kernel"
+	"carawaypick/internal/operator"
+	"carawaypick/internal/standin"
+	"carawaypick/internal/standin/fleet"
+	"carawaypick/internal/telemetry"
+	"carawaypick/pkg/clock"
+)
+
+// patience is how long a condition may take to come.
+const patience = 20 * time.Second
+
+// own matches a stack of the product, its gRPC connections, its HTTP clients or its trace output.
+var own = regexp.MustCompile(`carawaypick/internal/(caller|backend|member|node|peer|platform|telemetry)\.|google\.golang\.org/grpc|fasthttp\.\(\*(HostClient|Client)\)|otel/sdk/trace`)
+
+// running returns the stacks of goroutines that a process of the product started.
+func running(t *testing.T) (stacks []string) {
+	t.Helper()
+	var all bytes.Buffer
+	require.NoError(t, pprof.Lookup("goroutine").WriteTo(&all, 2))
+	for _, s := range bytes.Split(all.Bytes(), []byte("\n\n")) {
+		if own.Match(s) {
+			stacks = append(stacks, string(s))
+		}
+	}
+	return stacks
+}
+
+// ended runs a role in this process, ends it and asserts that nothing of it still runs.
+func ended(t *testing.T, role string, s config.Settings) {
+	t.Helper()
+	require.Empty(t, running(t))
+	tools, err := telemetry.Open(s, role, os.Stdout, &bytes.Buffer{})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := kernel.Start(ctx, func(ctx context.Context) error { return roles()[role](ctx, s, tools) })
+	once := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	require.Eventually(t, func() bool {
+		response, err := once.Get("http://" + s.Listen + operator.PathReady)
+		if err != nil {
+			return false
+		}
+		return response.Body.Close() == nil && response.StatusCode == http.StatusOK
+	}, patience, 10*time.Millisecond)
+	require.NotEmpty(t, running(t), "the role runs")
+	cancel()
+	require.NoError(t, <-done)
+	require.NoError(t, tools.Close(context.Background()))
+	assert.Eventually(t, func() bool { return len(running(t)) == 0 }, patience, 10*time.Millisecond)
+	assert.Empty(t, running(t))
+}
+
+func TestGoroutinesEnd(t *testing.T) {
+	tickets, err := standin.NewTickets("", t.TempDir())
+	require.NoError(t, err)
+	defer tickets.Stop()
+	require.NoError(t, tickets.Publish([]byte(base)))
+	list, err := standin.NewList("", "")
+	require.NoError(t, err)
+	defer list.Stop()
+	engine, err := standin.NewEngine("")
+	require.NoError(t, err)
+	defer engine.Stop()
+	settings := func(name string) config.Settings {
+		s := config.Defaults()
+		s.Name, s.Zone = name, "lima-a"
+		s.Listen, err = fleet.FreeAddress()
+		require.NoError(t, err)
+		s.Peer, err = fleet.FreeAddress()
+		require.NoError(t, err)
+		s.Platform = config.Platform{Tickets: tickets.URL(), List: list.URL()}
+		s.Timing = fleet.QuickTiming()
+		s.Timing.Drain = 100 * clock.Millisecond
+		s.Trace = config.Trace{File: filepath.Join(t.TempDir(), name), Ratio: 1}
+		list.Set([]standin.Instance{{Name: s.Name, Role: "entry", Zone: s.Zone, Peer: s.Peer, Caller: s.Listen, State: "live"}})
+		return s
+	}
+	t.Run("entry", func(t *testing.T) { ended(t, "entry", settings("e1")) })
+	t.Run("agent", func(t *testing.T) {
+		s := settings("a1")
+		s.Backend = config.Backend{URL: engine.URL(), Service: "check", Kind: "engine"}
+		ended(t, "agent", s)
+	})
+}
--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,8 +17,8 @@
 const (
 	// callTimeout is how long a call may take besides the time it is asked to wait.
 	callTimeout = 5 * clock.Second
-	// maxConnections is the most connections to one service.
-	maxConnections = 4
+	// clientName is the user agent of all calls.
+	clientName = "carawaypick"
 )
 
 // Reader reads the platform through its function fields, so that another dialect fills them in another way.
@@ -44,12 +45,7 @@
 
 // NewReader returns a Reader of the configuration service and the list at two base URLs.
 func NewReader(tickets, list string) *Reader {
-	c := &client{http: &fasthttp.Client{
-		Name:                "carawaypick",
-		MaxConnsPerHost:     maxConnections,
-		MaxResponseBodySize: MaxAnswer,
-		ReadTimeout:         0, // each call has its own
-	}}
+	c := &client{}
 	tickets, list = strings.TrimSuffix(tickets, "/"), strings.TrimSuffix(list, "/")
 	return &Reader{
 		Tickets: func(ctx context.Context, after uint64, wait clock.Span) ([][]byte, error) {
@@ -66,7 +62,6 @@
 }
 
 type client struct {
-	http  *fasthttp.Client
 	calls atomic.Uint64
 }
 
@@ -112,22 +107,29 @@
 	return errors.As(err, &e) && e.Code == code
 }
 
-// get makes one call and returns its body, or the context's error as soon as it ends.
+// get makes one call on a connection of its own, which is closed at the call's end or as soon as ctx ends.
 func (c *client) get(ctx context.Context, url string, timeout clock.Span) (body []byte, err error) {
 	if err = ctx.Err(); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	c.calls.Add(1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	request, response := &fasthttp.Request{}, &fasthttp.Response{}
 	request.SetRequestURI(url)
-	done := make(chan error, 1)
-	go func() { done <- c.http.DoTimeout(request, response, timeout.Duration()) }()
-	select {
-	case err = <-done:
-	case <-ctx.Done(): // the call ends by itself at its timeout, with a request and response that nobody else holds
-		err = ctx.Err()
+	request.SetConnectionClose()
+	once := &fasthttp.HostClient{
+		Addr:                      string(request.URI().Host()),
+		IsTLS:                     string(request.URI().Scheme()) == "https",
+		Name:                      clientName,
+		MaxResponseBodySize:       MaxAnswer,
+		MaxIdemponentCallAttempts: 1, // each counts at the platform
+		Dial:                      func(address string) (net.Conn, error) { return dial(ctx, address) },
 	}
-	if err != nil {
+	if err = once.DoTimeout(request, response, timeout.Duration()); err != nil {
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
 		return nil, errors.WithStack(err)
 	}
 	if code := response.StatusCode(); code != http.StatusOK {
@@ -135,3 +137,14 @@
 	}
 	return response.Body(), nil
 }
+
+// dial opens a connection that ends with ctx.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: callTimeout.Duration()}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return conn, nil
+}
