--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -97,6 +97,8 @@
 func (a *Agent) begin(w *work) {
 	w.incarnation = a.load.Incarnation
 	w.started = a.clock.Now()
+	a.telemetry.Metrics.Share.Get(w.request.GetTeam()).Add(int(w.request.GetTokens()))
+	a.telemetry.Metrics.Wait.Get(w.request.GetTeam()).Update(float64(w.started.Sub(w.arrived)))
 	a.running[w] = struct{}{}
 	a.meter.Start(w.started)
 	a.measure()
@@ -238,16 +240,12 @@
 func (a *Agent) finish(w *work, end End, refusal *peerpb.Refusal) {
 	now := a.clock.Now()
 	a.mu.Lock()
-	if a.alone {
-		a.alone = false
-		if refusal == nil {
-			a.suspects.Clear(now, w.request.GetFingerprint())
-		}
-	}
+	a.alone = false // where w ran alone, nothing else ran
 	tokens := uint32(0)
 	if refusal == nil {
 		tokens = max(w.request.GetTokens(), 1)
 		a.ramp.Done(now, tokens)
+		a.suspects.Whole(now, w.request.GetFingerprint())
 		a.pace.done(tokens)
 	}
 	a.meter.Done(now, tokens, now.Sub(w.started))
