--- a/internal/promise/crash_test.go
+++ b/internal/promise/crash_test.go
@@ -48,13 +48,21 @@
 	}
 }
 
-// TestPromiseCrashByCoincidence kills engines under innocent requests, twice, and condemns nobody.
+// TestPromiseCrashByCoincidence kills engines under an innocent request and condemns nobody.
 func TestPromiseCrashByCoincidence(t *testing.T) {
+	for kills, name := range []string{"never", "once", "twice"} {
+		t.Run(name, func(t *testing.T) { coincidence(t, kills) })
+	}
+}
+
+// coincidence kills the engine under each of some calls with one content, each of which another engine answers whole,
+// and sends the content once more.
+func coincidence(t *testing.T, kills int) {
 	b := open(t, setup{entries: 2, engines: 3, plains: 1})
 	b.everyEngine(func(f *standin.EngineFault) { f.Interval = 15 })
 	c := b.caller(model, "zone-a")
 	s := ask(question+", inocente", 30)
-	for range 2 {
+	for range kills {
 		s.call.ID = ask("", 1).call.ID
 		result := later(func() sent { return s.do(t.Context(), c) })
 		b.Engines[b.running(s.call.ID)].Restart()
--- a/internal/promise/once_test.go
+++ b/internal/promise/once_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"carawaypick/internal/config"
 	"carawaypick/internal/operator"
 	"carawaypick/internal/standin"
 	"carawaypick/internal/standin/fleet"
@@ -264,6 +265,30 @@
 	b.assertAtMostOnce(calls...)
 }
 
+// TestPromiseRunsAtMostOnceAfterForgetting wakes an agent after all that it remembered is too old, and resends.
+func TestPromiseRunsAtMostOnceAfterForgetting(t *testing.T) {
+	const life, keep = clock.Second, 2 * clock.Second
+	b := open(t, setup{entries: 2, engines: 1, plains: 1, change: func(c *config.Settings) {
+		c.Timing.TTL, c.Timing.Life, c.Timing.Keep = life/2, life, keep
+	}})
+	c := b.caller(plain, "zone-a")
+	location := b.locate(c)
+	s := correct(location).at(t.Context(), c, location)
+	assertWhole(t, s)
+	agent := b.Agents[len(b.Agents)-1]
+	require.NoError(t, agent.Pause())
+	b.pass(life + keep + keep/2)
+	require.NoError(t, agent.Resume())
+	b.located()
+	// Another request makes the agent sweep what it has to forget.
+	fresh := b.locate(c)
+	other := correct(fresh).at(t.Context(), c, fresh)
+	assertWhole(t, other)
+	again := s.again(t.Context(), c, location)
+	assert.Equal(t, standin.Unknown, again.answer.Outcome, "%s", again.answer.Reason)
+	b.assertAtMostOnce(s, other, again)
+}
+
 func (b *bench) agentOf(plain *standin.Plain) *fleet.Process {
 	b.t.Helper()
 	for name, p := range b.Plains {
