See a restart of the backend server by a connection that dies with it

Slots that had come free just before the restart were filled before the first broken answer was seen. Ruled out: the window (closed at the next report), slots given on too early (they wait for the engine's cancel). Change: an idle connection, the sentinel, is looked at without waiting before each choice and, after the dial, before each hand-over: a connection that stood before the look dies with the process that the sentinel vouches for. A late report counts only once it describes a moment after the doubt. An idle backend server with a sentinel needs no fresh report any more. Found on the way: those who wait for a refused identifier could see the general reason in place of the real one. Conclusion: what remains is a connection that the old process had not taken from its listener.

--- a/internal/backend/admit.go
+++ b/internal/backend/admit.go
@@ -121,10 +121,10 @@
 
 // deny ends work with a refusal that proves that it was not handed over.
 func (a *Agent) deny(w *work, refusal *peerpb.Refusal) {
+	a.telemetry.Metrics.Refusals.Get(refusal.GetReason()).Inc()
+	w.close(End{}, refusal) // before the table tells those who wait, so that they see the reason
 	if w.bound {
 		a.table.Refuse(w.request.GetId(), w.request.GetSend())
 	}
-	a.telemetry.Metrics.Refusals.Get(refusal.GetReason()).Inc()
-	w.close(End{}, refusal)
 	w.cancel()
 }
--- a/internal/backend/agent.go
+++ b/internal/backend/agent.go
@@ -61,13 +61,15 @@
 	pace     pace          // tokens a second while the window is full
 	meter    balance.Meter // time that a request takes
 	running  map[*work]struct{}
-	aside    []*work // suspects that wait to run alone
-	alone    bool    // a suspect runs alone
-	doubt    bool    // an answer broke off and the backend server was not asked since
-	doubts   uint64  // answers that broke off
-	misses   int     // reports in a row that did not come
-	probing  bool    // a report is on its way
-	seen     bool    // a report has ever come
+	aside    []*work    // suspects that wait to run alone
+	alone    bool       // a suspect runs alone
+	doubt    bool       // an answer broke off and the backend server was not asked since
+	doubts   uint64     // answers that broke off
+	doubted  clock.Time // when the last one did
+	sure     uint64     // epoch of the last report that was free of doubt
+	misses   int        // reports in a row that did not come
+	probing  bool       // a report is on its way
+	seen     bool       // a report has ever come
 	down     bool
 	gone     bool // operators had the backend server or its zone out when last looked
 	leaving  bool
--- a/internal/backend/agent_test.go
+++ b/internal/backend/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -47,13 +48,20 @@
 	peak    atomic.Int32
 	work    func(ctx context.Context, task Task, emit func(Piece) error) (End, error)
 	number  int
+	sign    func() uint64 // of the dialect, may be nil
 	letGo   chan struct{} // holds cancel calls back where not nil
 	cancels atomic.Int32
 }
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	b := &bench{t: t, runs: map[string]int{}, load: Load{Incarnation: "first"}}
+	return newBenchWith(t, nil)
+}
+
+// newBenchWith is newBench with a backend server that gives a sign where its process ends.
+func newBenchWith(t *testing.T, sign func() uint64) *bench {
+	t.Helper()
+	b := &bench{t: t, sign: sign, runs: map[string]int{}, load: Load{Incarnation: "first"}}
 	b.work = whole
 	c := clock.New()
 	b.member = member.New(member.Options{
@@ -69,7 +77,9 @@
 	})
 	b.publish(`"zones":{"z1":{"state":"in"}},"services":{"desk":{"kind":"plain","model":"","idempotent":true,"stall":300,"bears":4,"cold":4}}`)
 	dialect := fmt.Sprint(t.Name(), benches.Add(1))
-	Dialects.Register(dialect, func(string) (Dialect, error) { return Dialect{Run: b.run, Load: b.report, Cancel: b.cancel}, nil })
+	Dialects.Register(dialect, func(string) (Dialect, error) {
+		return Dialect{Run: b.run, Load: b.report, Cancel: b.cancel, Epoch: b.sign}, nil
+	})
 	s := config.Defaults()
 	s.Name, s.Zone = "a1", "z1"
 	s.Backend = config.Backend{Service: "desk", Kind: dialect}
@@ -435,6 +445,54 @@
 	}
 }
 
+// TestAgentLateReports restarts a backend server whose reports are late: its old report says nothing of the new process.
+func TestAgentLateReports(t *testing.T) {
+	var epoch atomic.Uint64
+	b := newBenchWith(t, epoch.Load)
+	b.publish(`"services":{"desk":{"kind":"plain","model":"","idempotent":true,"stall":300,"bears":4,"cold":1}}`)
+	for i := range 40 {
+		require.NotNil(t, b.call(request(fmt.Sprint("warm", i))).GetFinal())
+	}
+	epoch.Add(1)
+	b.set(func() { b.load = Load{Incarnation: "first", Epoch: 1, Age: clock.Hour} })
+	open := b.gate()
+	ends := []<-chan *peerpb.RunEvent{b.start(request("cold0")), b.start(request("cold1"))}
+	b.eventually(func() bool { return b.agent.report("").GetQueued() == 2 })
+	for range 3 {
+		_, err := b.agent.probe(t.Context())
+		require.NoError(t, err)
+		b.agent.pump()
+		require.Zero(t, b.running.Load(), "handed over on a report of the process before")
+	}
+	b.set(func() { b.load = Load{Incarnation: "second", Epoch: 1} })
+	b.eventually(func() bool { return b.running.Load() == 1 })
+	b.agent.pump()
+	assert.EqualValues(t, 1, b.running.Load())
+	open()
+	for _, end := range ends {
+		require.NotNil(t, (<-end).GetFinal())
+	}
+}
+
+func TestSentinel(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	var s sentinel
+	dial := func(context.Context) (net.Conn, error) { return net.Dial("tcp", listener.Addr().String()) }
+	epoch, err := s.ensure(t.Context(), dial)
+	require.NoError(t, err)
+	other, err := listener.Accept()
+	require.NoError(t, err)
+	assert.Equal(t, epoch, s.now(), "the connection stands")
+	require.NoError(t, other.Close())
+	require.Eventually(t, func() bool { return s.now() == epoch+1 }, patience, time.Millisecond)
+	assert.Equal(t, epoch+1, s.now(), "one end counts once")
+	next, err := s.ensure(t.Context(), dial)
+	require.NoError(t, err)
+	assert.Equal(t, epoch+1, next)
+}
+
 func TestAgentCrash(t *testing.T) {
 	crash := func(b *bench, marked string) {
 		b.set(func() {
--- a/internal/backend/dialect.go
+++ b/internal/backend/dialect.go
@@ -18,6 +18,7 @@
 	Priority int32
 	Resume   uint64 // events that the caller already has
 	Limit    int    // most bytes of one event or body
+	Epoch    uint64 // of the report on which the hand-over rests
 }
 
 // Piece is one event of an answer.
@@ -41,6 +42,7 @@
 	Queued      uint32     `json:"queued"`
 	Tokens      uint64     `json:"tokens"`
 	Age         clock.Span `json:"age"` // milliseconds since the report was made
+	Epoch       uint64     `json:"-"`   // of the backend server's process before the report
 }
 
 // Dialect speaks one backend server's protocol.
@@ -51,6 +53,9 @@
 	// Cancel ends a task whose answer is no longer wanted and returns once the backend server has let go of it.
 	// It is nil where the protocol has no such call: there a task runs to its end.
 	Cancel func(ctx context.Context, id string) error
+	// Epoch returns a number that changes at once when the backend server's process may have ended.
+	// It is nil where the protocol has no such sign: there an idle backend server is asked before it gets work.
+	Epoch func() uint64
 	// Load returns the backend server's report.
 	Load func(ctx context.Context) (Load, error)
 }
@@ -58,6 +63,9 @@
 // ErrNever marks a hand-over of which no byte left the agent.
 var ErrNever = errors.New("not handed over")
 
+// ErrRestarted marks a hand-over that was given up because the backend server's process may have ended.
+var ErrRestarted = errors.Wrap(ErrNever, "backend server restarted")
+
 // ErrCut marks an answer that broke off.
 var ErrCut = errors.New("answer broke off")
 
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return Dialect{}, err
 	}
-	return Dialect{Run: t.generate, Cancel: t.cancel, Load: t.load}, nil
+	return Dialect{Run: t.generate, Cancel: t.cancel, Epoch: t.sentinel.now, Load: t.load}, nil
 }
 
 // token is one event of an engine's stream.
@@ -50,7 +50,7 @@
 	request.Header.Set("Priority", strconv.Itoa(int(task.Priority)))
 	request.Header.Set("Resume", strconv.FormatUint(task.Resume, 10))
 	request.SetBodyRaw(task.Body)
-	err = t.exchange(ctx, request, func(response *fasthttp.Response) error {
+	err = t.handOver(ctx, task.Epoch, request, func(response *fasthttp.Response) error {
 		if response.StatusCode() != fasthttp.StatusOK {
 			end, err = refused(response, task, emit)
 			return err
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -17,6 +18,10 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, reportPeriod.Duration())
 	defer cancel()
+	epoch, err := t.sentinel.ensure(ctx, func(ctx context.Context) (net.Conn, error) { return t.dial(ctx, "tcp", t.address) })
+	if err != nil {
+		return Load{}, err
+	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.SetRequestURI("/load")
@@ -33,5 +38,6 @@
 		}
 		return json.Unmarshal(content, &load)
 	})
+	load.Epoch = epoch
 	return load, err
 }
--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return Dialect{}, err
 	}
-	return Dialect{Run: t.plain, Load: t.load}, nil
+	return Dialect{Run: t.plain, Epoch: t.sentinel.now, Load: t.load}, nil
 }
 
 func (t transport) plain(ctx context.Context, task Task, emit func(Piece) error) (end End, err error) {
@@ -31,7 +31,7 @@
 	request.SetRequestURI(task.Path)
 	request.Header.Set(headerID, task.ID)
 	request.SetBodyRaw(task.Body)
-	err = t.exchange(ctx, request, func(response *fasthttp.Response) error {
+	err = t.handOver(ctx, task.Epoch, request, func(response *fasthttp.Response) error {
 		content, err := body(response, task.Limit)
 		if err != nil {
 			return err
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -73,7 +73,7 @@
 	if a.doubt || a.alone {
 		return false
 	}
-	if len(a.running) == 0 && now.Sub(a.loaded) > probeFresh {
+	if !a.certain(now) {
 		if a.queue.Len() > 0 || len(a.aside) > 0 {
 			a.ask()
 		}
@@ -82,6 +82,25 @@
 	return uint32(len(a.running)) < a.ramp.Window(now)
 }
 
+// certain tells whether the backend server's process is still the one that reported; mu is held.
+func (a *Agent) certain(now clock.Time) bool {
+	if a.dialect.Epoch == nil {
+		return len(a.running) > 0 || now.Sub(a.loaded) <= probeFresh
+	}
+	if a.dialect.Epoch() == a.load.Epoch {
+		return true
+	}
+	a.distrust()
+	return false
+}
+
+// distrust stops hand-overs until a report that describes a later moment has come; mu is held.
+func (a *Agent) distrust() {
+	a.doubt = true
+	a.doubts++
+	a.doubted = a.clock.Now()
+}
+
 // isolate starts the first suspect once nothing else runs; mu is held.
 func (a *Agent) isolate() *work {
 	if len(a.running) > 0 {
@@ -96,6 +115,7 @@
 
 func (a *Agent) begin(w *work) {
 	w.incarnation = a.load.Incarnation
+	w.epoch = a.load.Epoch
 	w.started = a.clock.Now()
 	a.telemetry.Metrics.Share.Get(w.request.GetTeam()).Add(int(w.request.GetTokens()))
 	a.telemetry.Metrics.Wait.Get(w.request.GetTeam()).Update(float64(w.started.Sub(w.arrived)))
@@ -159,6 +179,7 @@
 		Body:     w.request.GetBody(),
 		Priority: w.request.GetPriority(),
 		Resume:   w.request.GetResume(),
+		Epoch:    w.epoch,
 		Limit:    a.settings.Limits.Event,
 	}
 	if !w.request.GetStream() {
@@ -231,6 +252,12 @@
 		return notRun(binding.ReasonExpired, 0)
 	case w.ctx.Err() != nil:
 		return notRun(ReasonCancel, 0)
+	case errors.Is(err, ErrRestarted):
+		a.mu.Lock()
+		a.distrust()
+		a.ask()
+		a.mu.Unlock()
+		return notRun(ReasonDown, downAfter)
 	}
 	a.crashed(w)
 	return notRun(ReasonDown, downAfter)
@@ -261,10 +288,10 @@
 }
 
 func (a *Agent) conclude(w *work, end End, refusal *peerpb.Refusal) {
+	w.close(end, refusal) // before the table tells those who wait, so that they see the reason
 	if w.bound && refusal.GetOutcome() == peerpb.Outcome_OUTCOME_NOTRUN {
 		a.table.Never(w.request.GetId(), w.request.GetSend())
 	}
-	w.close(end, refusal)
 	if w.bound {
 		a.table.Finish(w.request.GetId(), w.answer())
 	}
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -25,8 +25,9 @@
 // transport opens one connection for each exchange, so that no stale connection is
 // ever reused and a failed dial proves that nothing was handed over.
 type transport struct {
-	address string
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	address  string
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	sentinel *sentinel
 }
 
 func newTransport(base string) (t transport, err error) {
@@ -38,12 +39,22 @@
 		return transport{}, errors.Newf("URL of the backend server must be http://host:port, not %q", base)
 	}
 	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
-	return transport{address: u.Host, dial: dialer.DialContext}, nil
+	return transport{address: u.Host, dial: dialer.DialContext, sentinel: &sentinel{}}, nil
 }
 
 // exchange writes the request once and passes the response to read, which must consume its body.
 // The connection is closed when ctx ends.
 func (t transport) exchange(ctx context.Context, request *fasthttp.Request, read func(*fasthttp.Response) error) (err error) {
+	return t.guarded(ctx, request, func() bool { return true }, read)
+}
+
+// handOver is an exchange that writes nothing where the backend server has restarted since the epoch:
+// a connection that stood before the look dies with the process that the sentinel vouches for.
+func (t transport) handOver(ctx context.Context, epoch uint64, request *fasthttp.Request, read func(*fasthttp.Response) error) (err error) {
+	return t.guarded(ctx, request, func() bool { return t.sentinel.now() == epoch }, read)
+}
+
+func (t transport) guarded(ctx context.Context, request *fasthttp.Request, same func() bool, read func(*fasthttp.Response) error) (err error) {
 	conn, err := t.dial(ctx, "tcp", t.address)
 	if err != nil {
 		return errors.Wrapf(ErrNever, "dial: %v", err)
@@ -51,6 +62,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
+	if !same() {
+		return ErrRestarted
+	}
 	request.Header.SetConnectionClose()
 	request.SetHost(t.address)
 	if err := write(conn, request); err != nil {
--- a/internal/backend/watch.go
+++ b/internal/backend/watch.go
@@ -93,9 +93,7 @@
 		a.ramp.Restart(now)
 		level.Info(a.telemetry.Logger).Log("msg", "backend server started", "incarnation", load.Incarnation)
 	}
-	if a.doubts == doubts {
-		a.doubt = false
-	}
+	a.settleDoubt(now, load, doubts)
 	a.misses = 0
 	a.down = false
 	a.seen = true
@@ -103,14 +101,29 @@
 	a.loaded = now
 }
 
+// settleDoubt judges whether a report speaks of the process that is there now; mu is held.
+// A report that is late may describe the process before.
+func (a *Agent) settleDoubt(now clock.Time, load Load, doubts uint64) {
+	same := a.dialect.Epoch != nil && a.seen && load.Epoch == a.sure
+	if a.seen && !same && !a.doubt && load.Age > 0 {
+		a.distrust()
+		return
+	}
+	later := now.Add(-load.Age) >= a.doubted
+	if a.doubts != doubts || (!later && !same) {
+		return
+	}
+	a.doubt = false
+	a.sure = load.Epoch
+}
+
 // crashed tells whether the answer to w broke off because the backend server went down under it.
 func (a *Agent) crashed(w *work) bool {
 	a.mu.Lock()
-	a.doubt = true
-	a.doubts++
+	a.distrust()
 	a.mu.Unlock()
 	load, err := a.probe(w.root)
-	if err == nil && load.Incarnation == w.incarnation {
+	if err == nil && load.Incarnation == w.incarnation && load.Epoch == w.epoch {
 		return false
 	}
 	a.mu.Lock()
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -26,6 +26,7 @@
 	root        context.Context // of the process
 	ctx         context.Context
 	incarnation string // of the backend server that it runs on
+	epoch       uint64 // of the same
 	cancel      context.CancelFunc
 	pieces      chan Piece
 	done        chan struct{}
