Bound a plan by the store's rate where its map must be loaded first

Ruled out: 1 s batches with a small price (those figures). Change: Settings.Batch and expert.Paced (300 ms a plan, only loads that gain much); internal/group uses it; the policy paced measures it. Conclusion: better where the store's rate is scarce, worse where it isn't; the price is too high for noise.

--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -66,7 +66,7 @@
 		clock:       c,
 		rank:        expert.NewRank(s.Name, s.Ranks, s.First, mark),
 		coordinator: expert.NewCoordinator(s.Name, uint32(mark), s.Ranks, s.Margin, s.Give),
-		planner:     expert.NewPlanner(expert.Defaults()),
+		planner:     expert.NewPlanner(expert.Paced()),
 		ticked:      c.Now(),
 		queues:      map[string]chan expert.Message{},
 		wants:       make(chan expert.Use, 1),
--- a/internal/skew/policy.go
+++ b/internal/skew/policy.go
@@ -1,6 +1,11 @@
 package skew
 
-import "carawaypick/pkg/expert"
+import (
+	"math"
+
+	"carawaypick/pkg/clock"
+	"carawaypick/pkg/expert"
+)
 
 // Names of the policies.
 const (
@@ -8,6 +13,7 @@
 	Full     = "full"     // a new map from nothing after each step
 	Previous = "previous" // the first version: one decay and no estimate of noise, with the present search
 	Planner  = "planner"  // the planner as it is
+	Paced    = "paced"    // the planner with maps that take effect once they are loaded, in batches
 )
 
 // Policy names a way of choosing the next map; Next returns the map after the report and the loads that lead to it.
@@ -33,10 +39,38 @@
 			Least:   0.012,
 			Goal:    0.005,
 		})
+	case Paced:
+		return paced(s)
 	}
 	return planned(name, s, expert.Defaults())
 }
 
+// paced plans only while nothing is being loaded, as internal/group does.
+func paced(s expert.Shape) Policy {
+	settings := expert.Paced()
+	planner := expert.NewPlanner(settings)
+	now := expert.RoundRobin(s)
+	next := now
+	wait := 0
+	return Policy{Name: Paced, Next: func(r expert.Report) (expert.Map, int, error) {
+		if wait > 0 {
+			wait--
+			if wait == 0 {
+				now = next
+			}
+			return now, 0, planner.Observe(r)
+		}
+		plan, err := planner.Next(r)
+		if err != nil || plan.Stay {
+			return now, 0, err
+		}
+		next = plan.Map
+		load := float64(len(plan.Moves)) * weight / rate * float64(clock.Second)
+		wait = int(math.Ceil(load / float64(settings.Step)))
+		return now, len(plan.Moves), nil
+	}}
+}
+
 func never(s expert.Shape) Policy {
 	m := expert.RoundRobin(s)
 	return Policy{Name: Never, Next: func(expert.Report) (expert.Map, int, error) { return m, 0, nil }}
--- a/internal/skew/rows.go
+++ b/internal/skew/rows.go
@@ -36,7 +36,7 @@
 }
 
 func names() []string {
-	return []string{Never, Full, Previous, Planner}
+	return []string{Never, Full, Previous, Paced, Planner}
 }
 
 func shapes() []expert.Shape {
--- a/pkg/expert/plan.go
+++ b/pkg/expert/plan.go
@@ -1,6 +1,8 @@
 package expert
 
 import (
+	"cmp"
+	"math"
 	"slices"
 
 	"carawaypick/pkg/clock"
@@ -15,6 +17,7 @@
 	Trigger float64    // least skew that a change must take from a layer
 	Least   float64    // least skew that each load must take from its layer, times the number of ranks
 	Goal    float64    // skew above the bound that a change aims at
+	Batch   clock.Span // ms that the loads of one plan may take at the store's rate, 0 for no limit
 	Sigma   float64    // least standard deviations of the busiest rank's load that a change must exceed, 0 for no estimate of noise
 }
 
@@ -32,6 +35,15 @@
 	}
 }
 
+// Paced returns the settings for a group whose next map must be loaded before it is used: small plans
+// of the changes that gain most, because the store's rate is what is scarce.
+func Paced() Settings {
+	s := Defaults()
+	s.Batch = 300 * clock.Millisecond
+	s.Least = 0.06
+	return s
+}
+
 // window is the number of steps back from the newest within which a late line still counts.
 const window = 64
 
@@ -159,29 +171,42 @@
 }
 
 func (p *Planner) plan(r Report) Plan {
-	next := make(Map, p.shape.Layers)
-	copy(next, p.current)
-	var parts [][]Stage
 	tasks := p.tasks()
+	limit := p.limit(r)
+	var parts [][]Stage
 	for _, t := range tasks {
-		l := t.layer
-		ranks, stages := p.improveLayer(t, p.price(r), max(fewest, changes/len(tasks)))
-		if len(stages) > 0 {
-			next[l] = ranks
+		loads := min(limit, max(fewest, changes/len(tasks)))
+		if stages := p.improveLayer(t, p.price(r), loads); len(stages) > 0 {
 			parts = append(parts, stages)
 		}
 	}
 	if len(parts) == 0 {
 		return Plan{Stay: true}
 	}
-	plan := Plan{Map: next, Moves: Moves(p.current, next), Stages: byGain(parts)}
+	plan := Plan{Map: p.current.Clone(), Stages: byGain(parts, limit)}
 	for _, s := range plan.Stages {
 		plan.Gain += s.Gain / float64(p.shape.Layers)
+		s.apply(plan.Map)
 	}
-	p.current = next
+	plan.Moves = Moves(p.current, plan.Map)
+	p.current = plan.Map
 	return plan
 }
 
+// limit returns the most loads that one plan may make.
+func (p *Planner) limit(r Report) int {
+	if p.settings.Batch == 0 {
+		return math.MaxInt
+	}
+	return max(2, int(float64(p.settings.Batch)/float64(clock.Second)/r.load()))
+}
+
+func (s Stage) apply(m Map) {
+	for _, move := range s.Moves {
+		m[move.Layer][move.Rank][move.Slot] = move.Expert
+	}
+}
+
 // worth cuts the stages where what follows doesn't pay for itself and returns the gain of the rest.
 func worth(stages []Stage, price float64) ([]Stage, float64) {
 	best, length, net, gain, kept := 0.0, 0, 0.0, 0.0, 0.0
@@ -195,39 +220,34 @@
 	return stages[:length], kept
 }
 
-func replay(ranks [][]int, stages []Stage) [][]int {
-	next := cloneLayer(ranks)
-	for _, s := range stages {
-		for _, m := range s.Moves {
-			next[m.Rank][m.Slot] = m.Expert
+// byGain merges the stages of several layers, best gain for each load first, each layer's in their order,
+// and leaves the layers out that would pass the limit.
+func byGain(parts [][]Stage, limit int) []Stage {
+	slices.SortStableFunc(parts, func(a, b []Stage) int {
+		return -cmp.Compare(rateOf(a), rateOf(b))
+	})
+	var all []Stage
+	total := 0
+	for _, stages := range parts {
+		_, loads := sum(stages)
+		if total+loads > limit {
+			continue
 		}
+		total += loads
+		all = append(all, stages...)
 	}
-	return next
+	return all
 }
 
-// byGain merges the stages of several layers, best gain for each load first, each layer's in their order.
-func byGain(parts [][]Stage) []Stage {
-	slices.SortStableFunc(parts, func(a, b []Stage) int {
-		return -compare(rateOf(a), rateOf(b))
-	})
-	return slices.Concat(parts...)
+func rateOf(stages []Stage) float64 {
+	gain, loads := sum(stages)
+	return gain / float64(loads)
 }
 
-func rateOf(stages []Stage) float64 {
-	gain, loads := 0.0, 0
+func sum(stages []Stage) (gain float64, loads int) {
 	for _, s := range stages {
 		gain += s.Gain
 		loads += len(s.Moves)
 	}
-	return gain / float64(loads)
-}
-
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	return gain, loads
 }
--- a/pkg/expert/plan_test.go
+++ b/pkg/expert/plan_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"carawaypick/internal/testkit"
+	"carawaypick/pkg/clock"
 )
 
 func TestRoundRobin(t *testing.T) {
@@ -137,6 +138,25 @@
 	return r
 }
 
+func TestBatch(t *testing.T) {
+	settings := Defaults()
+	settings.Batch = 50 * clock.Millisecond
+	p := NewPlanner(settings)
+	s := Shape{Ranks: 8, Slots: 10, Experts: 64, Layers: 4}
+	counts := make([]int64, s.Experts)
+	for e := range counts {
+		counts[e] = int64(1_000_000 / (e + 1))
+	}
+	r := report(s, 0, counts...)
+	r.Weight, r.Rate = 1_000_000, 100_000_000
+	before := Skew(RoundRobin(s), r.Layers)
+	for step := range uint64(100) {
+		r.Step = step
+		assert.LessOrEqual(t, len(assertNext(t, p, r).Moves), 5)
+	}
+	assert.Less(t, Skew(p.current, r.Layers), 1+(before-1)/10)
+}
+
 func steps(n int) []int {
 	all := make([]int, n)
 	for i := range all {
--- a/pkg/expert/task.go
+++ b/pkg/expert/task.go
@@ -38,15 +38,14 @@
 	return tasks
 }
 
-// improveLayer returns the layer's next placement and the stages to it, none where staying is better.
-func (p *Planner) improveLayer(t task, price float64, loads int) ([][]int, []Stage) {
-	now := p.current[t.layer]
-	next := newPlacement(t.layer, cloneLayer(now), t.shares)
+// improveLayer returns the stages to the layer's next placement, none where staying is better.
+func (p *Planner) improveLayer(t task, price float64, loads int) []Stage {
+	next := newPlacement(t.layer, cloneLayer(p.current[t.layer]), t.shares)
 	stages, gain := worth(next.improve(t.goal, loads), price)
 	if gain < t.least {
-		return nil, nil
+		return nil
 	}
-	return replay(now, stages), stages
+	return stages
 }
 
 // price returns the skew that one load must take from its layer to pay for itself.
