--- a/pkg/expert/plan.go
+++ b/pkg/expert/plan.go
@@ -40,7 +40,7 @@
 func Paced() Settings {
 	s := Defaults()
 	s.Batch = 300 * clock.Millisecond
-	s.Least = 0.06
+	s.Least = 0.03
 	return s
 }
 
