Allow a typed ending to callers of the entry that slept

Cause: TestPromiseZoneOut failed once in a full run: a call of the entry that the test itself pauses for 3 s ended as unknown, reason none, at 0 events. A truthful refusal is allowed there; the check asked for whole answers of all. Ruled out: a lost or wrong answer; that is still checked. Change: calls of that entry's zone may end typed, all others must be whole. Conclusion: an entry that wakes could wait for fresh reports before it says none; reported.

--- a/internal/promise/zone_test.go
+++ b/internal/promise/zone_test.go
@@ -102,6 +102,10 @@
 		b.eventually("new work in the zone", func() bool { return b.newWork(out) > before })
 	})
 	for _, s := range load.end() {
+		if s.zone == asleep.Settings.Zone {
+			assertTrue(t, s) // through the entry that slept, which may refuse
+			continue
+		}
 		assertWhole(t, s)
 	}
 	for name, e := range b.Engines {
