--- a/internal/backend/agent_test.go
+++ b/internal/backend/agent_test.go
@@ -447,6 +447,11 @@
 
 // TestAgentLateReports restarts a backend server whose reports are late: its old report says nothing of the new process.
 func TestAgentLateReports(t *testing.T) {
+	t.Run("seen by the sign first", func(t *testing.T) { lateReports(t, false) })
+	t.Run("seen by a report first", func(t *testing.T) { lateReports(t, true) })
+}
+
+func lateReports(t *testing.T, reported bool) {
 	var epoch atomic.Uint64
 	b := newBenchWith(t, epoch.Load)
 	b.publish(`"services":{"desk":{"kind":"plain","model":"","idempotent":true,"stall":300,"bears":4,"cold":1}}`)
@@ -455,7 +460,12 @@
 	}
 	epoch.Add(1)
 	b.set(func() { b.load = Load{Incarnation: "first", Epoch: 1, Age: clock.Hour} })
-	open := b.gate()
+	if reported {
+		_, err := b.agent.probe(t.Context())
+		require.NoError(t, err)
+	}
+	open := sync.OnceFunc(b.gate())
+	defer open()
 	ends := []<-chan *peerpb.RunEvent{b.start(request("cold0")), b.start(request("cold1"))}
 	b.eventually(func() bool { return b.agent.report("").GetQueued() == 2 })
 	for range 3 {
