Read tickets although the instance list stays empty

Cause: a process that found the list empty (service stale or down at its start) waited for it for ever and never had a configuration. Ruled out: reading at once (thousands of processes without a list would read together). Change: after four empty answers a process takes the fleet for as large as it may become and reads at that pace. Conclusion: tickets need no list.

--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"carawaypick/internal/kernel"
 	"carawaypick/internal/peer/peerpb"
 	"carawaypick/pkg/clock"
 	"carawaypick/pkg/expert"
@@ -77,20 +78,18 @@
 	return n
 }
 
-// Run sends, loads and keeps time until the context ends; the channel is closed once all has ended.
-func (n *Node) Run(ctx context.Context) <-chan struct{} {
-	done := make(chan struct{})
-	var wg conc.WaitGroup
-	for name, queue := range n.queues {
-		wg.Go(func() { n.sender(ctx, name, queue) })
-	}
-	wg.Go(func() { n.loader(ctx) })
-	wg.Go(func() { n.ticker(ctx) })
-	go func() {
-		defer close(done)
+// Run sends, loads and keeps time until the context ends, and reports once all of it has ended.
+func (n *Node) Run(ctx context.Context) <-chan error {
+	return kernel.Start(ctx, func(ctx context.Context) error {
+		var wg conc.WaitGroup
+		for name, queue := range n.queues {
+			wg.Go(func() { n.sender(ctx, name, queue) })
+		}
+		wg.Go(func() { n.loader(ctx) })
+		wg.Go(func() { n.ticker(ctx) })
 		wg.Wait()
-	}()
-	return done
+		return nil
+	})
 }
 
 func (n *Node) sender(ctx context.Context, to string, queue <-chan expert.Message) {
--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -246,6 +246,13 @@
 }
 
 func TestProcessFails(t *testing.T) {
+	t.Run("tickets are read although the instance list stays empty", func(t *testing.T) {
+		w := spread.NewWorld(6, 3, 1)
+		w.Service.List = &platform.List{}
+		w.Service.Publish(1, share(1, "ana", 1))
+		w.Run(90 * clock.Second)
+		assert.True(t, inForce(w, 1, 0, 1, 2, 3, 4, 5))
+	})
 	t.Run("a partition heals", func(t *testing.T) {
 		w := warm(t, 20, 2, 1)
 		w.Cut = func(from, to int) bool { return from%2 != to%2 }
--- a/internal/member/read.go
+++ b/internal/member/read.go
@@ -78,9 +78,15 @@
 	}
 	m.fill(ctx)
 	m.readList(ctx)
-	return m.jitter(Rate(len(m.List().Instances), m.silent()))
+	return m.jitter(Rate(m.size(), m.silent()))
 }
 
+// A process that found the list empty some times reads tickets all the same, at the pace of the largest fleet.
+const (
+	missesUnsized = 4
+	unsizedFleet  = 6000
+)
+
 // hold learns the fleet's size before the first own read, and returns how long to leave the rest to peers,
 // so that a fleet that starts at once stays within its rate.
 func (m *Member) hold(ctx context.Context) (wait clock.Span) {
@@ -98,7 +104,10 @@
 	defer m.mutex.Unlock()
 	if fleet == 0 {
 		m.misses++
-		return m.jitter(shortestRead << min(m.misses-1, missDoublings))
+		if m.misses <= missesUnsized {
+			return m.jitter(shortestRead << min(m.misses-1, missDoublings))
+		}
+		fleet = unsizedFleet
 	}
 	m.sized = true
 	if m.seed() {
@@ -107,6 +116,14 @@
 	return clock.Span(m.options.Random() * float64(Rate(fleet, !m.Ready())-shortestRead))
 }
 
+// size returns the number of processes by the list, or the most expected where there is no list.
+func (m *Member) size() int {
+	if listed := len(m.List().Instances); listed > 0 {
+		return listed
+	}
+	return unsizedFleet
+}
+
 // silent tells whether no peer has been heard for some gossip periods.
 func (m *Member) silent() bool {
 	m.mutex.Lock()
--- a/internal/member/start.go
+++ b/internal/member/start.go
@@ -4,26 +4,18 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/panics"
 
+	"carawaypick/internal/kernel"
 	"carawaypick/pkg/clock"
 )
 
 // Start reads and spreads until the context ends, and then reports on the channel, once all its calls have ended.
 func (m *Member) Start(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		var catcher panics.Catcher
-		catcher.Try(func() { m.loop(ctx) })
-		if r := catcher.Recovered(); r != nil {
-			done <- errors.Wrap(r.AsError(), "run member")
-			return
-		}
-		done <- nil
-	}()
-	return done
+	return kernel.Start(ctx, func(ctx context.Context) error {
+		m.loop(ctx)
+		return nil
+	})
 }
 
 func (m *Member) loop(ctx context.Context) {
