--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -78,7 +78,7 @@
 	w.mu.Unlock()
 	w.stops[name] = func() {
 		cancel()
-		<-done
+		assert.NoError(w.t, <-done)
 	}
 }
 
