Let an entry that was paused wait for fresh reports

Ruled out: believing stale reports (an agent may have left meanwhile; its refusal is cheap, but a crash is not). Change: where the last look at due reports is over 1 s ago, calls wait up to 2 s for the first fresh report. Beside it: the node serves the role's HTTP itself, which stood twice. Before and after: the board's new test is red without the rule (it asserts the wait before and after the next look), green now. Conclusion: the pause costs time, not answers.

--- a/internal/backend/process.go
+++ b/internal/backend/process.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"net"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"carawaypick/internal/config"
-	"carawaypick/internal/kernel"
 	"carawaypick/internal/node"
 	"carawaypick/internal/operator"
 	"carawaypick/internal/peer/peerpb"
@@ -34,13 +31,9 @@
 		State:   n.State,
 		Metrics: t.Metrics,
 	}
-	app := operator.NewApp(s.Limits, n.Views)
 	err = n.Run(ctx, node.Role{
 		Start: a.Start,
-		HTTP: func(l net.Listener) <-chan error {
-			return kernel.Start(ctx, func(context.Context) error { return app.Listener(l) })
-		},
-		Stop:  func(wait time.Duration) error { return app.ShutdownWithTimeout(wait) },
+		App:   operator.NewApp(s.Limits, n.Views),
 		Leave: a.Leave,
 		Idle:  a.Idle,
 		Hear:  a.Hear,
--- a/internal/caller/board.go
+++ b/internal/caller/board.go
@@ -14,6 +14,7 @@
 
 const (
 	lostKeep    = 500 * clock.Millisecond // how long an agent that could not be reached is passed over
+	pauseGap    = clock.Second            // between two looks at due reports after which this process was paused
 	unheardSpan = 2 * clock.Second        // time that a newly listed agent has for its first report
 	staleAfter  = 5                       // periods without a report after which an agent counts as lost
 	reportCost  = 10 * clock.Millisecond  // of the period for each agent: at most 100 reports a second are asked for
@@ -48,6 +49,8 @@
 	agents map[string]*view
 	order  map[string][]*view // by service, in the order of names
 	known  bool               // an instance list has come
+	looked clock.Time         // when due reports were last looked for
+	woke   clock.Time         // when this process last went on after a pause
 }
 
 // NewBoard returns an empty board for reports that come every poll milliseconds.
@@ -121,13 +124,13 @@
 	}
 }
 
-// Unheard tells whether agents of a service may be there that have not had the time to report yet:
-// the instance list has not come, or it names agents that were added lately and have not answered.
+// Unheard tells whether agents of a service may be there that have not had the time to report yet: the instance
+// list has not come, it names agents that were added lately and have not answered, or this process was paused.
 func (b *Board) Unheard(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	if !b.known {
+	if !b.known || b.paused(now) || (b.woke != 0 && now.Sub(b.woke) < unheardSpan) {
 		return true
 	}
 	for _, v := range b.order[service] {
@@ -138,6 +141,11 @@
 	return false
 }
 
+// paused tells whether this process has just gone on after a pause; mu is held.
+func (b *Board) paused(now clock.Time) bool {
+	return b.looked != 0 && now.Sub(b.looked) > pauseGap
+}
+
 // Settled tells whether every service has an agent that answered or had its time to.
 func (b *Board) Settled() bool {
 	b.mu.Lock()
@@ -257,6 +265,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	if b.paused(now) {
+		b.woke = now
+	}
+	b.looked = now
 	period := b.period()
 	for _, v := range b.agents {
 		waited := v.asked != 0 && now.Sub(v.asked) < min(period, b.poll)
--- a/internal/caller/board_test.go
+++ b/internal/caller/board_test.go
@@ -93,6 +93,21 @@
 		now = now.Add(unheardSpan)
 		assert.False(t, b.Unheard("check"), "an agent that never answers is not waited for")
 	})
+	t.Run("waits for reports after a pause of its own", func(t *testing.T) {
+		now := clock.Time(1)
+		b := newTestBoard(&now, 1)
+		b.Due()
+		assert.False(t, b.Unheard("check"))
+		now = now.Add(staleAfter * poll)
+		assert.True(t, b.Unheard("check"), "nothing was looked at since the pause")
+		b.Due()
+		assert.True(t, b.Unheard("check"), "the answers are on their way")
+		for range 20 {
+			now = now.Add(boardPeriod)
+			b.Due()
+		}
+		assert.False(t, b.Unheard("check"))
+	})
 	t.Run("keeps the newer of two reports of one incarnation", func(t *testing.T) {
 		now := clock.Time(0)
 		b := newTestBoard(&now, 1)
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"net"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"carawaypick/internal/config"
-	"carawaypick/internal/kernel"
 	"carawaypick/internal/node"
 	"carawaypick/internal/operator"
 	"carawaypick/internal/telemetry"
@@ -28,13 +25,9 @@
 		State:   n.State,
 		Metrics: t.Metrics,
 	}
-	app := e.App(n.Views)
 	return n.Run(ctx, node.Role{
 		Start: e.Start,
-		HTTP: func(l net.Listener) <-chan error {
-			return kernel.Start(ctx, func(context.Context) error { return app.Listener(l) })
-		},
-		Stop:  func(wait time.Duration) error { return app.ShutdownWithTimeout(wait) },
+		App:   e.App(n.Views),
 		Leave: e.Leave,
 		Idle:  e.Idle,
 		Hear:  e.Hear,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
+	"github.com/gofiber/fiber/v2"
 	"google.golang.org/grpc"
 
 	"carawaypick/internal/config"
@@ -42,8 +43,7 @@
 // Role is what an entry or an agent adds to a node.
 type Role struct {
 	Start func(context.Context) <-chan error // the role's loops
-	HTTP  func(net.Listener) <-chan error    // the HTTP server until StopHTTP
-	Stop  func(time.Duration) error          // closes the HTTP server once its connections are idle
+	App   *fiber.App                         // the HTTP server
 	Leave func()                             // stops new work
 	Idle  func() bool                        // tells whether no work is left
 	Hear  func()                             // takes in news of tickets, instances and crashes
@@ -99,7 +99,7 @@
 	loops := n.Member.Start(inner)
 	work := role.Start(inner)
 	peers := kernel.Start(inner, func(context.Context) error { return n.Server.Serve(grpcListener) })
-	callers := role.HTTP(httpListener)
+	callers := kernel.Start(inner, func(context.Context) error { return role.App.Listener(httpListener) })
 	select {
 	case <-ctx.Done():
 	case err = <-peers:
@@ -128,7 +128,7 @@
 	for n.Clock.Since(start) < n.Settings.Timing.Drain || !role.Idle() {
 		time.Sleep(idlePeriod.Duration())
 	}
-	if err := role.Stop(stopWait.Duration()); err != nil {
+	if err := role.App.ShutdownWithTimeout(stopWait.Duration()); err != nil {
 		level.Warn(logger).Log("msg", "HTTP server did not close in time", "err", err)
 	}
 	stopped := kernel.Start(context.Background(), func(context.Context) error {
