--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,19 @@
 measure: build
 	.out/measure
 
+capacity: build
+	.out/measure capacity spread
+
+# SOAK is the number of seeds that make soak runs each property with, and CASES the cases of each.
+SOAK ?= 10
+CASES ?= 1000
+
+soak:
+	@for seed in $$(seq 1 $(SOAK)); do \
+		echo "== seed $$seed"; \
+		RAPID_SEED=$$seed RAPID_CHECKS=$(CASES) $(GO) test -count=1 ./internal/balance ./internal/binding ./internal/ticket ./internal/member ./pkg/expert || exit 1; \
+	done
+
 tools: $(TOOLS)/golangci-lint $(TOOLS)/buf
 
 $(TOOLS)/golangci-lint: tools/lint/go.sum
