Keep reports within 3 KB a second at the size of two years from now

Cause: by the measured slopes an entry that knows 576 agents would hold 17 MB of connections (30 kB an end) and take 27 KB/s of reports (270 bytes each, 100 a second) where 32 MB and 3 KB/s are allowed in all. Ruled out: reports on calls alone (an agent hears from an entry every few seconds only); smaller messages (most of the bytes are the transport's). Change: an entry knows 24 agents of each service in place of 64; beyond 20 agents the period between reports grows by 200 ms an agent. What rested on fresh reports no longer does: a binding asks its agent itself, an agent that took nothing is tried again after 2 s (its refusal is free), one that can't be reached is passed over for longer each time. Before and after, worked out from the slopes: 216 agents in place of 576, 6.5 in place of 17 MB of connections, 5 in place of 100 reports a second, 1.4 in place of 27 KB/s.

--- a/internal/caller/board.go
+++ b/internal/caller/board.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	lostKeep    = 500 * clock.Millisecond // how long an agent that could not be reached is passed over
-	pauseGap    = clock.Second            // between two looks at due reports after which this process was paused
-	unheardSpan = 2 * clock.Second        // time that a newly listed agent has for its first report
-	staleAfter  = 5                       // periods without a report after which an agent counts as lost
-	reportCost  = 10 * clock.Millisecond  // of the period for each agent: at most 100 reports a second are asked for
+	lostKeep      = 500 * clock.Millisecond // how long an agent that could not be reached is passed over
+	pauseGap      = clock.Second            // between two looks at due reports after which this process was paused
+	unheardSpan   = 2 * clock.Second        // time that a newly listed agent has for its first report
+	staleAfter    = 5                       // periods without a report after which an agent counts as lost
+	reportFree    = 20                      // agents that are asked every period whatever their number
+	reportCost    = 200 * clock.Millisecond // of the period for each agent more: at most 5 reports a second for these
+	denialKeep    = 2 * clock.Second        // after which an agent that said it takes nothing is tried again
+	lostDoublings = 5                       // of the time that an agent is passed over, where it fails again and again
 )
 
 // Target is one agent as an attempt uses it.
@@ -37,6 +40,7 @@
 	at          clock.Time // when the report came
 	asked       clock.Time // when a report was last asked for
 	lost        clock.Time // until when the agent is passed over
+	losses      int        // attempts in a row that could not reach the agent
 	outstanding uint32
 	tokens      uint64
 }
@@ -113,14 +117,16 @@
 	v.report = r
 	v.at = b.clock.Now()
 	v.lost = 0
+	v.losses = 0
 }
 
-// Lost passes an agent over for a while.
+// Lost passes an agent over for a while, longer each time until it is heard again.
 func (b *Board) Lost(name string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if v := b.agents[name]; v != nil {
-		v.lost = b.clock.Now().Add(lostKeep)
+		v.lost = b.clock.Now().Add(lostKeep << min(v.losses, lostDoublings))
+		v.losses++
 	}
 }
 
@@ -217,11 +223,18 @@
 	if !v.listed || v.report == nil || now < v.lost || out(state, v.target) {
 		return false
 	}
-	return v.report.GetState() == stateLive && now.Sub(v.at) < staleAfter*b.period()
+	age := now.Sub(v.at)
+	if v.report.GetState() != stateLive {
+		return age >= denialKeep && v.report.GetState() != stateLeaving
+	}
+	return age < staleAfter*b.period()
 }
 
-// stateLive is the state of an agent that takes new work.
-const stateLive = "live"
+// States of an agent in its reports.
+const (
+	stateLive    = "live"    // takes new work
+	stateLeaving = "leaving" // never takes new work again
+)
 
 // out tells whether operators have taken an agent or its availability zone out.
 func out(state *ticket.State, t Target) bool {
@@ -257,7 +270,7 @@
 // period returns the milliseconds after which an agent that sent no report is asked for one.
 // It grows with the number of agents, so that reports stay a small part of the entry's work.
 func (b *Board) period() clock.Span {
-	return max(b.poll, clock.Span(len(b.agents))*reportCost)
+	return b.poll + clock.Span(max(len(b.agents)-reportFree, 0))*reportCost
 }
 
 // Due returns the agents from which no report came for a period, and counts them as asked.
--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	subsetSize   = 64                      // agents of one service that an entry knows
+	subsetSize   = 24                      // agents of one service that an entry knows
 	retryRatio   = 0.2                     // retries for each call, for a team and for the entry
 	retryBurst   = 32                      // retries allowed at once
 	ringSize     = 4096                    // decisions kept for explain
--- a/internal/caller/locate.go
+++ b/internal/caller/locate.go
@@ -1,11 +1,14 @@
 package caller
 
 import (
+	"context"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v2"
 
 	"carawaypick/internal/balance"
 	"carawaypick/internal/binding"
+	"carawaypick/internal/peer/peerpb"
 	"carawaypick/internal/platform"
 	"carawaypick/pkg/clock"
 )
@@ -30,7 +33,7 @@
 	zone := c.Query("zone", e.settings.Zone)
 	asker := xxhash.Sum64String(c.Context().RemoteAddr().String())
 	location := Location{Addresses: e.addresses(zone, asker), TTL: e.settings.Timing.TTL}
-	if token, ok := e.bind(service); ok {
+	if token, ok := e.bind(c.UserContext(), service); ok {
 		location.Binding = token.Encode()
 		location.Key = token.Key()
 	}
@@ -68,14 +71,14 @@
 }
 
 // bind chooses the agent incarnation for a caller's requests that may not be repeated.
-func (e *Entry) bind(service string) (token binding.Token, ok bool) {
+func (e *Entry) bind(ctx context.Context, service string) (token binding.Token, ok bool) {
 	targets, candidates := e.board.Candidates(service, e.member.State())
 	i, ok := e.chooser.Pick(balance.Call{Tokens: 1, Zone: e.settings.Zone}, candidates)
 	if !ok {
 		return binding.Token{}, false
 	}
-	r, age, ok := e.board.Report(targets[i].Name)
-	if !ok || r.GetIncarnation() == 0 || age > clock.Span(r.GetLife())/2 {
+	r, ok := e.freshReport(ctx, targets[i])
+	if !ok || r.GetIncarnation() == 0 || r.GetState() != stateLive {
 		return binding.Token{}, false
 	}
 	return binding.Token{
@@ -86,3 +89,17 @@
 		Service:     service,
 	}, true
 }
+
+// freshReport returns a report that leaves a binding at least half its life, and asks for one where need be.
+func (e *Entry) freshReport(ctx context.Context, t Target) (r *peerpb.Report, ok bool) {
+	r, age, ok := e.board.Report(t.Name)
+	if ok && age <= clock.Span(r.GetLife())/2 {
+		return r, true
+	}
+	if err := e.poll(ctx, t); err != nil {
+		e.board.Lost(t.Name)
+		return nil, false
+	}
+	r, _, ok = e.board.Report(t.Name)
+	return r, ok
+}
