--- a/internal/balance/queuejudge.go
+++ b/internal/balance/queuejudge.go
@@ -8,11 +8,8 @@
 	mostAfter  = 10 * clock.Second
 )
 
-// A team's expected wait counts half as much again, so that few jobs are taken that then wait in vain.
-const (
-	waitMargin = 3
-	waitUnit   = 2
-)
+// waitMargin is the factor by which a team's expected wait is weighed, so that few jobs are taken that then wait in vain.
+const waitMargin = 2
 
 // judge returns why j can't be queued whatever the room, or nil.
 func (q *Queue[T]) judge(now clock.Time, j *Job[T]) *RefusedError {
@@ -62,7 +59,7 @@
 		own = t.tokens
 		ahead += t.ahead(&it)
 		if wait, ok := t.pace.wait(ahead); ok && len(t.jobs) > 0 {
-			return waitMargin * wait / waitUnit
+			return waitMargin * wait
 		}
 	}
 	others := float64(ahead) * q.rivals(j.Team) / q.weight(j.Team)
