--- /dev/null
+++ b/internal/member/spread_test.go
@@ -0,0 +1,188 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"carawaypick/internal/member"
+	"carawaypick/internal/peer/peerpb"
+	"carawaypick/internal/platform"
+	"carawaypick/internal/spread"
+	"carawaypick/internal/ticket"
+	"carawaypick/pkg/clock"
+)
+
+func TestTicketSpreads(t *testing.T) {
+	for _, count := range []int{1, 9, 40, 160} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			w := warm(t, count, 3, 1)
+			w.Service.Publish(2, share(2, "ana", 2))
+			t.Logf("in force after %d ms", requireForce(t, w, soon, 2))
+			requireAgreed(t, w)
+		})
+	}
+	t.Run("from the first process to all of 160 at once", func(t *testing.T) {
+		w := warm(t, 160, 3, 1)
+		know := func() (count int) {
+			for _, m := range w.Members {
+				if m.Book().Holds(2) {
+					count++
+				}
+			}
+			return count
+		}
+		w.Service.Publish(2, share(2, "ana", 2))
+		requireWithin(t, w, soon, func() bool { return know() > 0 })
+		t.Logf("known after %d ms", requireWithin(t, w, 10*spread.Tick, func() bool { return know() == 160 }))
+	})
+	t.Run("when every call between processes is lost twice out of three times", func(t *testing.T) {
+		w := warm(t, 40, 3, 1)
+		w.Cut = func(int, int) bool { return w.Random.Float64() < 0.67 }
+		w.Service.Publish(2, share(2, "ana", 2))
+		t.Logf("in force after %d ms", requireForce(t, w, soon, 2))
+	})
+	t.Run("when all readers have died and the list does not say so", func(t *testing.T) {
+		w := warm(t, 40, 3, 1)
+		var alive []int
+		for n, i := range w.Service.List.Instances {
+			w.Paused[n] = slices.Contains(member.Readers(w.Service.List, i.Zone, member.ReadersOfZone), i.Name)
+			if !w.Paused[n] {
+				alive = append(alive, n)
+			}
+		}
+		require.Len(t, alive, 40-3*member.ReadersOfZone)
+		w.Service.Publish(2, share(2, "ana", 2))
+		t.Logf("in force after %d ms", requireForce(t, w, soon, 2, alive...))
+	})
+	t.Run("as a value near 1 MB", func(t *testing.T) {
+		w := warm(t, 12, 3, 1)
+		content := long(2, ticket.MaxContent-1000)
+		w.Service.Publish(2, content)
+		t.Logf("%d bytes in force after %d ms", len(content), requireForce(t, w, soon, 2))
+		requireAgreed(t, w)
+		for _, m := range w.Members {
+			assert.Empty(t, m.State().Skipped)
+			assert.Less(t, m.Counters.Received.Load(), uint64(3*len(content)))
+		}
+	})
+}
+
+// long returns a valid ticket of about so many bytes.
+func long(n ticket.Number, size int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"number":%d,"author":"ana","objects":{"backends":{`, n)
+	for i := 0; b.Len() < size-100; i++ {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `"backend-%d":{"state":"in","role":"","fence":true}`, i)
+	}
+	b.WriteString(`}}}`)
+	return []byte(b.String())
+}
+
+func TestListSpreads(t *testing.T) {
+	w := warm(t, 60, 3, 1)
+	l := spread.Fleet(2, 59, 3)
+	l.Instances[5].State = platform.Leaving
+	w.Service.List = l
+	took := requireWithin(t, w, 2*clock.Second, func() bool {
+		for _, m := range w.Members {
+			if m.List().Version != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("known after %d ms", took)
+	requireAgreed(t, w)
+	t.Run("a lower version changes nothing", func(t *testing.T) {
+		w.Service.List = spread.Fleet(1, 60, 3)
+		w.Run(10 * clock.Second)
+		for _, m := range w.Members {
+			assert.Equal(t, uint64(2), m.List().Version)
+		}
+	})
+}
+
+func TestEvidenceSpreads(t *testing.T) {
+	w := warm(t, 40, 3, 1)
+	w.Members[13].AddEvidence(&peerpb.Evidence{Crash: "a13/1/1", Contents: []uint64{7, 9}, Alone: true})
+	requireWithin(t, w, clock.Second, func() bool {
+		for _, m := range w.Members {
+			if len(m.Evidence()) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Run("with its age", func(t *testing.T) {
+		w.Run(clock.Minute)
+		for _, m := range w.Members {
+			e := m.Evidence()[0]
+			assert.Equal(t, []uint64{7, 9}, e.GetContents())
+			assert.InDelta(t, float64(clock.Minute), float64(e.GetAge()), float64(clock.Second))
+		}
+	})
+	t.Run("until it expires, whoever still sends it", func(t *testing.T) {
+		w.Run(member.DefaultKeep)
+		for _, m := range w.Members {
+			assert.Empty(t, m.Evidence())
+		}
+	})
+	t.Run("bounded", func(t *testing.T) {
+		m := w.Members[0]
+		for n := range 2 * member.MaxEvidence {
+			m.AddEvidence(&peerpb.Evidence{Crash: fmt.Sprint(n)})
+		}
+		assert.Len(t, m.Evidence(), member.MaxEvidence)
+	})
+}
+
+func TestMessagesStayBounded(t *testing.T) {
+	const most = 4 << 20 // bytes that gRPC takes
+	w := spread.Empty(spread.Fleet(1, 5900, 6), 1)
+	w.Start(0, w.Service.List.Instances[0])
+	w.Start(1, w.Service.List.Instances[1])
+	for n := ticket.Number(1); n <= 6; n++ {
+		w.Service.Publish(n, long(n, ticket.MaxContent-1000))
+	}
+	requireForce(t, w, soon, 6)
+	for n := range member.MaxEvidence {
+		w.Members[0].AddEvidence(&peerpb.Evidence{Crash: fmt.Sprint(n), Contents: make([]uint64, 5000)})
+	}
+	w.Service.Down = true
+	w.Start(1, w.Service.List.Instances[1])
+	requireForce(t, w, soon, 6)
+	requireAgreed(t, w)
+	t.Logf("longest message %d bytes", w.Longest)
+	assert.Less(t, w.Longest, most)
+}
+
+func TestSyncBears(t *testing.T) {
+	w := warm(t, 3, 1, 1)
+	m := w.Members[0]
+	for name, q := range map[string]*peerpb.SyncRequest{
+		"nothing":             {},
+		"a ticket in ruins":   {Tickets: []*peerpb.Ticket{{Number: 2, Content: []byte(`{"num`)}, {Number: 2, Content: share(2, "ana", 2)}}},
+		"an endless age":      {Tickets: []*peerpb.Ticket{{Number: 2, Content: share(2, "ana", 2), Age: 1<<64 - 1}}},
+		"a snapshot in ruins": {Tickets: []*peerpb.Ticket{{Number: 9, Content: []byte(`[]`), Snapshot: true}}},
+		"a list in ruins":     {Instances: []byte(`{"version":9,"instances":[{}]}`)},
+		"another list":        {Instances: []byte(`{"version":9,"since":0,"hash":3}`)},
+		"empty evidence":      {Evidence: []*peerpb.Evidence{nil, {}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := m.Sync(context.Background(), q)
+			require.NoError(t, err)
+			assert.Equal(t, uint64(1), m.List().Version)
+			assert.Empty(t, m.Evidence())
+		})
+	}
+	requireForce(t, w, soon, 2)
+}
