--- a/internal/latency/path.go
+++ b/internal/latency/path.go
@@ -11,15 +11,17 @@
 
 // Sizes of the measurement of the path.
 const (
-	warmSpan    = 2 * clock.Second
-	fullSpan    = 4 * clock.Second
-	sliceSpan   = 1 * clock.Second // direct and path take turns
-	slices      = 8
-	fullWorkers = 64
-	halfWorkers = 64
-	streamRate  = 100.0 // streams a second
-	lightRate   = 200.0 // plain calls a second, far from full load
-	half        = 0.5
+	warmSpan     = 2 * clock.Second
+	fullSpan     = 4 * clock.Second
+	sliceSpan    = 1 * clock.Second // direct and path take turns
+	slices       = 8
+	fullWorkers  = 64
+	halfWorkers  = 64
+	streamRate   = 100.0 // streams a second
+	busyRate     = 800.0 // streams a second where the cost of an event is taken
+	streamTokens = 16    // events of one stream
+	lightRate    = 200.0 // plain calls a second, far from full load
+	half         = 0.5
 )
 
 // Targets of the path.
@@ -154,7 +156,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return pair.rows("path.stream"), nil
+	busy, err := b.sideBySide(load{workers: halfWorkers, rate: busyRate, span: sliceSpan}, direct, path)
+	if err != nil {
+		return nil, err
+	}
+	return append(pair.rows("path.stream"), busy.eventRows("path.events")...), nil
+}
+
+// eventRows tells what one event of a stream costs while many streams run.
+func (p pair) eventRows(name string) []measure.Row {
+	events := float64(p.path.times.TotalCount()) * streamTokens
+	return []measure.Row{
+		measure.Plain(name+".rate", p.path.rate()*streamTokens, "events/s"),
+		measure.Plain(name+".entry.processor", p.entry.processor/events*microseconds, "us/event"),
+		measure.Plain(name+".agent.processor", p.agent.processor/events*microseconds, "us/event"),
+		measure.Plain(name+".failed", float64(p.path.failed), "requests"),
+	}
 }
 
 // pair is what the two ways found side by side.
