--- a/internal/backend/agent.go
+++ b/internal/backend/agent.go
@@ -70,9 +70,9 @@
 	misses   int        // reports in a row that did not come
 	probing  bool       // a report is on its way
 	seen     bool       // a report has ever come
-	down     bool
-	gone     bool // operators had the backend server or its zone out when last looked
-	leaving  bool
+	down     bool       // the backend server doesn't answer
+	gone     bool       // operators had the backend server or its zone out when last looked
+	leaving  bool       // this process shuts down
 	load     Load
 	loaded   clock.Time // when load came
 	bears    uint32
--- a/internal/caller/outcome.go
+++ b/internal/caller/outcome.go
@@ -28,6 +28,16 @@
 	ReasonUnproven = "unproven"      // this entry can't prove what earlier sends did
 )
 
+// Reasons in the agents' refusals that decide what the entry does next.
+const (
+	saidCrash     = "crash"     // the backend server crashed under the request
+	saidCondemned = "condemned" // the content crashed backend servers
+	saidLeaving   = "leaving"   // the agent shuts down
+	saidOut       = "out"       // operators have taken the backend server or its zone out
+	saidDown      = "down"      // the backend server doesn't answer
+	saidStarting  = "starting"  // the agent has no report or no configuration yet
+)
+
 // Ending is the end of a call without a whole answer, as callers read it.
 type Ending struct {
 	ID      string     `json:"id"`
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -39,7 +39,7 @@
 	r.entry.budget.earn(r.call.Team)
 	for {
 		if after, condemned := r.entry.condemned(r.call.Content); condemned {
-			return verdict{outcome: Failed, reason: "condemned", after: after}
+			return verdict{outcome: Failed, reason: saidCondemned, after: after}
 		}
 		t, ok := r.choose(ctx)
 		if !ok {
@@ -64,7 +64,7 @@
 	if v.outcome != NotRun {
 		r.ran = true
 	}
-	if v.reason == "crash" {
+	if v.reason == saidCrash {
 		r.suspect = true
 	}
 }
@@ -94,7 +94,7 @@
 		return false
 	}
 	switch v.reason {
-	case "leaving", "out", "down", "starting", ReasonLost:
+	case saidLeaving, saidOut, saidDown, saidStarting, ReasonLost:
 		return true
 	}
 	return false
