--- /dev/null
+++ b/internal/direct/board.go
@@ -0,0 +1,123 @@
+package direct
+
+import (
+	"sync"
+
+	"carawaypick/internal/balance"
+	"carawaypick/internal/routing"
+	"carawaypick/pkg/clock"
+)
+
+// Board holds what this entry knows of the load of each backend server.
+type Board struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	servers map[string]*standing
+	peers   map[string]map[string]int // requests in flight by peer and backend server
+}
+
+// standing is the load and the health of one backend server.
+type standing struct {
+	own    int // own requests in flight
+	health balance.Health
+	starts balance.Rate // own sends in the last second
+}
+
+// NewBoard returns an empty board.
+func NewBoard(c clock.Clock) *Board {
+	return &Board{clock: c, servers: make(map[string]*standing), peers: make(map[string]map[string]int)}
+}
+
+func (b *Board) standing(id string) *standing {
+	s := b.servers[id]
+	if s == nil {
+		s = &standing{}
+		b.servers[id] = s
+	}
+	return s
+}
+
+// Hear takes in what a peer has in flight; nil where the peer is gone.
+func (b *Board) Hear(peer string, flights map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if flights == nil {
+		delete(b.peers, peer)
+		return
+	}
+	b.peers[peer] = flights
+}
+
+// Flights returns the own requests in flight by backend server.
+func (b *Board) Flights() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	flights := make(map[string]int)
+	for id, s := range b.servers {
+		if s.own > 0 {
+			flights[id] = s.own
+		}
+	}
+	return flights
+}
+
+// Candidates returns what a placement needs to know of the servers.
+func (b *Board) Candidates(servers []*routing.Server, service routing.Service, tried []string) []balance.Place {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	places := make([]balance.Place, len(servers))
+	for i, s := range servers {
+		st := b.standing(s.ID)
+		others := 0
+		for _, flights := range b.peers {
+			others += flights[s.ID]
+		}
+		places[i] = balance.Place{
+			Slots:    s.Slots,
+			Own:      st.own,
+			Others:   others,
+			Zone:     s.Zone,
+			Cold:     now < s.ColdUntil,
+			ColdLeft: service.ColdRate,
+			Started:  st.starts.Count(now),
+			Down:     st.health.Down(now),
+		}
+		for _, id := range tried {
+			places[i].Tried = places[i].Tried || id == s.ID
+		}
+	}
+	return places
+}
+
+// Start counts a request that is sent to the backend server.
+func (b *Board) Start(id string) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.standing(id)
+	s.own++
+	s.starts.Add(now)
+}
+
+// End counts the end of a request; ok tells whether the backend server did its part.
+func (b *Board) End(id string, verdict balance.Verdict) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.standing(id)
+	s.own--
+	s.health.Note(now, verdict)
+}
+
+// Forget drops what is known of backend servers that are not in the view and have nothing in flight.
+func (b *Board) Forget(v *routing.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.servers {
+		if v.Servers[id] == nil && s.own == 0 {
+			delete(b.servers, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/direct/peers.go
@@ -0,0 +1,247 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"carawaypick/pkg/clock"
+)
+
+const (
+	beatPeriod   = 200 * clock.Millisecond  // between two messages to each peer
+	silentAfter  = 1500 * clock.Millisecond // a peer that is silent so long is not named to callers and holds nothing
+	forgetAfter  = time.Minute              // a peer that is silent so long gets no more messages
+	maxDatagram  = 60 << 10                 // bytes
+	maxFlights   = 2000                     // backend servers named in one message, which keeps it within a datagram
+	sparePart    = 1.0                      // part of a sum over all entries that is kept for an entry nobody has heard of yet
+	leastParties = 3                        // entries among which a sum is divided at least
+)
+
+// beat is what an entry tells the others about itself, by UDP.
+type beat struct {
+	Name     string         `json:"name"`
+	Zone     string         `json:"zone"`
+	IP       string         `json:"ip"`
+	Front    string         `json:"front"`
+	Control  string         `json:"control"`
+	Born     int64          `json:"born"` // Unix time in ms of its start
+	Number   uint64         `json:"number"`
+	Ready    bool           `json:"ready"`
+	Revision int64          `json:"revision"`
+	Flights  map[string]int `json:"flights"` // its requests in flight by backend server
+	Known    []string       `json:"known"`   // addresses of the peers that it hears
+}
+
+// fellow is another entry.
+type fellow struct {
+	last  beat
+	heard clock.Time
+	alive bool
+}
+
+// Peers keeps the entries informed of one another.
+type Peers struct {
+	clock  clock.Clock
+	logger log.Logger
+	board  *Board
+	port   int
+	self   func() beat // what this entry says of itself
+
+	mu      sync.Mutex
+	number  uint64
+	fellows map[string]*fellow    // by IP
+	targets map[string]clock.Time // IPs to send to, with the moment of the last sign of them
+	most    int                   // most entries alive at one time
+}
+
+// NewPeers returns a circle that knows the seeds only.
+func NewPeers(s Settings, c clock.Clock, logger log.Logger, board *Board, self func() beat) *Peers {
+	p := &Peers{
+		clock: c, logger: logger, board: board, port: s.Ports[0], self: self,
+		fellows: make(map[string]*fellow), targets: make(map[string]clock.Time), most: 1,
+	}
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			level.Warn(logger).Log("msg", "seed ignored", "seed", seed, "error", err)
+			continue
+		}
+		if host != s.IP {
+			p.targets[host] = c.Now()
+		}
+	}
+	return p
+}
+
+// Run sends and receives until ctx ends.
+func (p *Peers) Run(ctx context.Context, ip string) (err error) {
+	conn, err := net.ListenPacket("udp4", net.JoinHostPort(ip, strconv.Itoa(p.port)))
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	received := make(chan error, 1)
+	go func() { received <- p.receive(ctx, conn) }()
+	ticker := time.NewTicker(beatPeriod.Duration())
+	defer ticker.Stop()
+	for {
+		p.send(conn)
+		select {
+		case <-ctx.Done():
+			return <-received
+		case err := <-received:
+			return err
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Peers) send(conn net.PacketConn) {
+	message := p.self()
+	p.mu.Lock()
+	p.expire()
+	p.number++
+	message.Number = p.number
+	targets := make([]string, 0, len(p.targets))
+	for ip := range p.targets {
+		targets = append(targets, ip)
+	}
+	for ip, f := range p.fellows {
+		if f.alive {
+			message.Known = append(message.Known, ip)
+		}
+	}
+	p.mu.Unlock()
+	content, err := json.Marshal(message)
+	if err != nil || len(content) > maxDatagram {
+		level.Error(p.logger).Log("msg", "message to peers not sent", "bytes", len(content), "error", err)
+		return
+	}
+	for _, ip := range targets {
+		address := &net.UDPAddr{IP: net.ParseIP(ip), Port: p.port}
+		if _, err := conn.WriteTo(content, address); err != nil {
+			level.Debug(p.logger).Log("msg", "message to a peer not sent", "peer", ip, "error", err)
+		}
+	}
+}
+
+func (p *Peers) receive(ctx context.Context, conn net.PacketConn) error {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := conn.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			level.Warn(p.logger).Log("msg", "message of a peer not received", "error", err)
+			continue
+		}
+		var b beat
+		if err := json.Unmarshal(buffer[:n], &b); err != nil || b.IP == "" {
+			level.Warn(p.logger).Log("msg", "message of a peer can't be read", "from", from, "bytes", n, "error", err)
+			continue
+		}
+		p.hear(b)
+	}
+	return nil
+}
+
+// hear takes in a message; one that an earlier one of the same process has overtaken is dropped.
+func (p *Peers) hear(b beat) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f := p.fellows[b.IP]
+	if f == nil {
+		f = &fellow{}
+		p.fellows[b.IP] = f
+	}
+	if b.Born < f.last.Born || (b.Born == f.last.Born && b.Number <= f.last.Number) {
+		return
+	}
+	if !f.alive || b.Ready != f.last.Ready || b.Born != f.last.Born {
+		level.Info(p.logger).Log("msg", "peer heard", "peer", b.Name, "ip", b.IP, "ready", b.Ready, "born", b.Born, "revision", b.Revision)
+	}
+	f.last, f.heard, f.alive = b, now, true
+	p.targets[b.IP] = now
+	for _, ip := range b.Known {
+		if _, known := p.targets[ip]; !known && ip != p.selfIP() {
+			p.targets[ip] = now
+		}
+	}
+	p.board.Hear(b.IP, b.Flights)
+	p.most = max(p.most, p.alive()+1)
+}
+
+func (p *Peers) selfIP() string {
+	return p.self().IP
+}
+
+func (p *Peers) alive() int {
+	count := 0
+	for _, f := range p.fellows {
+		if f.alive {
+			count++
+		}
+	}
+	return count
+}
+
+// expire notes which peers have gone silent; mu is held.
+func (p *Peers) expire() {
+	now := p.clock.Now()
+	for ip, f := range p.fellows {
+		if f.alive && now.Sub(f.heard) > silentAfter {
+			f.alive = false
+			p.board.Hear(ip, nil)
+			level.Info(p.logger).Log("msg", "peer silent", "peer", f.last.Name, "ip", ip, "age", now.Sub(f.heard))
+		}
+	}
+	for ip, seen := range p.targets {
+		if len(p.targets) > 1 && now.Sub(seen).Duration() > forgetAfter {
+			delete(p.targets, ip)
+			delete(p.fellows, ip)
+		}
+	}
+}
+
+// Fronts returns the addresses for callers of the peers that are ready.
+func (p *Peers) Fronts() (addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for _, f := range p.fellows {
+		if f.alive && f.last.Ready && now.Sub(f.heard) <= silentAfter {
+			addresses = append(addresses, f.last.Front)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// Ahead returns the control address of the peer whose revision is the highest, if it is above the given one.
+func (p *Peers) Ahead(revision int64) (control string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range p.fellows {
+		if f.alive && f.last.Revision > revision {
+			revision, control, ok = f.last.Revision, f.last.Control, true
+		}
+	}
+	return control, ok
+}
+
+// Part returns the part of a sum over all entries that this one may use without asking.
+func (p *Peers) Part() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return 1 / (float64(max(p.most, leastParties)) + sparePart)
+}
--- /dev/null
+++ b/internal/direct/run.go
@@ -0,0 +1,168 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"carawaypick/internal/kernel"
+	"carawaypick/internal/routing"
+	"carawaypick/internal/telemetry"
+	"carawaypick/pkg/clock"
+)
+
+const (
+	sweepPeriod  = 250 * clock.Millisecond
+	memoryPart   = 0.6                     // part of the instance's memory that the runtime may use before it collects hard
+	acceptFor    = 3 * clock.Second        // after the signal to stop, new connections are still taken so long
+	exitMargin   = 700 * clock.Millisecond // before the kill, in which what is left is ended
+	idlePeriod   = 50 * clock.Millisecond  // between two looks at whether work is left
+	metricsRoute = "/metrics"
+)
+
+// Run serves callers until ctx ends, then leaves.
+func Run(ctx context.Context, s Settings, wire Wire, stdout io.Writer) (err error) {
+	defer func() { err = errors.Wrap(err, "run entry") }()
+	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart))
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	output := telemetry.NewBounded()
+	written := kernel.Start(inner, func(ctx context.Context) error { return output.Run(ctx, stdout) })
+	logger, err := telemetry.NewLogger(output, "info", s.Name, "entry")
+	if err != nil {
+		return err
+	}
+	e := newEntry(s, wire, clock.New(), telemetry.NewMetrics(), logger)
+	level.Info(logger).Log("msg", "started", "zone", s.Zone, "front", s.Front, "store", s.Store, "seeds", len(s.Seeds), "pid", os.Getpid())
+	work, servers, err := e.start(inner)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case err = <-work:
+	}
+	e.leave(servers)
+	level.Info(logger).Log("msg", "stopped", "active", e.active.Load(), "dropped", output.Dropped.Load())
+	cancel()
+	return errors.CombineErrors(err, <-written)
+}
+
+func newEntry(s Settings, wire Wire, c clock.Clock, metrics *telemetry.Metrics, logger log.Logger) *Entry {
+	e := &Entry{
+		settings: s,
+		wire:     wire,
+		clock:    c,
+		board:    NewBoard(c),
+		conns:    newConnPool(c),
+		metrics:  metrics,
+		budget:   newRetryBudget(s),
+	}
+	e.journal = &telemetry.Journal{Logger: logger, Clock: c, Plain: map[string]bool{"whole": true}}
+	e.belief = NewBelief(wire.Decode, c, logger, func(v *routing.View) { e.board.Forget(v) })
+	born := clock.Wall()
+	e.peers = NewPeers(s, c, logger, e.board, func() beat {
+		return beat{
+			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
+			Ready: e.ready(), Revision: e.belief.Revision(), Flights: e.board.Flights(),
+		}
+	})
+	return e
+}
+
+// start opens the servers and starts the loops; the first loop that fails ends the entry.
+func (e *Entry) start(ctx context.Context) (work chan error, servers []*http.Server, err error) {
+	s := e.settings
+	work = make(chan error, 8)
+	run := func(name string, loop func(context.Context) error) {
+		ended := kernel.Start(ctx, loop)
+		go func() { work <- errors.Wrap(<-ended, name) }()
+	}
+	handlers := []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"front", s.Front, e},
+		{"ready", s.Ready, e.readyHandler()},
+		{"directory", s.Directory, e.directoryHandler()},
+		{"control", s.Control, e.controlHandler()},
+		{"metrics", net.JoinHostPort(s.IP, metricsPort), e.metricsHandler()},
+	}
+	for _, h := range handlers {
+		listener, err := net.Listen("tcp", h.address)
+		if err != nil {
+			return nil, nil, errors.Wrapf(err, "listen for %s", h.name)
+		}
+		server := &http.Server{
+			Handler:           h.handler,
+			ReadHeaderTimeout: headerLimit.Duration(),
+			IdleTimeout:       idleLimit.Duration(),
+		}
+		servers = append(servers, server)
+		run(h.name, func(context.Context) error { return server.Serve(listener) })
+	}
+	var asked atomic.Int64
+	reader := &Reader{Wire: e.wire, Belief: e.belief, Clock: e.clock, Logger: e.journal.Logger}
+	reader.Lost = func(silent clock.Span) {
+		now := int64(e.clock.Now())
+		if (silent < askAfter && e.belief.View().Table != nil) || now-asked.Load() < int64(askAfter) {
+			return
+		}
+		asked.Store(now)
+		if err := e.askPeer(ctx); err != nil {
+			level.Warn(e.journal.Logger).Log("msg", "peer did not answer", "error", err)
+		}
+	}
+	run("store", reader.Run)
+	run("peers", func(ctx context.Context) error { return e.peers.Run(ctx, s.IP) })
+	run("sweep", e.sweep)
+	return work, servers, nil
+}
+
+// sweep drops what is past its time.
+func (e *Entry) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepPeriod.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.belief.Sweep()
+			view := e.belief.View()
+			e.conns.sweep(func(id string) bool { return view.Servers[id] != nil })
+		}
+	}
+}
+
+func (e *Entry) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+metricsRoute, func(w http.ResponseWriter, _ *http.Request) { e.metrics.Write(w) })
+	return mux
+}
+
+// leave serves on while callers may still hold this address, then finishes what is in progress.
+func (e *Entry) leave(servers []*http.Server) {
+	start := e.clock.Now()
+	e.leaving.Store(true)
+	level.Info(e.journal.Logger).Log("msg", "leaving", "active", e.active.Load(), "grace", e.settings.Grace)
+	last := start.Add(max(e.settings.Grace-exitMargin, 0))
+	time.Sleep(min(acceptFor, e.settings.Grace/2).Duration())
+	ctx, cancel := until(context.Background(), e.clock, last)
+	defer cancel()
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			level.Warn(e.journal.Logger).Log("msg", "server closed with work left", "error", err, "active", e.active.Load())
+			_ = server.Close() // nothing more can be done for its connections
+		}
+	}
+}
