--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	maxAnswer    = 8 << 20                // bytes of a plain answer that are held before it is passed on
+	maxAnswer    = 8 << 20                 // bytes of a plain answer that are held before it is passed on
 	unreadyAfter = 500 * clock.Millisecond // Retry-After while no configuration is known
 	emptyAfter   = clock.Second            // Retry-After while a service has no usable backend server
 	clockMargin  = 5 * clock.Millisecond   // taken off the time that a backend server gets, for the way back
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -200,4 +200,3 @@
 		}
 	}
 }
-
