Direct groups to better expert maps from beside the ranks

Change: internal/engine reads what each rank counted, pkg/expert.Director holds a step, arms all ranks and reads them back.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -109,6 +109,7 @@
 		{"entry", "serve callers", "Serves callers on an entry instance until SIGINT or SIGTERM, then drains. A second signal ends it at once. The command settings shows every field with unit and default.", &roleCommand{app: a, role: "entry"}},
 		{"agent", "serve one backend server", "Serves the backend server of this instance until SIGINT or SIGTERM, then drains. A second signal ends it at once. The command settings shows every field with unit and default.", &roleCommand{app: a, role: "agent"}},
 		{"front", "serve callers on the platform", "Serves callers straight from the backend servers, with the settings file that the platform names, until SIGINT or SIGTERM.", &frontCommand{app: a}},
+		{"rank", "work beside a rank on the platform", "Reads what the engine of this instance counts and, in one process of each group, directs the group to better expert maps, until SIGINT or SIGTERM.", &rankCommand{app: a}},
 		{"check", "judge a change ticket", "Judges the change ticket in FILE against the state in force and says why it would be skipped.", &checkCommand{ticketCommand{app: a}}},
 		{"diff", "show what a change ticket changes", "Shows each field that the change ticket in FILE would change in the state in force.", &diffCommand{ticketCommand{app: a}}},
 		{"status", "show what each process believes", "Shows one row a process. It exits with 1 where some processes did not answer, and 3 where none did.", &statusCommand{desk: desk{app: a}}},
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/engine"
 	"carawaypick/pkg/clock"
 )
 
@@ -38,6 +39,8 @@
 	Revision int64          `json:"revision"`
 	Flights  map[string]int `json:"flights"` // its requests in flight by backend server
 	Known    []string       `json:"known"`   // addresses of the peers that it hears
+
+	Ask string `json:"ask,omitempty"` // an agent asks for the group of its engine
 }
 
 // fellow is another entry.
@@ -53,7 +56,8 @@
 	logger log.Logger
 	board  *Board
 	port   int
-	self   func() beat // what this entry says of itself
+	self   func() beat                       // what this entry says of itself
+	roster func(engine string) engine.Roster // the group of an engine
 
 	mu      sync.Mutex
 	number  uint64
@@ -63,9 +67,9 @@
 }
 
 // NewPeers returns a circle that knows the seeds only.
-func NewPeers(s Settings, c clock.Clock, logger log.Logger, board *Board, self func() beat) *Peers {
+func NewPeers(s Settings, c clock.Clock, logger log.Logger, board *Board, self func() beat, roster func(string) engine.Roster) *Peers {
 	p := &Peers{
-		clock: c, logger: logger, board: board, port: s.Ports[0], self: self,
+		clock: c, logger: logger, board: board, port: s.Ports[0], self: self, roster: roster,
 		fellows: make(map[string]*fellow), targets: make(map[string]clock.Time), most: 1,
 	}
 	for _, seed := range s.Seeds {
@@ -145,7 +149,12 @@
 			continue
 		}
 		var b beat
-		if err := json.Unmarshal(buffer[:n], &b); err != nil || b.IP == "" {
+		err = json.Unmarshal(buffer[:n], &b)
+		if err == nil && b.Ask != "" {
+			p.answer(conn, from, b.Ask)
+			continue
+		}
+		if err != nil || b.IP == "" {
 			level.Warn(p.logger).Log("msg", "message of a peer can't be read", "from", from, "bytes", n, "error", err)
 			continue
 		}
@@ -154,6 +163,21 @@
 	return nil
 }
 
+// answer tells an agent the group of its engine.
+func (p *Peers) answer(conn net.PacketConn, to net.Addr, address string) {
+	r := p.roster(address)
+	content, err := json.Marshal(struct {
+		Roster engine.Roster `json:"roster"`
+	}{r})
+	if err != nil || len(content) > maxDatagram {
+		level.Error(p.logger).Log("msg", "group not told to an agent", "bytes", len(content), "error", err)
+		return
+	}
+	if _, err := conn.WriteTo(content, to); err != nil {
+		level.Debug(p.logger).Log("msg", "group not told to an agent", "agent", to, "error", err)
+	}
+}
+
 // hear takes in a message; one that an earlier one of the same process has overtaken is dropped.
 func (p *Peers) hear(b beat) {
 	now := p.clock.Now()
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/engine"
 	"carawaypick/internal/kernel"
 	"carawaypick/internal/routing"
 	"carawaypick/internal/telemetry"
@@ -75,7 +76,7 @@
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
 			Ready: e.ready(), Revision: e.belief.Revision(), Flights: e.board.Flights(),
 		}
-	})
+	}, func(address string) engine.Roster { return roster(e.belief.View(), address) })
 	return e
 }
 
@@ -166,3 +167,28 @@
 		}
 	}
 }
+
+// roster returns the group of the engine at the address, as the view has it.
+func roster(v *routing.View, address string) (r engine.Roster) {
+	var own *routing.Server
+	for _, s := range v.Servers {
+		if s.Address == address && s.Group != "" {
+			own = s
+		}
+	}
+	if own == nil || v.Table == nil {
+		return r
+	}
+	known := v.Table.Services[own.Service].Engine
+	r.Shape = engine.Shape{
+		Sets: known.Sets, Experts: known.Experts, Places: known.Places, Spare: known.Spare,
+		ExpertMB: known.ExpertMB, LinkMbps: known.LinkMbps,
+	}
+	for _, s := range v.Servers {
+		host, _, err := net.SplitHostPort(s.Address)
+		if err == nil && s.Group == own.Group && s.Service == own.Service && s.GoneAt == 0 {
+			r.Members = append(r.Members, engine.Member{Rank: s.Rank, IP: host, Engine: s.Address})
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/engine/agent.go
@@ -0,0 +1,258 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"carawaypick/pkg/clock"
+	"carawaypick/pkg/expert"
+)
+
+const (
+	pollPeriod   = 250 * clock.Millisecond  // between two rounds of counts
+	urgentPeriod = 40 * clock.Millisecond   // between two looks while a switch is under way
+	askPeriod    = 2 * clock.Second         // between two questions for the group's members
+	directors    = 3                        // ranks whose processes may direct
+	directedBy   = 1200 * clock.Millisecond // silence of a lower rank's process after which a higher one directs
+	maxDatagram  = 60 << 10                 // bytes
+	callers      = 24                       // orders under way at one time
+)
+
+// Settings are what an agent is told at its start.
+type Settings struct {
+	IP      string
+	Port    int
+	Engine  string   // address of the engine
+	Entries []string // IP addresses of entries to ask for the group's members
+	Fencing bool     // engines refuse orders of an older generation
+}
+
+// Agent is the process beside one engine.
+type Agent struct {
+	settings Settings
+	dialect  Dialect
+	clock    clock.Clock
+	logger   log.Logger
+	conn     net.PacketConn
+
+	mu       sync.Mutex
+	roster   Roster
+	own      Report
+	lists    Lists
+	directed clock.Time // last poll by a lower rank's process
+	desk     *desk
+	replies  chan reply
+	broken   bool // the engine did not answer last time
+}
+
+// reply is the answer to an order.
+type reply struct {
+	id    uint64
+	reply expert.Reply
+}
+
+// New returns an agent.
+func New(s Settings, d Dialect, c clock.Clock, logger log.Logger) *Agent {
+	return &Agent{settings: s, dialect: d, clock: c, logger: logger, directed: c.Now(), replies: make(chan reply, 256)}
+}
+
+// Run works until ctx ends.
+func (a *Agent) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "run agent") }()
+	a.conn, err = net.ListenPacket("udp4", net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.Port)))
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = a.conn.Close() })
+	received := make(chan error, 1)
+	go func() { received <- a.receive(ctx) }()
+	asked := clock.Time(-1)
+	polled := clock.Time(-1)
+	for ctx.Err() == nil {
+		now := a.clock.Now()
+		if asked < 0 || now.Sub(asked) >= askPeriod {
+			a.askEntries()
+			asked = now
+		}
+		if polled < 0 || now.Sub(polled) >= pollPeriod || a.urgent() {
+			a.round(ctx, now)
+			polled = now
+		}
+		select {
+		case <-ctx.Done():
+			return <-received
+		case err := <-received:
+			return err
+		case r := <-a.replies:
+			a.handle(r)
+		case <-time.After(a.pause().Duration()):
+		}
+		a.act(ctx)
+	}
+	return nil
+}
+
+func (a *Agent) urgent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.desk != nil && a.desk.director.Urgent()
+}
+
+func (a *Agent) pause() clock.Span {
+	if a.urgent() {
+		return urgentPeriod
+	}
+	return pollPeriod
+}
+
+// askEntries asks the entries for the members of the engine's group.
+func (a *Agent) askEntries() {
+	for _, ip := range a.settings.Entries {
+		a.send(ip, message{Ask: a.settings.Engine})
+	}
+}
+
+func (a *Agent) send(ip string, m message) {
+	content, err := json.Marshal(m)
+	if err != nil || len(content) > maxDatagram {
+		level.Error(a.logger).Log("msg", "message not sent", "to", ip, "bytes", len(content), "error", err)
+		return
+	}
+	if _, err := a.conn.WriteTo(content, &net.UDPAddr{IP: net.ParseIP(ip), Port: a.settings.Port}); err != nil {
+		level.Debug(a.logger).Log("msg", "message not sent", "to", ip, "error", err)
+	}
+}
+
+func (a *Agent) receive(ctx context.Context) error {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := a.conn.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			level.Warn(a.logger).Log("msg", "message not received", "error", err)
+			continue
+		}
+		var m message
+		if err := json.Unmarshal(buffer[:n], &m); err != nil {
+			level.Warn(a.logger).Log("msg", "message can't be read", "from", from, "error", err)
+			continue
+		}
+		host, _, err := net.SplitHostPort(from.String())
+		if err != nil {
+			continue
+		}
+		a.take(ctx, host, m)
+	}
+	return nil
+}
+
+func (a *Agent) take(ctx context.Context, from string, m message) {
+	switch {
+	case m.Roster != nil:
+		a.join(*m.Roster)
+	case m.Poll != nil:
+		a.answerPoll(ctx, from, *m.Poll)
+	case m.Answer != nil:
+		a.mu.Lock()
+		if a.desk != nil {
+			a.desk.hear(*m.Answer)
+		}
+		a.mu.Unlock()
+	}
+}
+
+func (a *Agent) join(r Roster) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(r.Members) == 0 {
+		return
+	}
+	if len(r.Members) != len(a.roster.Members) {
+		level.Info(a.logger).Log("msg", "group known", "members", len(r.Members), "sets", r.Shape.Sets, "experts", r.Shape.Experts)
+	}
+	a.roster = r
+}
+
+// answerPoll reads the engine and tells the asker.
+func (a *Agent) answerPoll(ctx context.Context, from string, p poll) {
+	v, ok := a.look(ctx, p.Asked)
+	if !ok || v.Group != p.Group {
+		return
+	}
+	if p.Rank < v.Rank {
+		a.mu.Lock()
+		a.directed = a.clock.Now()
+		a.mu.Unlock()
+	}
+	a.send(from, message{Answer: &v})
+}
+
+// look reads the engine beside this process.
+func (a *Agent) look(ctx context.Context, asked int64) (v answer, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, settle.Duration())
+	defer cancel()
+	r, err := a.dialect.Report(ctx, a.settings.Engine)
+	if err != nil {
+		a.lost(err)
+		return v, false
+	}
+	a.mu.Lock()
+	shape, lists, known := a.roster.Shape, a.lists, a.own
+	a.mu.Unlock()
+	if r.Group == "" || shape.Sets == 0 {
+		a.found(r)
+		return v, false
+	}
+	if lists.Sets == nil || lists.Version != r.Version || known.Born != r.Born || known.Epoch != r.Epoch {
+		if lists, err = a.dialect.Lists(ctx, a.settings.Engine); err != nil {
+			a.lost(err)
+			return v, false
+		}
+	}
+	counts, err := a.dialect.Counts(ctx, a.settings.Engine, shape)
+	if err != nil {
+		a.lost(err)
+		return v, false
+	}
+	a.found(r)
+	a.mu.Lock()
+	a.lists = lists
+	a.mu.Unlock()
+	if lists.Version != r.Version || counts.Epoch != r.Epoch {
+		return v, false // the engine moved on between the calls
+	}
+	return answer{
+		Asked: asked, Group: r.Group, Rank: r.Rank, Born: r.Born, Epoch: r.Epoch, Open: r.Open, Step: r.Step,
+		Version: r.Version, Prepared: r.Prepared, Armed: r.Armed, ArmedAt: r.ArmedStep, Held: r.Held, Pace: r.Pace,
+		Experts: lists.Sets, Counts: counts.Sets,
+	}, true
+}
+
+func (a *Agent) lost(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.broken {
+		level.Warn(a.logger).Log("msg", "engine lost", "engine", a.settings.Engine, "error", err)
+	}
+	a.broken = true
+}
+
+func (a *Agent) found(r Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.broken || r.Born != a.own.Born || r.Epoch != a.own.Epoch || r.Open != a.own.Open {
+		level.Info(a.logger).Log("msg", "engine", "group", r.Group, "rank", r.Rank, "epoch", r.Epoch, "open", r.Open, "born", r.Born, "step", r.Step)
+	}
+	a.broken = false
+	a.own = r
+}
--- /dev/null
+++ b/internal/engine/direct.go
@@ -0,0 +1,234 @@
+package engine
+
+import (
+	"context"
+	"slices"
+
+	"github.com/go-kit/log/level"
+
+	"carawaypick/internal/kernel"
+	"carawaypick/pkg/clock"
+	"carawaypick/pkg/expert"
+)
+
+// desk is the work of the process that directs a group.
+type desk struct {
+	director *expert.Director
+	planner  *expert.Planner
+	shape    Shape
+	experts  int // with those that stand for free slots
+	answers  []answer
+	counted  []answer // by rank: the answer up to which counts have gone into the estimate
+	round    uint64
+	version  int64 // of the map that the planner starts from
+	born     []int64
+}
+
+// trigger is the skew that a new map must take from a set: a switch costs copies and orders.
+const trigger = 0.06
+
+// newDesk returns a desk for the group.
+func newDesk(ranks, holder int, shape Shape) *desk {
+	return &desk{
+		director: expert.NewDirector(ranks, holder),
+		shape:    shape,
+		answers:  make([]answer, ranks),
+		counted:  make([]answer, ranks),
+		version:  expert.None,
+	}
+}
+
+// hear takes in a rank's answer.
+func (d *desk) hear(v answer) {
+	if v.Rank < 0 || v.Rank >= len(d.answers) || len(v.Counts) != d.shape.Sets || v.Asked < d.answers[v.Rank].Asked {
+		return
+	}
+	d.answers[v.Rank] = v
+	d.director.Read(v.Rank, expert.Standing{
+		Asked: clock.Time(v.Asked), Epoch: v.Epoch, Open: v.Open, Step: v.Step, Version: v.Version,
+		Prepared: v.Prepared, Armed: v.Armed, ArmedStep: v.ArmedAt, Held: v.Held,
+	})
+}
+
+// current returns the map that all ranks use, or nil.
+func (d *desk) current() expert.Map {
+	m := make(expert.Map, d.shape.Sets)
+	for set := range m {
+		m[set] = make([][]int, len(d.answers))
+		for rank, v := range d.answers {
+			if len(v.Experts) != d.shape.Sets || v.Version != d.answers[0].Version || v.Epoch != d.answers[0].Epoch {
+				return nil
+			}
+			m[set][rank] = v.Experts[set]
+		}
+	}
+	return m
+}
+
+// settings of the planner: a line a round, and a map must pay within some seconds, since what is liked changes.
+func (d *desk) settings() expert.Settings {
+	s := expert.Defaults()
+	s.Step = pollPeriod
+	s.Horizon = int(4 * clock.Second / pollPeriod)
+	s.Trigger = trigger
+	s.Spare = d.shape.Spare
+	s.Free = d.shape.Experts
+	return s
+}
+
+// begin starts the planner from the map in use, where it does not do so already.
+func (d *desk) begin() bool {
+	m := d.current()
+	if m == nil {
+		return false
+	}
+	version := d.answers[0].Version<<20 | d.answers[0].Epoch&0xfffff
+	if version == d.version {
+		return true
+	}
+	padded, experts := expert.Pad(m, d.shape.Experts, d.shape.Places)
+	if d.planner == nil || experts > d.experts {
+		d.planner, d.experts = expert.NewPlanner(d.settings()), experts
+	}
+	if err := d.planner.Adopt(padded); err != nil {
+		d.planner, d.experts = expert.NewPlanner(d.settings()), experts
+		if err := d.planner.Adopt(padded); err != nil {
+			return false
+		}
+	}
+	d.version = version
+	return true
+}
+
+// report returns what all ranks counted since the last round, or false where nothing was.
+func (d *desk) report() (r expert.Report, ok bool) {
+	d.round++
+	r = expert.Report{
+		Step: d.round, Ranks: len(d.answers), Slots: d.shape.Places,
+		Weight: max(d.shape.ExpertMB, 1) << 20, Rate: max(d.shape.LinkMbps, 1) << 20 / 8,
+		Layers: make([][]int64, d.shape.Sets),
+	}
+	for set := range r.Layers {
+		r.Layers[set] = make([]int64, d.experts)
+		for rank, v := range d.answers {
+			if len(v.Counts) != d.shape.Sets {
+				continue
+			}
+			before := d.counted[rank]
+			for e, count := range v.Counts[set] {
+				if v.Born == before.Born && len(before.Counts) == d.shape.Sets {
+					count -= before.Counts[set][e]
+				}
+				if e < d.experts && count > 0 {
+					r.Layers[set][e] += count
+					ok = true
+				}
+			}
+		}
+	}
+	copy(d.counted, d.answers)
+	return r, ok
+}
+
+// plan takes one round of counts and proposes a map where one pays.
+func (d *desk) plan(now clock.Time, fence int64) (proposed bool, gain float64) {
+	if !d.begin() {
+		return false, 0
+	}
+	r, ok := d.report()
+	if !ok {
+		return false, 0
+	}
+	if d.director.Busy() || !d.director.Whole(now.Add(-2*pollPeriod)) {
+		_ = d.planner.Observe(r) // the shape is the one that the planner began with
+		return false, 0
+	}
+	p, err := d.planner.Next(r)
+	if err != nil || p.Stay {
+		return false, 0
+	}
+	d.version = expert.None // what becomes of the plan is read back from the ranks
+	return d.director.Propose(now, expert.Strip(p.Map, d.shape.Experts), 1, fence), p.Gain
+}
+
+// round polls the ranks where this process directs.
+func (a *Agent) round(ctx context.Context, now clock.Time) {
+	own, ok := a.look(ctx, int64(now))
+	if !ok || !a.settings.Fencing {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	first := slices.IndexFunc(a.roster.Members, func(m Member) bool { return m.Rank == own.Rank })
+	if first < 0 || own.Rank >= directors || len(a.roster.Members) != a.own.Size {
+		a.desk = nil
+		return
+	}
+	if own.Rank > 0 && now.Sub(a.directed) < directedBy*clock.Span(own.Rank) {
+		a.desk = nil
+		return
+	}
+	if a.desk == nil || len(a.desk.answers) != a.own.Size || a.desk.shape != a.roster.Shape {
+		a.desk = newDesk(a.own.Size, own.Rank, a.roster.Shape)
+		level.Info(a.logger).Log("msg", "this process directs the group", "group", own.Group, "rank", own.Rank, "ranks", a.own.Size)
+	}
+	a.desk.hear(own)
+	for _, m := range a.roster.Members {
+		if m.Rank != own.Rank {
+			a.send(m.IP, message{Poll: &poll{Group: own.Group, Rank: own.Rank, Asked: int64(now)}})
+		}
+	}
+	if a.desk.director.Busy() {
+		return
+	}
+	if proposed, gain := a.desk.plan(now, clock.Wall()); proposed {
+		level.Info(a.logger).Log("msg", "map proposed", "gain", gain, "step", own.Step, "version", own.Version)
+	}
+}
+
+func (a *Agent) handle(r reply) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.desk != nil {
+		a.desk.director.Handle(a.clock.Now(), r.id, r.reply)
+	}
+}
+
+// act sends what the director orders.
+func (a *Agent) act(ctx context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.desk == nil {
+		return
+	}
+	now := a.clock.Now()
+	for _, c := range a.desk.director.Tick(now, clock.Wall()) {
+		i := slices.IndexFunc(a.roster.Members, func(m Member) bool { return m.Rank == c.Rank })
+		if i < 0 {
+			continue
+		}
+		a.order(ctx, a.roster.Members[i].Engine, c)
+	}
+	if o := a.desk.director.Take(); o.Ended {
+		level.Info(a.logger).Log("msg", "map switch ended", "committed", o.Committed, "version", o.Version, "reason", o.Reason)
+	}
+}
+
+// order sends one order; its reply comes on the agent's channel.
+func (a *Agent) order(ctx context.Context, address string, c expert.Command) {
+	kernel.Start(ctx, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, settle.Duration())
+		defer cancel()
+		r, err := a.dialect.Order(ctx, address, c)
+		if err != nil {
+			level.Info(a.logger).Log("msg", "order not answered", "op", c.Op, "rank", c.Rank, "version", c.Version, "step", c.Step, "fence", c.Fence, "error", err)
+		} else if r != expert.ReplyDone {
+			level.Info(a.logger).Log("msg", "order refused", "op", c.Op, "rank", c.Rank, "version", c.Version, "step", c.Step, "fence", c.Fence, "fenced", r == expert.ReplyFenced)
+		}
+		select {
+		case a.replies <- reply{id: c.ID, reply: r}:
+		case <-ctx.Done():
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/engine/message.go
@@ -0,0 +1,35 @@
+package engine
+
+// message is what the processes beside the ranks of a group tell one another, and ask an entry, by UDP.
+type message struct {
+	Ask    string  `json:"ask,omitempty"`    // the engine whose group an entry is asked for
+	Roster *Roster `json:"roster,omitempty"` // the entry's answer
+	Poll   *poll   `json:"poll,omitempty"`
+	Answer *answer `json:"answer,omitempty"`
+}
+
+// poll asks a process for its rank's standing.
+type poll struct {
+	Group string `json:"group"`
+	Rank  int    `json:"rank"`  // of the asker
+	Asked int64  `json:"asked"` // the asker's clock
+}
+
+// answer is a rank's standing and what it counted.
+type answer struct {
+	Asked    int64     `json:"asked"`
+	Group    string    `json:"group"`
+	Rank     int       `json:"rank"`
+	Born     int64     `json:"born"`
+	Epoch    int64     `json:"epoch"`
+	Open     bool      `json:"open"`
+	Step     int64     `json:"step"`
+	Version  int64     `json:"version"`
+	Prepared int64     `json:"prepared"`
+	Armed    int64     `json:"armed"`
+	ArmedAt  int64     `json:"armedat"`
+	Held     int64     `json:"held"`
+	Pace     float64   `json:"pace"`
+	Experts  [][]int   `json:"experts"` // that it holds, by set
+	Counts   [][]int64 `json:"counts"`  // since the engine's start, by set
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -59,6 +59,12 @@
 	PerRequest float64    // ms that each request that is writing adds to a step
 	Stride     int        // steps in a pass
 	Lag        clock.Span // age in ms of the reports
+	Sets       int        // sets of layers that share an expert map
+	Experts    int        // a set
+	Places     int        // experts that a rank holds a set, at most
+	Spare      int        // new experts that one map may bring to a rank and set; 0 where it is not told
+	ExpertMB   int64      // megabytes of one expert
+	LinkMbps   int64      // megabits a second between ranks
 }
 
 // Team is a group of callers that share keys and a priority.
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -14,6 +14,8 @@
 	Zone      string
 	Slots     int // requests that it runs at once
 	Leaving   bool
+	Group     string     // group of ranks that run in lock-step, empty for none
+	Rank      int        // in the group
 	ColdUntil clock.Time // moment up to which it bears only the cold rate; a decoder gives the ms that are left
 	Born      int64      // Unix time in ms of its start; 0 where it is not told
 	Revision  int64      // the store's revision of the entry
--- /dev/null
+++ b/pkg/expert/director.go
@@ -0,0 +1,520 @@
+package expert
+
+import (
+	"slices"
+
+	"carawaypick/pkg/clock"
+)
+
+// Ops of an order to a rank.
+const (
+	OpPrepare = "prepare" // copy the experts of a map
+	OpArm     = "arm"     // switch to a prepared map as a step begins
+	OpDisarm  = "disarm"  // take an arm back
+	OpHold    = "hold"    // don't begin a step until it is released
+	OpGo      = "go"      // release a held step
+)
+
+// Command is an order to one rank of a group whose ranks don't compare their maps.
+type Command struct {
+	ID      uint64 // unique to the director
+	Rank    int
+	Op      string
+	Version int64 // of the map
+	Step    int64
+	Epoch   int64 // life of the group
+	Fence   int64
+	Map     Map // for OpPrepare
+}
+
+// Reply is how a rank answered a command.
+type Reply int
+
+// Replies of a rank.
+const (
+	ReplyDone    Reply = iota // accepted, or the state already holds
+	ReplyRefused              // does not fit the rank's state, which it leaves as it is
+	ReplyFenced               // a higher fence has been seen
+	ReplyLost                 // no answer: it may be carried out, now or later
+)
+
+// None stands for no version and no step.
+const None int64 = -1
+
+// Standing is what a rank says of itself at one moment.
+type Standing struct {
+	Asked     clock.Time // moment before it was read, on the director's clock
+	Epoch     int64
+	Open      bool
+	Step      int64 // last step that was begun
+	Version   int64 // of the map in use
+	Prepared  int64 // version whose copy is complete, or None
+	Armed     int64 // version, or None
+	ArmedStep int64
+	Held      int64 // step, or None
+}
+
+// Phases of a director.
+const (
+	phaseIdle = iota
+	phasePrepare
+	phaseHold
+	phaseArm
+	phaseVerify
+	phaseGo
+	phaseBackOut
+	phaseCheck
+	phaseSeize
+	phaseSurvey
+)
+
+// Timing of a director, in ms.
+const (
+	resend       = 120 * clock.Millisecond  // until an unanswered command is sent again
+	prepareLimit = 6 * clock.Second         // for all ranks to copy their experts
+	armLimit     = 700 * clock.Millisecond  // for all ranks to arm and to be read back, while a step is held
+	holdLimit    = 2 * clock.Second         // for a hold to be acknowledged
+	foreignAfter = 900 * clock.Millisecond  // a hold that is not the director's own is looked into after that
+	restAfter    = 1500 * clock.Millisecond // after a switch that failed
+	fencedRest   = 3 * clock.Second         // after another director has shown itself
+	ahead        = 3                        // steps from the newest known one to the held one
+)
+
+// Director switches a group from one map to the next: it holds a step, arms every rank for it, reads all back and
+// releases the step only where they are unanimous; else it takes everything back first.
+//
+// The rank at index holder is the one that holds. Orders may be lost and carried out late, so each try has a higher
+// fence than anything before it, and nothing is left half done: a hold that another director left behind is seized,
+// and completed or taken back. It is a pure state machine, for one goroutine.
+type Director struct {
+	holder int
+	ranks  []Standing
+	phase  int
+	since  clock.Time // begin of the phase
+
+	version int64
+	step    int64
+	epoch   int64
+	fence   int64
+	next    uint64
+	m       Map
+	done    []bool             // by rank: acknowledged in this phase
+	marks   []clock.Time       // by rank: moment after which a standing proves this phase
+	open    map[uint64]Command // unanswered commands
+	sent    []clock.Time       // by rank: last command of this phase
+	rest    clock.Time         // no new switch before
+	foreign clock.Time         // since when a foreign hold is seen, 0 for none
+	commits bool               // phaseGo completes a switch
+	result  Outcome
+}
+
+// Outcome tells what became of a proposal.
+type Outcome struct {
+	Ended     bool
+	Committed bool
+	Version   int64
+	Reason    string
+}
+
+// NewDirector returns a director of a group of so many ranks, all unknown yet.
+func NewDirector(ranks, holder int) *Director {
+	d := &Director{holder: holder, ranks: make([]Standing, ranks), open: make(map[uint64]Command)}
+	for i := range d.ranks {
+		d.ranks[i] = Standing{Epoch: None, Prepared: None, Armed: None, Held: None, Asked: -1}
+	}
+	return d
+}
+
+// Busy tells whether a switch, or the mending of one, is under way.
+func (d *Director) Busy() bool {
+	return d.phase != phaseIdle
+}
+
+// Urgent tells whether the director waits for fresh standings.
+func (d *Director) Urgent() bool {
+	return d.phase != phaseIdle
+}
+
+// Holding tells whether a step may be held by this director now.
+func (d *Director) Holding() bool {
+	return d.phase > phaseHold
+}
+
+// Take returns what became of the last proposal, once.
+func (d *Director) Take() Outcome {
+	o := d.result
+	d.result = Outcome{}
+	return o
+}
+
+// Standing returns what is known of the rank.
+func (d *Director) Standing(rank int) Standing {
+	return d.ranks[rank]
+}
+
+// Whole tells whether all ranks were read after the moment, are in one life of the group and it is open.
+func (d *Director) Whole(after clock.Time) bool {
+	for _, s := range d.ranks {
+		if s.Asked < after || s.Epoch != d.ranks[0].Epoch || !s.Open {
+			return false
+		}
+	}
+	return true
+}
+
+// Propose begins the switch to m, or refuses where one is under way or the group is not whole; fence must be above
+// all fences that this director has used.
+func (d *Director) Propose(now clock.Time, m Map, version, fence int64) bool {
+	if d.phase != phaseIdle || now < d.rest || !d.settled() {
+		return false
+	}
+	for _, s := range d.ranks {
+		version = max(version, s.Version+1, s.Prepared+1, s.Armed+1)
+	}
+	d.version, d.m, d.epoch = version, m, d.ranks[0].Epoch
+	d.fence = max(d.fence+1, fence)
+	d.enter(now, phasePrepare)
+	return true
+}
+
+// settled tells whether all ranks use one map and nothing is armed or held.
+func (d *Director) settled() bool {
+	first := d.ranks[0]
+	for _, s := range d.ranks {
+		if s.Epoch == None || !s.Open || s.Epoch != first.Epoch || s.Version != first.Version || s.Armed != None || s.Held != None {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Director) enter(now clock.Time, phase int) {
+	d.phase, d.since = phase, now
+	d.done = make([]bool, len(d.ranks))
+	d.sent = make([]clock.Time, len(d.ranks))
+	d.marks = make([]clock.Time, len(d.ranks))
+	for i := range d.sent {
+		d.sent[i] = -1
+		d.marks[i] = now
+	}
+	clear(d.open)
+}
+
+// Read takes in a rank's standing; one that is older than what is known is dropped.
+func (d *Director) Read(rank int, s Standing) {
+	if rank < 0 || rank >= len(d.ranks) || s.Asked < d.ranks[rank].Asked {
+		return
+	}
+	d.ranks[rank] = s
+}
+
+// Handle takes in the reply to a command.
+func (d *Director) Handle(now clock.Time, id uint64, reply Reply) {
+	c, known := d.open[id]
+	if !known {
+		return
+	}
+	delete(d.open, id)
+	switch reply {
+	case ReplyDone:
+		d.done[c.Rank] = true
+		d.marks[c.Rank] = now
+	case ReplyFenced:
+		d.fenced(now)
+	case ReplyRefused:
+		d.refused(now, c)
+	case ReplyLost:
+		d.sent[c.Rank] = min(d.sent[c.Rank], now.Add(-resend/2)) // soon again
+	}
+}
+
+// fenced leaves the group to the director with the higher fence.
+func (d *Director) fenced(now clock.Time) {
+	d.end(now, false, "another director gives orders")
+	d.rest = now.Add(fencedRest)
+	d.foreign = 0
+}
+
+func (d *Director) refused(now clock.Time, c Command) {
+	switch d.phase {
+	case phasePrepare:
+		d.end(now, false, "a rank refused the map")
+		d.rest = now.Add(restAfter)
+	case phaseHold:
+		d.step = None // the step has begun: hold a later one
+		d.sent[d.holder] = -1
+	case phaseArm:
+		d.backOut(now, "a rank refused to arm")
+	case phaseGo, phaseSeize:
+		d.step = None // nothing is held there any more
+		d.end(now, false, "the step is not held")
+	case phaseBackOut:
+		d.done[c.Rank] = true // nothing of that version is armed; the order's fence has been seen
+		d.marks[c.Rank] = now
+	}
+}
+
+func (d *Director) backOut(now clock.Time, reason string) {
+	d.result = Outcome{Version: d.version, Reason: reason}
+	if d.version == None {
+		for _, s := range d.ranks {
+			d.version = max(d.version, s.Prepared, 0) // any version: the order is for its fence
+		}
+	}
+	d.fence++
+	d.commits = false
+	d.enter(now, phaseBackOut)
+}
+
+func (d *Director) end(now clock.Time, committed bool, reason string) {
+	if d.result.Reason == "" {
+		d.result = Outcome{Version: d.version, Committed: committed, Reason: reason}
+	}
+	d.result.Ended = true
+	if !committed {
+		d.rest = max(d.rest, now.Add(restAfter))
+	}
+	d.enter(now, phaseIdle)
+}
+
+// Tick moves on where it can and returns the commands to send now.
+func (d *Director) Tick(now clock.Time, fence int64) []Command {
+	if d.phase != phaseIdle && d.reborn() {
+		d.end(now, false, "the group began a new life")
+	}
+	switch d.phase {
+	case phaseIdle:
+		d.watch(now, fence)
+	case phasePrepare:
+		d.prepare(now)
+	case phaseHold:
+		d.hold(now)
+	case phaseArm:
+		if all(d.done) {
+			d.enter(now, phaseVerify)
+		} else if now.Sub(d.since) > armLimit {
+			d.backOut(now, "a rank did not answer")
+		}
+	case phaseVerify:
+		d.verify(now)
+	case phaseGo:
+		if d.done[d.holder] {
+			d.released(now)
+		}
+	case phaseBackOut:
+		if all(d.done) {
+			d.enter(now, phaseCheck)
+		}
+	case phaseCheck:
+		d.check(now)
+	case phaseSeize:
+		if d.done[d.holder] {
+			d.enter(now, phaseSurvey)
+		}
+	case phaseSurvey:
+		d.survey(now)
+	}
+	return d.send(now)
+}
+
+// reborn tells whether a rank is in another life of the group, where nothing is prepared, armed or held.
+func (d *Director) reborn() bool {
+	for _, s := range d.ranks {
+		if s.Epoch != None && s.Epoch > d.epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// watch looks for a hold that another director has left behind.
+func (d *Director) watch(now clock.Time, fence int64) {
+	holder, step := -1, None
+	for i, s := range d.ranks {
+		if s.Held != None {
+			holder, step = i, s.Held
+		}
+	}
+	if holder < 0 {
+		d.foreign = 0
+		return
+	}
+	if d.foreign == 0 {
+		d.foreign = now
+	}
+	if now.Sub(d.foreign) < foreignAfter || now < d.rest {
+		return
+	}
+	d.foreign = 0
+	d.holder, d.step, d.epoch = holder, step, d.ranks[holder].Epoch
+	d.version = None
+	for _, s := range d.ranks {
+		d.version = max(d.version, s.Armed)
+	}
+	d.fence = max(d.fence+1, fence)
+	d.enter(now, phaseSeize)
+}
+
+func (d *Director) prepare(now clock.Time) {
+	for _, s := range d.ranks {
+		if s.Prepared != d.version {
+			if now.Sub(d.since) > prepareLimit {
+				d.end(now, false, "a rank did not prepare the map in time")
+			}
+			return
+		}
+	}
+	d.enter(now, phaseHold)
+	d.step = None
+}
+
+func (d *Director) hold(now clock.Time) {
+	if d.step != None && d.done[d.holder] {
+		d.enter(now, phaseArm)
+		return
+	}
+	if now.Sub(d.since) > holdLimit {
+		// The hold may still come into force; it is released like any other that nobody needs.
+		d.end(now, false, "the step could not be held")
+		return
+	}
+	if d.step == None {
+		d.step = d.newest() + ahead
+		d.fence++
+	}
+}
+
+func (d *Director) newest() int64 {
+	newest := int64(0)
+	for _, s := range d.ranks {
+		newest = max(newest, s.Step)
+	}
+	return newest
+}
+
+// read tells whether every rank was read since its part of the phase was done.
+func (d *Director) read() bool {
+	for i, s := range d.ranks {
+		if s.Asked <= d.marks[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Director) armedAll() bool {
+	for _, s := range d.ranks {
+		if s.Armed != d.version || s.ArmedStep != d.step || s.Epoch != d.epoch {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Director) verify(now clock.Time) {
+	if d.read() {
+		if d.armedAll() && d.ranks[d.holder].Held == d.step {
+			d.commits = true
+			d.enter(now, phaseGo)
+			return
+		}
+		d.backOut(now, "the ranks are not unanimous")
+		return
+	}
+	if now.Sub(d.since) > armLimit {
+		d.backOut(now, "a rank could not be read back")
+	}
+}
+
+// check releases the step once nothing is armed any more.
+func (d *Director) check(now clock.Time) {
+	if !d.read() {
+		return
+	}
+	for _, s := range d.ranks {
+		if s.Armed != None && s.Epoch == d.epoch {
+			d.version = max(d.version, s.Armed)
+			d.backOut(now, d.result.Reason)
+			return
+		}
+	}
+	d.enter(now, phaseGo)
+}
+
+// survey decides what becomes of a hold that was seized.
+func (d *Director) survey(now clock.Time) {
+	if !d.read() {
+		return
+	}
+	d.version = None
+	for _, s := range d.ranks {
+		d.version = max(d.version, s.Armed)
+	}
+	if d.version != None && d.armedAll() {
+		d.commits = true
+		d.enter(now, phaseGo)
+		return
+	}
+	d.result.Reason = "a hold was left behind"
+	d.backOut(now, d.result.Reason)
+}
+
+func (d *Director) released(now clock.Time) {
+	if d.commits {
+		d.result = Outcome{Version: d.version, Committed: true}
+	}
+	d.end(now, d.commits, "the step was released without a switch")
+	d.commits = false
+}
+
+// send returns the commands of the phase that are due.
+func (d *Director) send(now clock.Time) (commands []Command) {
+	op, ranks := d.orders()
+	if op == "" {
+		return nil
+	}
+	for _, rank := range ranks {
+		if d.done[rank] || (d.sent[rank] >= 0 && now.Sub(d.sent[rank]) < resend) {
+			continue
+		}
+		if op == OpPrepare && d.sent[rank] >= 0 && now.Sub(d.sent[rank]) < 4*resend {
+			continue
+		}
+		d.sent[rank] = now
+		d.next++
+		c := Command{ID: d.next, Rank: rank, Op: op, Version: d.version, Step: d.step, Epoch: d.epoch, Fence: d.fence}
+		if op == OpPrepare {
+			c.Map = d.m
+		}
+		d.open[c.ID] = c
+		commands = append(commands, c)
+	}
+	return commands
+}
+
+func (d *Director) orders() (op string, ranks []int) {
+	everyone := make([]int, len(d.ranks))
+	for i := range everyone {
+		everyone[i] = i
+	}
+	switch d.phase {
+	case phasePrepare:
+		return OpPrepare, everyone
+	case phaseArm:
+		return OpArm, everyone
+	case phaseBackOut:
+		return OpDisarm, everyone
+	case phaseHold, phaseSeize:
+		if d.step == None {
+			return "", nil
+		}
+		return OpHold, []int{d.holder}
+	case phaseGo:
+		return OpGo, []int{d.holder}
+	}
+	return "", nil
+}
+
+func all(done []bool) bool {
+	return !slices.Contains(done, false)
+}
--- a/pkg/expert/improve.go
+++ b/pkg/expert/improve.go
@@ -92,6 +92,9 @@
 // or takes away a replica that an escape has made.
 func (p *placement) banned(c candidate) bool {
 	old := p.ranks[c.rank][c.slot]
+	if p.crowds(c.rank, c.slot, c.expert) || (c.other >= 0 && p.crowds(c.other, c.place, old)) {
+		return true
+	}
 	if p.left[p.at(c.expert, c.rank)] || p.locked[p.at(old, c.rank)] {
 		return true
 	}
--- a/pkg/expert/placement.go
+++ b/pkg/expert/placement.go
@@ -21,6 +21,9 @@
 	left     []bool    // by expert and rank: taken from it by an earlier change
 	locked   []bool    // by expert and rank: put on it by an escape
 	touched  []int     // scratch: ranks with a change
+	base     [][]int   // the map that the improvement began with
+	spare    int       // experts beyond base that a rank may get, 0 for no limit
+	free     int       // number from which experts stand for free slots, 0 for none
 }
 
 func newPlacement(layer int, ranks [][]int, shares []float64) *placement {
@@ -104,6 +107,28 @@
 	return p.lightest[:min(reach, len(p.lightest))]
 }
 
+// crowds tells whether putting expert into the slot gives the rank more experts beyond base than it may get.
+func (p *placement) crowds(rank, slot, expert int) bool {
+	if p.spare == 0 || p.vacant(expert) {
+		return false
+	}
+	added := 0
+	for i, e := range p.ranks[rank] {
+		if i == slot {
+			e = expert
+		}
+		if !p.vacant(e) && !holds(p.base[rank], e) {
+			added++
+		}
+	}
+	return added > p.spare
+}
+
+// vacant tells whether the expert stands for a free slot.
+func (p *placement) vacant(expert int) bool {
+	return p.free > 0 && expert >= p.free
+}
+
 func (p *placement) put(rank, slot, expert int) Move {
 	old := p.ranks[rank][slot]
 	i := slices.Index(p.holders[old], rank)
--- a/pkg/expert/plan.go
+++ b/pkg/expert/plan.go
@@ -18,6 +18,8 @@
 	Least   float64    // least skew that each load must take from its layer, times the number of ranks
 	Goal    float64    // skew above the bound that a change aims at
 	Batch   clock.Span // ms that the loads of one plan may take at the store's rate, 0 for no limit
+	Spare   int        // experts that one plan may add to a rank and layer, 0 for no limit
+	Free    int        // number from which experts stand for free slots, 0 for none
 	Sigma   float64    // least standard deviations of the busiest rank's load that a change must exceed, 0 for no estimate of noise
 }
 
--- a/pkg/expert/task.go
+++ b/pkg/expert/task.go
@@ -41,6 +41,7 @@
 // improveLayer returns the stages to the layer's next placement, none where staying is better.
 func (p *Planner) improveLayer(t task, price float64, loads int) []Stage {
 	next := newPlacement(t.layer, cloneLayer(p.current[t.layer]), t.shares)
+	next.base, next.spare, next.free = p.current[t.layer], p.settings.Spare, p.settings.Free
 	stages, gain := worth(next.improve(t.goal, loads), price)
 	if gain < t.least {
 		return nil
