--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -50,6 +50,7 @@
 	directed clock.Time // last poll by a lower rank's process
 	desk     *desk
 	replies  chan reply
+	heard    chan struct{} // an answer came that the director waits for
 	broken   bool // the engine did not answer last time
 }
 
@@ -61,7 +62,7 @@
 
 // New returns an agent.
 func New(s Settings, d Dialect, c clock.Clock, logger log.Logger) *Agent {
-	return &Agent{settings: s, dialect: d, clock: c, logger: logger, directed: c.Now(), replies: make(chan reply, 256)}
+	return &Agent{settings: s, dialect: d, clock: c, logger: logger, directed: c.Now(), replies: make(chan reply, 256), heard: make(chan struct{}, 1)}
 }
 
 // Run works until ctx ends.
@@ -75,14 +76,14 @@
 	received := make(chan error, 1)
 	go func() { received <- a.receive(ctx) }()
 	asked := clock.Time(-1)
-	polled := clock.Time(-1)
+	polled := clock.Time(-1) // -1 asks for a poll now
 	for ctx.Err() == nil {
 		now := a.clock.Now()
 		if asked < 0 || now.Sub(asked) >= askPeriod {
 			a.askEntries()
 			asked = now
 		}
-		if polled < 0 || now.Sub(polled) >= pollPeriod || a.urgent() {
+		if polled < 0 || now.Sub(polled) >= a.pause() {
 			a.round(ctx, now)
 			polled = now
 		}
@@ -93,21 +94,21 @@
 			return err
 		case r := <-a.replies:
 			a.handle(r)
-		case <-time.After(a.pause().Duration()):
+		case <-a.heard:
+		case <-time.After(max(a.pause()-a.clock.Since(polled), 1).Duration()):
+		}
+		if a.act(ctx) {
+			polled = -1
 		}
-		a.act(ctx)
 	}
 	return nil
 }
 
-func (a *Agent) urgent() bool {
+// pause returns the time between two polls.
+func (a *Agent) pause() clock.Span {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.desk != nil && a.desk.director.Urgent()
-}
-
-func (a *Agent) pause() clock.Span {
-	if a.urgent() {
+	if a.desk != nil && a.desk.director.Busy() {
 		return urgentPeriod
 	}
 	return pollPeriod
@@ -166,6 +167,12 @@
 		a.mu.Lock()
 		if a.desk != nil {
 			a.desk.hear(*m.Answer)
+			if a.desk.director.Urgent() {
+				select {
+				case a.heard <- struct{}{}:
+				default:
+				}
+			}
 		}
 		a.mu.Unlock()
 	}
--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -24,8 +24,11 @@
 	born     []int64
 }
 
-// trigger is the skew that a new map must take from a set: a switch costs copies and orders.
-const trigger = 0.06
+const (
+	trigger   = 0.2 // skew that a new map must take from a set: a switch costs copies and orders
+	leastCopy = 0.3 // skew, times the number of ranks, that each copy must take from its set: passes are slower meanwhile
+	leastGain = 0.1 // mean skew that a plan must take
+)
 
 // newDesk returns a desk for the group.
 func newDesk(ranks, holder int, shape Shape) *desk {
@@ -71,6 +74,7 @@
 	s.Step = pollPeriod
 	s.Horizon = int(4 * clock.Second / pollPeriod)
 	s.Trigger = trigger
+	s.Least = leastCopy
 	s.Spare = d.shape.Spare
 	s.Free = d.shape.Experts
 	return s
@@ -147,6 +151,10 @@
 	if err != nil || p.Stay {
 		return false, 0
 	}
+	if p.Gain < leastGain {
+		d.version = expert.None
+		return false, 0
+	}
 	d.version = expert.None // what becomes of the plan is read back from the ranks
 	return d.director.Propose(now, expert.Strip(p.Map, d.shape.Experts), 1, fence), p.Gain
 }
@@ -194,14 +202,15 @@
 	}
 }
 
-// act sends what the director orders.
-func (a *Agent) act(ctx context.Context) {
+// act sends what the director orders and tells whether the ranks must be polled at once.
+func (a *Agent) act(ctx context.Context) (poll bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.desk == nil {
-		return
+		return false
 	}
 	now := a.clock.Now()
+	waited := a.desk.director.Urgent()
 	for _, c := range a.desk.director.Tick(now, clock.Wall()) {
 		i := slices.IndexFunc(a.roster.Members, func(m Member) bool { return m.Rank == c.Rank })
 		if i < 0 {
@@ -212,6 +221,7 @@
 	if o := a.desk.director.Take(); o.Ended {
 		level.Info(a.logger).Log("msg", "map switch ended", "committed", o.Committed, "version", o.Version, "reason", o.Reason)
 	}
+	return a.desk.director.Urgent() && !waited
 }
 
 // order sends one order; its reply comes on the agent's channel.
--- a/pkg/expert/director.go
+++ b/pkg/expert/director.go
@@ -130,9 +130,9 @@
 	return d.phase != phaseIdle
 }
 
-// Urgent tells whether the director waits for fresh standings.
+// Urgent tells whether the director waits for standings that were read after it began its phase.
 func (d *Director) Urgent() bool {
-	return d.phase != phaseIdle
+	return d.phase == phaseVerify || d.phase == phaseCheck || d.phase == phaseSurvey
 }
 
 // Holding tells whether a step may be held by this director now.
@@ -460,10 +460,13 @@
 }
 
 func (d *Director) released(now clock.Time) {
+	d.ranks[d.holder].Held = None
+	d.ranks[d.holder].Asked = now
 	if d.commits {
-		d.result = Outcome{Version: d.version, Committed: true}
+		d.end(now, true, "all ranks were armed")
+	} else {
+		d.end(now, false, "the step was released without a switch")
 	}
-	d.end(now, d.commits, "the step was released without a switch")
 	d.commits = false
 }
 
