--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -51,7 +51,7 @@
 	desk     *desk
 	replies  chan reply
 	heard    chan struct{} // an answer came that the director waits for
-	broken   bool // the engine did not answer last time
+	broken   bool          // the engine did not answer last time
 }
 
 // reply is the answer to an order.
