--- a/internal/direct/board.go
+++ b/internal/direct/board.go
@@ -62,6 +62,22 @@
 	return flights
 }
 
+// Running returns the requests in flight at the servers, from all entries.
+func (b *Board) Running(servers []*routing.Server) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	total := 0
+	for _, s := range servers {
+		if st := b.servers[s.ID]; st != nil {
+			total += st.own
+		}
+		for _, flights := range b.peers {
+			total += flights[s.ID]
+		}
+	}
+	return total
+}
+
 // Candidates returns what a placement needs to know of the servers.
 func (b *Board) Candidates(servers []*routing.Server, service routing.Service, tried []string) []balance.Place {
 	now := b.clock.Now()
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -20,6 +20,7 @@
 	maxAnswer    = 8 << 20                 // bytes of a plain answer that are held before it is passed on
 	unreadyAfter = 500 * clock.Millisecond // Retry-After while no configuration is known
 	emptyAfter   = clock.Second            // Retry-After while a service has no usable backend server
+	leastUrgent  = 9                       // priority that a backend server knows as the least urgent
 	clockMargin  = 5 * clock.Millisecond   // taken off the time that a backend server gets, for the way back
 )
 
@@ -35,6 +36,7 @@
 	metrics  *telemetry.Metrics
 	journal  *telemetry.Journal
 	budget   *retryBudget
+	turns    *turns
 	leaving  atomic.Bool
 	active   atomic.Int64
 }
@@ -54,6 +56,7 @@
 	tried    []string
 	unproven bool // one of them may have run it
 	last     string
+	queue    *queue // where it holds a reservation
 }
 
 // refusal is an answer of the system's own.
@@ -78,6 +81,15 @@
 	}
 	ctx, cancel := until(r.Context(), e.clock, c.deadline)
 	defer cancel()
+	defer e.settle(c)
+	if no := e.turn(ctx, c); no != nil {
+		if r.Context().Err() != nil {
+			e.log(c, "left")
+			return
+		}
+		e.refuse(w, c, *no)
+		return
+	}
 	if c.route.Kind == routing.Stream {
 		e.stream(ctx, w, c)
 		return
@@ -181,18 +193,15 @@
 	c.tried = append(c.tried, s.ID)
 	e.budget.first(c, e.clock.Now())
 	out := outgoing(c.request, c.body)
-	priority := c.route.Priority
-	if c.team.Ranked {
-		priority = c.team.Priority
-	}
 	e.wire.Forward(out.Header, Forward{
 		Server:    s.ID,
 		Team:      c.team.Name,
 		Left:      max(c.deadline.Sub(e.clock.Now())-clockMargin, 1),
 		LastEvent: lastEvent,
-		Priority:  min(priority, 9),
+		Priority:  min(c.rank(), leastUrgent),
 	})
 	e.board.Start(s.ID)
+	e.settle(c)
 	x := e.send(ctx, s, out, c.ID, c.route.Kind == routing.Unsafe)
 	if x.fate == fateUnknown {
 		c.unproven = true
--- a/internal/direct/plain.go
+++ b/internal/direct/plain.go
@@ -124,6 +124,7 @@
 		e.done(s, x, clean)
 	}
 	e.board.End(s.ID, verdict)
+	e.dispatch()
 	if x.fate != fateAnswered {
 		e.journal.Log("attempt", "msg", "attempt failed", "id", c.ID, "server", s.ID, "address", s.Address, "reason", x.reason,
 			"error", x.err, "attempt", c.attempts, "notrun", x.fate == fateNotRun, "took", e.clock.Since(c.start))
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -67,6 +67,7 @@
 		conns:    newConnPool(c),
 		metrics:  metrics,
 		budget:   newRetryBudget(s),
+		turns:    newTurns(),
 	}
 	e.journal = &telemetry.Journal{Logger: logger, Clock: c, Plain: map[string]bool{"whole": true}}
 	e.belief = NewBelief(wire.Decode, c, logger, func(v *routing.View) { e.board.Forget(v) })
@@ -126,6 +127,7 @@
 	run("store", reader.Run)
 	run("peers", func(ctx context.Context) error { return e.peers.Run(ctx, s.IP) })
 	run("sweep", e.sweep)
+	run("turns", e.watchTurns)
 	return work, servers, nil
 }
 
@@ -145,6 +147,23 @@
 	}
 }
 
+// watchTurns looks after what waits.
+func (e *Entry) watchTurns(ctx context.Context) error {
+	ticker := time.NewTicker(turnPeriod.Duration())
+	defer ticker.Stop()
+	for looks := 1; ; looks++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.dispatch()
+			if looks%turnsEach == 0 {
+				e.observe()
+			}
+		}
+	}
+}
+
 func (e *Entry) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+metricsRoute, func(w http.ResponseWriter, _ *http.Request) { e.metrics.Write(w) })
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"carawaypick/internal/routing"
+	"carawaypick/pkg/clock"
 )
 
 // maxEvent is the most bytes of one event.
@@ -71,6 +72,8 @@
 	last    string // id of the last event that was sent on
 	events  int
 	resumed int
+	first   clock.Span // ms from the request to the first event
+	pause   clock.Span // longest pause in ms between two events
 }
 
 // stream answers a request whose answer is a stream of events.
@@ -135,7 +138,7 @@
 		if !f.begun {
 			f.begin(x.response) // a stream without events is whole as well
 		}
-		e.log(c, "whole", "status", http.StatusOK, "events", f.events, "resumed", f.resumed)
+		e.log(c, "whole", "status", http.StatusOK, "events", f.events, "resumed", f.resumed, "first", f.first, "pause", f.pause)
 		return true
 	}
 	x.fate, x.err, x.reason = fateUnknown, err, "cut"
@@ -173,6 +176,7 @@
 // copyEvents passes whole events on until the stream ends; nil means that it ended as complete.
 func (e *Entry) copyEvents(c *call, f *flow, response *http.Response) (err error) {
 	reader := bufio.NewReaderSize(response.Body, connBuffer)
+	last := clock.Time(0)
 	for {
 		v, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -184,7 +188,14 @@
 		if v.known && !follows(f.last, v.id) {
 			return errors.Newf("event %s after %s", v.id, f.last)
 		}
+		now := e.clock.Now()
+		if last > 0 {
+			e.turns.event(c.service.Name, now.Sub(last))
+			f.pause = max(f.pause, now.Sub(last))
+		}
+		last = now
 		if !f.begun {
+			f.first = now.Sub(c.start)
 			e.metrics.First.Get(c.service.Name).Update(float64(e.clock.Since(c.start)))
 			f.begin(response)
 		}
--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	pollPeriod   = 250 * clock.Millisecond  // between two rounds of counts
-	urgentPeriod = 40 * clock.Millisecond   // between two looks while a switch is under way
+	pollPeriod   = 120 * clock.Millisecond  // between two rounds of counts
+	urgentPeriod = 30 * clock.Millisecond   // between two looks while a switch is under way
 	askPeriod    = 2 * clock.Second         // between two questions for the group's members
 	directors    = 3                        // ranks whose processes may direct
 	directedBy   = 1200 * clock.Millisecond // silence of a lower rank's process after which a higher one directs
--- a/pkg/expert/director.go
+++ b/pkg/expert/director.go
@@ -70,14 +70,17 @@
 
 // Timing of a director, in ms.
 const (
-	resend       = 120 * clock.Millisecond  // until an unanswered command is sent again
+	resend       = 60 * clock.Millisecond   // until an unanswered command is sent again
+	copyResend   = 400 * clock.Millisecond  // the same for an order to prepare, which is large
 	prepareLimit = 6 * clock.Second         // for all ranks to copy their experts
 	armLimit     = 700 * clock.Millisecond  // for all ranks to arm and to be read back, while a step is held
 	holdLimit    = 2 * clock.Second         // for a hold to be acknowledged
 	foreignAfter = 900 * clock.Millisecond  // a hold that is not the director's own is looked into after that
 	restAfter    = 1500 * clock.Millisecond // after a switch that failed
 	fencedRest   = 3 * clock.Second         // after another director has shown itself
-	ahead        = 3                        // steps from the newest known one to the held one
+	ahead        = 3                        // steps from the newest known one to the held one: the ranks are armed before it is reached
+	aheadLossy   = 9                        // the same after orders have gone unanswered
+	lossyFor     = 10 * clock.Second        // after an order has gone unanswered
 )
 
 // Director switches a group from one map to the next: it holds a step, arms every rank for it, reads all back and
@@ -105,6 +108,7 @@
 	rest    clock.Time         // no new switch before
 	foreign clock.Time         // since when a foreign hold is seen, 0 for none
 	commits bool               // phaseGo completes a switch
+	lost    clock.Time         // last unanswered order, 0 for none
 	result  Outcome
 }
 
@@ -224,6 +228,7 @@
 	case ReplyRefused:
 		d.refused(now, c)
 	case ReplyLost:
+		d.lost = now
 		d.sent[c.Rank] = min(d.sent[c.Rank], now.Add(-resend/2)) // soon again
 	}
 }
@@ -380,6 +385,9 @@
 	}
 	if d.step == None {
 		d.step = d.newest() + ahead
+		if d.lost > 0 && now.Sub(d.lost) < lossyFor {
+			d.step = d.newest() + aheadLossy
+		}
 		d.fence++
 	}
 }
@@ -480,7 +488,7 @@
 		if d.done[rank] || (d.sent[rank] >= 0 && now.Sub(d.sent[rank]) < resend) {
 			continue
 		}
-		if op == OpPrepare && d.sent[rank] >= 0 && now.Sub(d.sent[rank]) < 4*resend {
+		if op == OpPrepare && d.sent[rank] >= 0 && now.Sub(d.sent[rank]) < copyResend {
 			continue
 		}
 		d.sent[rank] = now
