--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -7,10 +7,12 @@
 )
 
 const (
-	crowdHeadroom = 0.86             // part of the pause between events that a pass may take: prompts are read in between
-	crowdFade     = 8 * clock.Second // after which a peak of the cost counts for half
-	crowdPrior    = 3.0              // cost of a request in a pass before any is measured, times what the engine names
-	crowdLeast    = 1.0              // requests that a rank may run however slow it is
+	crowdHeadroom = 0.90              // part of the pause between events that a pass may take: prompts are read in between
+	crowdFade     = 15 * clock.Second // after which a peak of the cost counts for half
+	crowdPrior    = 3.0               // cost of a request in a pass before any is measured, times what the engine names
+	crowdReading  = 0.15              // part of the pause that a pass spends on reading prompts, whatever runs
+	crowdRelevant = 0.5               // part of the pause below which a pass tells nothing of the limit
+	crowdLeast    = 1.0               // requests that a rank may run however slow it is
 )
 
 // Crowd limits the requests that the engines of a lock-step group run at once, so that a pass stays shorter than the
@@ -22,40 +24,46 @@
 	Base  float64 // ms of a pass without requests
 	Prior float64 // ms that a request adds to it where the ranks carry the same
 
+	Gap clock.Span // longest pause in ms between events that is on time; 0 for no limit
+
 	peak float64
 	seen clock.Time
 }
 
 // Observe takes in the mean pause in ms between the events of streams while each engine ran so many requests.
-func (c *Crowd) Observe(now clock.Time, gap, running float64) {
-	if running <= 0 || gap <= c.Base {
+func (c *Crowd) Observe(now clock.Time, pause, running float64) {
+	if running <= 0 || pause < float64(c.Gap)*crowdRelevant {
 		return
 	}
-	cost := (gap - c.Base) / running
-	c.peak = max(c.cost(now), cost)
-	c.seen = now
+	if cost := (pause - c.fixed()) / running; cost > c.Cost(now) {
+		c.peak, c.seen = cost, now
+	}
+}
+
+// fixed returns the ms of a pass that don't depend on the requests that run.
+func (c *Crowd) fixed() float64 {
+	return c.Base + float64(c.Gap)*crowdReading
 }
 
-// cost returns the ms that a request adds to a pass, by the faded peak.
-func (c *Crowd) cost(now clock.Time) float64 {
+// Cost returns the ms that a request adds to a pass, by the faded peak; 0 where none was measured.
+func (c *Crowd) Cost(now clock.Time) float64 {
 	if c.peak == 0 {
 		return 0
 	}
 	return c.peak * math.Exp2(-float64(now.Sub(c.seen))/float64(crowdFade))
 }
 
-// Limit returns the requests that each engine may run with pauses of at most gap ms, between 1 and its slots.
-func (c *Crowd) Limit(now clock.Time, gap clock.Span, slots int) float64 {
-	if gap <= 0 {
+// Limit returns the requests that each engine may run where each costs so many ms of a pass, between 1 and its slots.
+func (c *Crowd) Limit(cost float64, slots int) float64 {
+	if c.Gap <= 0 {
 		return float64(slots)
 	}
-	cost := max(c.cost(now), c.Prior)
-	if c.peak == 0 {
+	if cost <= 0 {
 		cost = c.Prior * crowdPrior
 	}
-	if cost <= 0 {
+	if cost = max(cost, c.Prior); cost <= 0 {
 		return float64(slots)
 	}
-	limit := (float64(gap)*crowdHeadroom - c.Base) / cost
+	limit := (float64(c.Gap)*crowdHeadroom - c.fixed()) / cost
 	return min(max(limit, crowdLeast), float64(slots))
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	beatPeriod   = 200 * clock.Millisecond  // between two messages to each peer
+	beatPeriod   = 100 * clock.Millisecond  // between two messages to each peer
+	beatShare    = 12 * clock.Millisecond   // for each peer, so that a larger circle costs an entry no more
 	silentAfter  = 1500 * clock.Millisecond // a peer that is silent so long is not named to callers and holds nothing
 	forgetAfter  = time.Minute              // a peer that is silent so long gets no more messages
 	maxDatagram  = 60 << 10                 // bytes
@@ -28,17 +29,18 @@
 
 // beat is what an entry tells the others about itself, by UDP.
 type beat struct {
-	Name     string         `json:"name"`
-	Zone     string         `json:"zone"`
-	IP       string         `json:"ip"`
-	Front    string         `json:"front"`
-	Control  string         `json:"control"`
-	Born     int64          `json:"born"` // Unix time in ms of its start
-	Number   uint64         `json:"number"`
-	Ready    bool           `json:"ready"`
-	Revision int64          `json:"revision"`
-	Flights  map[string]int `json:"flights"` // its requests in flight by backend server
-	Known    []string       `json:"known"`   // addresses of the peers that it hears
+	Name     string             `json:"name"`
+	Zone     string             `json:"zone"`
+	IP       string             `json:"ip"`
+	Front    string             `json:"front"`
+	Control  string             `json:"control"`
+	Born     int64              `json:"born"` // Unix time in ms of its start
+	Number   uint64             `json:"number"`
+	Ready    bool               `json:"ready"`
+	Revision int64              `json:"revision"`
+	Flights  map[string]int     `json:"flights"` // its requests in flight by backend server
+	Costs    map[string]float64 `json:"costs"`   // ms that a request adds to a pass, by service
+	Known    []string           `json:"known"`   // addresses of the peers that it hears
 
 	Ask string `json:"ask,omitempty"` // an agent asks for the group of its engine
 }
@@ -94,8 +96,6 @@
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	received := make(chan error, 1)
 	go func() { received <- p.receive(ctx, conn) }()
-	ticker := time.NewTicker(beatPeriod.Duration())
-	defer ticker.Stop()
 	for {
 		p.send(conn)
 		select {
@@ -103,11 +103,30 @@
 			return <-received
 		case err := <-received:
 			return err
-		case <-ticker.C:
+		case <-time.After(p.period().Duration()):
 		}
 	}
 }
 
+// period returns the time between two messages to each peer.
+func (p *Peers) period() clock.Span {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(beatPeriod, beatShare*clock.Span(len(p.targets)))
+}
+
+// Costs returns what the living peers have seen a request cost of a pass of the service's engines.
+func (p *Peers) Costs(service string) (costs []float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range p.fellows {
+		if cost := f.last.Costs[service]; f.alive && cost > 0 {
+			costs = append(costs, cost)
+		}
+	}
+	return costs
+}
+
 func (p *Peers) send(conn net.PacketConn) {
 	message := p.self()
 	p.mu.Lock()
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -75,7 +75,7 @@
 	e.peers = NewPeers(s, c, logger, e.board, func() beat {
 		return beat{
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
-			Ready: e.ready(), Revision: e.belief.Revision(), Flights: e.board.Flights(),
+			Ready: e.ready(), Revision: e.belief.Revision(), Flights: e.board.Flights(), Costs: e.costs(),
 		}
 	}, func(address string) engine.Roster { return roster(e.belief.View(), address) })
 	return e
--- a/internal/direct/turn.go
+++ b/internal/direct/turn.go
@@ -18,7 +18,7 @@
 	returnAfter = 500 * clock.Millisecond  // Retry-After of a request that waited in vain
 	leastEvents = 8                        // pauses between events that an observation rests on
 	turnPeriod  = 50 * clock.Millisecond   // between two looks at what waits
-	turnsEach   = 4                        // looks between two observations
+	turnsEach   = 2                        // looks between two observations
 )
 
 // turns lets requests wait for their turn at a service.
@@ -31,9 +31,8 @@
 type queue struct {
 	line     balance.Line[chan *refusal]
 	crowd    balance.Crowd
-	gap      clock.Span // longest pause in ms between events that is on time
-	reserved int        // granted, but not yet sent
-	gaps     float64    // sum in ms of the pauses between events since the last observation
+	reserved int     // granted, but not yet sent
+	gaps     float64 // sum in ms of the pauses between events since the last observation
 	events   int
 }
 
@@ -64,23 +63,49 @@
 }
 
 // room returns how many more requests of the service may be started now; mu is held.
-func (e *Entry) room(q *queue, servers []*routing.Server, now clock.Time) float64 {
-	limit := 0.0
+func (e *Entry) room(name string, q *queue, servers []*routing.Server, now clock.Time) float64 {
+	limit, cost := 0.0, e.cost(name, q, now)
 	for _, s := range servers {
-		limit += q.crowd.Limit(now, q.gap, s.Slots)
+		limit += q.crowd.Limit(cost, s.Slots)
 	}
 	return limit - float64(e.board.Running(servers)+q.reserved)
 }
 
+// cost returns what a request costs of a pass by the mean of what the entries have seen, so that their limits agree.
+func (e *Entry) cost(name string, q *queue, now clock.Time) float64 {
+	sum, count := 0.0, 0.0
+	for _, cost := range append(e.peers.Costs(name), q.crowd.Cost(now)) {
+		if cost > 0 {
+			sum += cost
+			count++
+		}
+	}
+	return sum / max(count, 1)
+}
+
+// costs returns what this entry has seen a request cost of a pass, by service.
+func (e *Entry) costs() map[string]float64 {
+	now := e.clock.Now()
+	e.turns.mu.Lock()
+	defer e.turns.mu.Unlock()
+	costs := make(map[string]float64)
+	for name, q := range e.turns.services {
+		if cost := q.crowd.Cost(now); cost > 0 {
+			costs[name] = cost
+		}
+	}
+	return costs
+}
+
 // turn waits until the request may be sent, or says why it may not.
 func (e *Entry) turn(ctx context.Context, c *call) *refusal {
 	servers := e.belief.View().Services[c.service.Name]
 	now := e.clock.Now()
 	e.turns.mu.Lock()
 	q := e.turns.of(c.service)
-	q.gap = c.route.Gap
+	q.crowd.Gap = c.route.Gap
 	q.line.Arrive(now)
-	if len(servers) == 0 || (q.line.Len() == 0 && e.room(q, servers, now) >= 1) {
+	if len(servers) == 0 || (q.line.Len() == 0 && e.room(c.service.Name, q, servers, now) >= 1) {
 		e.grant(q, c, now)
 		e.turns.mu.Unlock()
 		return nil
@@ -150,7 +175,7 @@
 			w.Value <- &refusal{http.StatusServiceUnavailable, "no place became free in time", returnAfter}
 		}
 		servers := view.Services[name]
-		for q.line.Len() > 0 && e.room(q, servers, now) >= 1 {
+		for q.line.Len() > 0 && e.room(name, q, servers, now) >= 1 {
 			w, _ := q.line.Pop(now)
 			q.line.Start(now)
 			q.reserved++
@@ -173,8 +198,9 @@
 		running := float64(e.board.Running(servers)) / float64(len(servers))
 		gap := q.gaps / float64(q.events)
 		q.crowd.Observe(now, gap, running)
-		limit := q.crowd.Limit(now, q.gap, servers[0].Slots)
-		e.journal.Log("crowd", "msg", "load", "service", name, "gap", gap, "running", running, "limit", limit, "waiting", q.line.Len(), "events", q.events)
+		cost := e.cost(name, q, now)
+		limit := q.crowd.Limit(cost, servers[0].Slots)
+		e.journal.Log("crowd", "msg", "load", "service", name, "gap", gap, "running", running, "cost", cost, "limit", limit, "waiting", q.line.Len(), "events", q.events)
 		q.gaps, q.events = 0, 0
 	}
 }
