Leave addresses that another backend server took over, and wait for groups that reject work

Change: the newest life holds an address, a 421 disowns the entry, one trial at a time reaches a group that rejects, each entry earns its part of the retry budget.

--- a/internal/direct/belief.go
+++ b/internal/direct/belief.go
@@ -116,6 +116,22 @@
 	b.publish(next)
 }
 
+// Disown takes a backend server out of use whose address another one has answered from, until its entry changes.
+func (b *Belief) Disown(s *routing.Server, instead string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := b.next()
+	known := next.Servers[s.ID]
+	if known == nil || known.Revision != s.Revision || known.GoneAt != 0 {
+		return
+	}
+	gone := *known
+	gone.GoneAt = b.clock.Now()
+	next.Servers[s.ID] = &gone
+	level.Info(b.logger).Log("msg", "backend server replaced", "server", s.ID, "address", s.Address, "by", instead, "revision", s.Revision)
+	b.publish(next)
+}
+
 // Sweep publishes a new view where a backend server's grace has ended.
 func (b *Belief) Sweep() {
 	b.mu.Lock()
--- a/internal/direct/board.go
+++ b/internal/direct/board.go
@@ -14,6 +14,7 @@
 
 	mu      sync.Mutex
 	servers map[string]*standing
+	groups  map[string]*balance.Door  // groups of ranks that rejected work
 	peers   map[string]map[string]int // requests in flight by peer and backend server
 }
 
@@ -26,7 +27,7 @@
 
 // NewBoard returns an empty board.
 func NewBoard(c clock.Clock) *Board {
-	return &Board{clock: c, servers: make(map[string]*standing), peers: make(map[string]map[string]int)}
+	return &Board{clock: c, servers: make(map[string]*standing), groups: make(map[string]*balance.Door), peers: make(map[string]map[string]int)}
 }
 
 func (b *Board) standing(id string) *standing {
@@ -62,6 +63,45 @@
 	return flights
 }
 
+// Close notes that a rank rejected work, so that its group probably does not run.
+func (b *Board) Close(group string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := b.groups[group]
+	if d == nil {
+		d = &balance.Door{}
+		b.groups[group] = d
+	}
+	d.Close(b.clock.Now())
+}
+
+// Open notes that a rank ran work.
+func (b *Board) Open(group string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.groups, group)
+}
+
+// Closed tells whether no rank of the servers may be sent work now; where one is due to be tried, it counts the trial.
+func (b *Board) Closed(servers []*routing.Server, try bool) bool {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range servers {
+		if s.Group == "" {
+			return false
+		}
+		d := b.groups[s.Service+"/"+s.Group]
+		if d == nil {
+			return false
+		}
+		if try && d.Try(now) {
+			return false
+		}
+	}
+	return len(servers) > 0
+}
+
 // Running returns the requests in flight at the servers, from all entries.
 func (b *Board) Running(servers []*routing.Server) int {
 	b.mu.Lock()
@@ -131,6 +171,15 @@
 func (b *Board) Forget(v *routing.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	known := make(map[string]bool)
+	for _, s := range v.Servers {
+		known[s.Service+"/"+s.Group] = true
+	}
+	for group := range b.groups {
+		if !known[group] {
+			delete(b.groups, group)
+		}
+	}
 	for id, s := range b.servers {
 		if v.Servers[id] == nil && s.own == 0 {
 			delete(b.servers, id)
--- a/internal/direct/plain.go
+++ b/internal/direct/plain.go
@@ -124,6 +124,7 @@
 		e.done(s, x, clean)
 	}
 	e.board.End(s.ID, verdict)
+	e.learn(s, x)
 	e.dispatch()
 	if x.fate != fateAnswered {
 		e.journal.Log("attempt", "msg", "attempt failed", "id", c.ID, "server", s.ID, "address", s.Address, "reason", x.reason,
@@ -131,6 +132,23 @@
 	}
 }
 
+// learn takes in what the end of an attempt tells of the backend server's standing.
+func (e *Entry) learn(s *routing.Server, x *exchange) {
+	if x.fate == fateNotRun && x.answer.Moved {
+		e.belief.Disown(s, x.answer.Server)
+		return
+	}
+	if s.Group == "" {
+		return
+	}
+	switch {
+	case x.fate == fateNotRun && x.response != nil:
+		e.board.Close(s.Service + "/" + s.Group)
+	case x.fate == fateAnswered:
+		e.board.Open(s.Service + "/" + s.Group)
+	}
+}
+
 // pass hands the backend server's whole answer on.
 func (e *Entry) pass(w http.ResponseWriter, c *call, response *http.Response, content []byte) {
 	copyHeader(w.Header(), response.Header)
--- a/internal/direct/retry.go
+++ b/internal/direct/retry.go
@@ -7,30 +7,30 @@
 	"carawaypick/pkg/clock"
 )
 
-// leastEntries is the number of entries among which the slack of the retry budget is divided at least, since an entry
-// that is cut off can't count the others.
-const leastEntries = 12
+// retryPart is the part of the allowed ratio that is used: an attempt that fails at the end of a window counts in the next.
+const retryPart = 0.8
 
 // retryBudget is this entry's part of the retries that all entries together may make, by service.
 type retryBudget struct {
-	ratio float64
-	burst uint32
+	settings Settings
+	part     func() float64 // this entry's part of a sum over all entries
 
 	mu       sync.Mutex
-	services map[string]*balance.Budget
+	services map[string]*balance.RetryShare
 }
 
-func newRetryBudget(s Settings) *retryBudget {
-	return &retryBudget{ratio: s.RetryRatio / 2, burst: uint32(s.RetrySlack / leastEntries), services: make(map[string]*balance.Budget)}
+func newRetryBudget(s Settings, part func() float64) *retryBudget {
+	return &retryBudget{settings: s, part: part, services: make(map[string]*balance.RetryShare)}
 }
 
-func (b *retryBudget) service(name string) *balance.Budget {
-	budget := b.services[name]
-	if budget == nil {
-		budget = balance.NewBudget(b.ratio, b.burst)
-		b.services[name] = budget
+// service returns the share of the service; mu is held.
+func (b *retryBudget) service(name string) *balance.RetryShare {
+	share := b.services[name]
+	if share == nil {
+		share = &balance.RetryShare{Ratio: b.settings.RetryRatio * retryPart, Slack: b.settings.RetrySlack, Window: b.settings.RetryWindow}
+		b.services[name] = share
 	}
-	return budget
+	return share
 }
 
 // first counts the first attempt of a request.
@@ -40,12 +40,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.service(c.service.Name).Earn(now, c.team.Name)
+	b.service(c.service.Name).Earn(now, b.part())
 }
 
 // spend takes one retry from the budget, or reports that there is none.
 func (b *retryBudget) spend(c *call, now clock.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.service(c.service.Name).Spend(now, c.team.Name)
+	return b.service(c.service.Name).Spend(now, b.part())
 }
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -66,7 +66,6 @@
 		board:    NewBoard(c),
 		conns:    newConnPool(c),
 		metrics:  metrics,
-		budget:   newRetryBudget(s),
 		turns:    newTurns(),
 	}
 	e.journal = &telemetry.Journal{Logger: logger, Clock: c, Plain: map[string]bool{"whole": true}}
@@ -78,6 +77,7 @@
 			Ready: e.ready(), Revision: e.belief.Revision(), Flights: e.board.Flights(), Costs: e.costs(),
 		}
 	}, func(address string) engine.Roster { return roster(e.belief.View(), address) })
+	e.budget = newRetryBudget(s, e.peers.Part)
 	return e
 }
 
--- a/internal/direct/turn.go
+++ b/internal/direct/turn.go
@@ -105,7 +105,7 @@
 	q := e.turns.of(c.service)
 	q.crowd.Gap = c.route.Gap
 	q.line.Arrive(now)
-	if len(servers) == 0 || (q.line.Len() == 0 && e.room(c.service.Name, q, servers, now) >= 1) {
+	if len(servers) == 0 || (q.line.Len() == 0 && e.room(c.service.Name, q, servers, now) >= 1 && !e.board.Closed(servers, true)) {
 		e.grant(q, c, now)
 		e.turns.mu.Unlock()
 		return nil
@@ -175,7 +175,7 @@
 			w.Value <- &refusal{http.StatusServiceUnavailable, "no place became free in time", returnAfter}
 		}
 		servers := view.Services[name]
-		for q.line.Len() > 0 && e.room(name, q, servers, now) >= 1 {
+		for q.line.Len() > 0 && e.room(name, q, servers, now) >= 1 && !e.board.Closed(servers, true) {
 			w, _ := q.line.Pop(now)
 			q.line.Start(now)
 			q.reserved++
--- a/internal/direct/wire.go
+++ b/internal/direct/wire.go
@@ -58,6 +58,8 @@
 	Sealed  bool   // the answer bears the backend server's proof
 	NotRun  bool   // the backend server states that it did not run the request
 	Encoded bool   // the body was recoded on the way
+	Server  string // the backend server that answers, where it tells
+	Moved   bool   // another backend server than the one that was meant has the address
 	Running int    // requests that it runs, -1 where it doesn't tell
 	Waiting int    // requests that wait at it
 	Cold    clock.Span
--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -156,7 +156,7 @@
 		return false, 0
 	}
 	d.version = expert.None // what becomes of the plan is read back from the ranks
-	return d.director.Propose(now, expert.Strip(p.Map, d.shape.Experts), 1, fence), p.Gain
+	return d.director.Propose(now, expert.Strip(p.Map, d.shape.Experts), fence, fence), p.Gain
 }
 
 // round polls the ranks where this process directs.
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -34,8 +34,14 @@
 // Arrange fills Services from Servers; it must be called before the view is published.
 func (v *View) Arrange(now clock.Time) {
 	v.Services = make(map[string][]*Server)
+	newest := make(map[string]*Server) // by address: an earlier life may still be registered
 	for _, s := range v.Servers {
-		if v.Usable(s, now) {
+		if o := newest[s.Address]; o == nil || o.before(s) {
+			newest[s.Address] = s
+		}
+	}
+	for _, s := range v.Servers {
+		if v.Usable(s, now) && newest[s.Address] == s {
 			v.Services[s.Service] = append(v.Services[s.Service], s)
 		}
 	}
@@ -49,6 +55,14 @@
 	}
 }
 
+// before tells whether o took the address over from s.
+func (s *Server) before(o *Server) bool {
+	if s.Born != o.Born {
+		return s.Born < o.Born
+	}
+	return s.Revision < o.Revision
+}
+
 // Usable tells whether new work may go to s.
 func (v *View) Usable(s *Server, now clock.Time) bool {
 	return !s.Leaving && !v.Evacuated[s.Zone] && (s.GoneAt == 0 || now < s.GoneAt)
