--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -7,12 +7,14 @@
 )
 
 const (
-	crowdHeadroom = 0.90              // part of the pause between events that a pass may take: prompts are read in between
-	crowdFade     = 15 * clock.Second // after which a peak of the cost counts for half
-	crowdPrior    = 3.0               // cost of a request in a pass before any is measured, times what the engine names
-	crowdReading  = 0.15              // part of the pause that a pass spends on reading prompts, whatever runs
-	crowdRelevant = 0.5               // part of the pause below which a pass tells nothing of the limit
-	crowdLeast    = 1.0               // requests that a rank may run however slow it is
+	crowdHeadroom = 0.90                    // part of the pause between events that a pass may take: prompts are read in between
+	crowdFade     = 15 * clock.Second       // after which a peak of the cost counts for half
+	crowdPrior    = 3.0                     // cost of a request in a pass before any is measured, times what the engine names
+	crowdReading  = 0.15                    // part of the pause that a pass spends on reading prompts, whatever runs
+	crowdRelevant = 0.5                     // part of the pause below which a pass tells nothing of the limit
+	crowdHot      = 0.80                    // part of the pause from which nothing is started
+	crowdStale    = 300 * clock.Millisecond // age from which an observation no longer tells of the present
+	crowdLeast    = 1.0                     // requests that a rank may run however slow it is
 )
 
 // Crowd limits the requests that the engines of a lock-step group run at once, so that a pass stays shorter than the
@@ -26,12 +28,15 @@
 
 	Gap clock.Span // longest pause in ms between events that is on time; 0 for no limit
 
-	peak float64
-	seen clock.Time
+	peak  float64
+	seen  clock.Time
+	pause float64 // last observation
+	at    clock.Time
 }
 
 // Observe takes in the mean pause in ms between the events of streams while each engine ran so many requests.
 func (c *Crowd) Observe(now clock.Time, pause, running float64) {
+	c.pause, c.at = pause, now
 	if running <= 0 || pause < float64(c.Gap)*crowdRelevant {
 		return
 	}
@@ -40,6 +45,11 @@
 	}
 }
 
+// Hot tells whether passes are nearly too long right now, so that no prompt should be read besides.
+func (c *Crowd) Hot(now clock.Time) bool {
+	return c.Gap > 0 && c.pause > float64(c.Gap)*crowdHot && now.Sub(c.at) < crowdStale
+}
+
 // fixed returns the ms of a pass that don't depend on the requests that run.
 func (c *Crowd) fixed() float64 {
 	return c.Base + float64(c.Gap)*crowdReading
--- a/internal/direct/turn.go
+++ b/internal/direct/turn.go
@@ -64,6 +64,9 @@
 
 // room returns how many more requests of the service may be started now; mu is held.
 func (e *Entry) room(name string, q *queue, servers []*routing.Server, now clock.Time) float64 {
+	if q.crowd.Hot(now) {
+		return 0
+	}
 	limit, cost := 0.0, e.cost(name, q, now)
 	for _, s := range servers {
 		limit += q.crowd.Limit(cost, s.Slots)
@@ -111,6 +114,9 @@
 		return nil
 	}
 	waiter := waiterOf(c, now)
+	if e.board.Closed(servers, false) {
+		waiter.Latest = max(waiter.Latest, c.deadline.Add(-usualWhole)) // the group may open at any moment
+	}
 	verdict := q.line.Push(now, waiter, rand.Float64())
 	e.turns.mu.Unlock()
 	if verdict.Refused {
--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -27,7 +27,7 @@
 const (
 	trigger   = 0.2 // skew that a new map must take from a set: a switch costs copies and orders
 	leastCopy = 0.3 // skew, times the number of ranks, that each copy must take from its set: passes are slower meanwhile
-	leastGain = 0.1 // mean skew that a plan must take
+	leastGain = 0.3 // mean skew that a plan must take: a small switch delays the next, larger one
 )
 
 // newDesk returns a desk for the group.
--- a/pkg/expert/director.go
+++ b/pkg/expert/director.go
@@ -78,7 +78,7 @@
 	foreignAfter = 900 * clock.Millisecond  // a hold that is not the director's own is looked into after that
 	restAfter    = 1500 * clock.Millisecond // after a switch that failed
 	fencedRest   = 3 * clock.Second         // after another director has shown itself
-	ahead        = 3                        // steps from the newest known one to the held one: the ranks are armed before it is reached
+	ahead        = 2                        // steps from the newest known one to the held one: the ranks are armed before it is reached
 	aheadLossy   = 9                        // the same after orders have gone unanswered
 	lossyFor     = 10 * clock.Second        // after an order has gone unanswered
 )
