--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -25,9 +25,10 @@
 }
 
 const (
-	trigger   = 0.2 // skew that a new map must take from a set: a switch costs copies and orders
-	leastCopy = 0.3 // skew, times the number of ranks, that each copy must take from its set: passes are slower meanwhile
-	leastGain = 0.3 // mean skew that a plan must take: a small switch delays the next, larger one
+	trigger    = 0.2 // skew that a new map must take from a set: a switch costs copies and orders
+	leastCopy  = 0.3 // skew, times the number of ranks, that each copy must take from its set: passes are slower meanwhile
+	copiesEach = 2   // experts that one plan may bring to a rank: all wait for the rank that copies longest
+	leastGain  = 0.3 // mean skew that a plan must take: a small switch delays the next, larger one
 )
 
 // newDesk returns a desk for the group.
@@ -76,6 +77,7 @@
 	s.Trigger = trigger
 	s.Least = leastCopy
 	s.Spare = d.shape.Spare
+	s.Each = copiesEach
 	s.Free = d.shape.Experts
 	return s
 }
--- a/pkg/expert/plan.go
+++ b/pkg/expert/plan.go
@@ -19,6 +19,7 @@
 	Goal    float64    // skew above the bound that a change aims at
 	Batch   clock.Span // ms that the loads of one plan may take at the store's rate, 0 for no limit
 	Spare   int        // experts that one plan may add to a rank and layer, 0 for no limit
+	Each    int        // experts that one plan may add to a rank over all layers, 0 for no limit
 	Free    int        // number from which experts stand for free slots, 0 for none
 	Sigma   float64    // least standard deviations of the busiest rank's load that a change must exceed, 0 for no estimate of noise
 }
@@ -185,7 +186,13 @@
 	if len(parts) == 0 {
 		return Plan{Stay: true}
 	}
+	if p.settings.Each > 0 {
+		parts = p.inTurn(parts, p.price(r))
+	}
 	plan := Plan{Map: p.current.Clone(), Stages: byGain(parts, limit)}
+	if len(plan.Stages) == 0 {
+		return Plan{Stay: true}
+	}
 	for _, s := range plan.Stages {
 		plan.Gain += s.Gain / float64(p.shape.Layers)
 		s.apply(plan.Map)
@@ -241,6 +248,59 @@
 	return all
 }
 
+// inTurn cuts the stages of each layer where a rank would get more than Each experts; layers take turns by stages, so
+// that none uses up what the others need.
+func (p *Planner) inTurn(parts [][]Stage, price float64) (cut [][]Stage) {
+	slices.SortStableFunc(parts, func(a, b []Stage) int { return -cmp.Compare(rateOf(a), rateOf(b)) })
+	added := make([]int, p.shape.Ranks)
+	kept := make([]int, len(parts))
+	closed := make([]bool, len(parts))
+	for open := true; open; {
+		open = false
+		for i, stages := range parts {
+			if closed[i] || kept[i] == len(stages) {
+				continue
+			}
+			if !p.fits(added, stages[kept[i]]) {
+				closed[i] = true
+				continue
+			}
+			kept[i]++
+			open = true
+		}
+	}
+	for i, stages := range parts {
+		if left, gain := worth(stages[:kept[i]], price); gain > 0 {
+			cut = append(cut, left)
+		}
+	}
+	return cut
+}
+
+// fits counts the experts that the stage adds to each rank, unless one would get too many.
+func (p *Planner) fits(added []int, s Stage) bool {
+	for i, m := range s.Moves {
+		if p.free(m.Expert) {
+			continue
+		}
+		if added[m.Rank] >= p.settings.Each {
+			for _, before := range s.Moves[:i] {
+				if !p.free(before.Expert) {
+					added[before.Rank]--
+				}
+			}
+			return false
+		}
+		added[m.Rank]++
+	}
+	return true
+}
+
+// free tells whether the expert stands for a free slot.
+func (p *Planner) free(expert int) bool {
+	return p.settings.Free > 0 && expert >= p.settings.Free
+}
+
 func rateOf(stages []Stage) float64 {
 	gain, loads := sum(stages)
 	return gain / float64(loads)
