--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	pollPeriod   = 120 * clock.Millisecond  // between two rounds of counts
+	pollPeriod   = 60 * clock.Millisecond   // least time between two rounds of counts: a pass takes about as long
+	pollNumbers  = 120                      // counts of all ranks that a round may bring for each ms of the period
 	urgentPeriod = 30 * clock.Millisecond   // between two looks while a switch is under way
 	askPeriod    = 2 * clock.Second         // between two questions for the group's members
 	directors    = 3                        // ranks whose processes may direct
@@ -111,7 +112,12 @@
 	if a.desk != nil && a.desk.director.Busy() {
 		return urgentPeriod
 	}
-	return pollPeriod
+	return a.roster.Shape.period(len(a.roster.Members))
+}
+
+// period returns the time between two rounds of counts of so many ranks.
+func (s Shape) period(ranks int) clock.Span {
+	return max(pollPeriod, clock.Span(ranks*s.Sets*s.Experts/pollNumbers))
 }
 
 // askEntries asks the entries for the members of the engine's group.
--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -20,15 +20,17 @@
 	answers  []answer
 	counted  []answer // by rank: the answer up to which counts have gone into the estimate
 	round    uint64
-	version  int64 // of the map that the planner starts from
+	period   clock.Span // between two rounds of counts
+	version  int64      // of the map that the planner starts from
 	born     []int64
 }
 
 const (
-	trigger    = 0.2 // skew that a new map must take from a set: a switch costs copies and orders
-	leastCopy  = 0.3 // skew, times the number of ranks, that each copy must take from its set: passes are slower meanwhile
-	copiesEach = 2   // experts that one plan may bring to a rank: all wait for the rank that copies longest
-	leastGain  = 0.3 // mean skew that a plan must take: a small switch delays the next, larger one
+	trigger    = 0.2              // skew that a new map must take from a set: a switch costs copies and orders
+	leastCopy  = 0.3              // skew, times the number of ranks, that each copy must take from its set: passes are slower meanwhile
+	payBack    = 4 * clock.Second // time within which a map must pay for its copies: what is liked changes
+	copiesEach = 2                // experts that one plan may bring to a rank: all wait for the rank that copies longest
+	leastGain  = 0.3              // mean skew that a plan must take: a small switch delays the next, larger one
 )
 
 // newDesk returns a desk for the group.
@@ -36,6 +38,7 @@
 	return &desk{
 		director: expert.NewDirector(ranks, holder),
 		shape:    shape,
+		period:   shape.period(ranks),
 		answers:  make([]answer, ranks),
 		counted:  make([]answer, ranks),
 		version:  expert.None,
@@ -72,8 +75,8 @@
 // settings of the planner: a line a round, and a map must pay within some seconds, since what is liked changes.
 func (d *desk) settings() expert.Settings {
 	s := expert.Defaults()
-	s.Step = pollPeriod
-	s.Horizon = int(4 * clock.Second / pollPeriod)
+	s.Step = d.period
+	s.Horizon = int(payBack / d.period)
 	s.Trigger = trigger
 	s.Least = leastCopy
 	s.Spare = d.shape.Spare
@@ -145,7 +148,7 @@
 	if !ok {
 		return false, 0
 	}
-	if d.director.Busy() || !d.director.Whole(now.Add(-2*pollPeriod)) {
+	if d.director.Busy() || !d.director.Whole(now.Add(-2*d.period)) {
 		_ = d.planner.Observe(r) // the shape is the one that the planner began with
 		return false, 0
 	}
