--- a/internal/balance/line.go
+++ b/internal/balance/line.go
@@ -19,6 +19,7 @@
 
 const (
 	lineMemory  = 2 * clock.Second        // over which rates are taken
+	restRate    = 10.0                    // starts a second that are counted on after a time without any
 	leastReturn = 300 * clock.Millisecond // shortest Retry-After
 	mostReturn  = 2500 * clock.Millisecond
 	// lateSpare is the part of the rate that work which is late already may count on while all of it is asked for.
@@ -61,13 +62,13 @@
 // Push lets w wait or refuses it; spread is a random number in [0, 1) that keeps refused callers from returning at once.
 func (l *Line[T]) Push(now clock.Time, w *Waiter[T], spread float64) Turn {
 	w.arrived = now
-	rate := max(l.starts.rate(now), 1)
+	rate := max(l.starts.rate(now), restRate)
 	ahead, fresh := 0, 0
 	for _, o := range l.waiting {
 		if o.OnTime >= now {
 			fresh++
 		}
-		if l.before(now, o, w) {
+		if !l.before(now, w, o) {
 			ahead++
 		}
 	}
--- a/internal/balance/place.go
+++ b/internal/balance/place.go
@@ -20,30 +20,36 @@
 	return p.Own + p.Others
 }
 
-// Pick returns the place with the fewest requests in flight for its size, its own zone first among equals, or -1.
+// Pick returns the less loaded of two places drawn at random, its own zone first among equals, or -1.
 //
-// It answers steady load from several choosers that see each other's counts late: ties are broken at random, so that
-// they do not all go to the same one. cold is the part of a cold backend server's rate that this chooser may use.
+// It answers steady load from several choosers that see each other's counts late: where all go to the least loaded
+// place, it is overrun before anyone sees it (Mitzenmacher, "How useful is old information?", 2000). cold is the part
+// of a cold backend server's rate that this chooser may use.
 func Pick(places []Place, zone string, cold float64, random func() uint64) int {
-	best, count := -1, uint64(0)
+	usable := make([]int, 0, len(places))
 	for i := range places {
 		p := &places[i]
 		if p.Tried || p.Down || (p.Cold && p.ColdLeft > 0 && float64(p.Started) >= p.ColdLeft*cold) {
 			continue
 		}
-		if best < 0 || p.before(&places[best], zone) {
-			best, count = i, 1
-			continue
-		}
-		if !places[best].before(p, zone) {
-			if count++; random()%count == 0 {
-				best = i
-			}
+		usable = append(usable, i)
+	}
+	best := -1
+	for range min(pickChoices, len(usable)) {
+		n := int(random() % uint64(len(usable)))
+		i := usable[n]
+		usable[n] = usable[len(usable)-1]
+		usable = usable[:len(usable)-1]
+		if best < 0 || places[i].before(&places[best], zone) {
+			best = i
 		}
 	}
 	return best
 }
 
+// pickChoices is the number of places that a pick compares.
+const pickChoices = 4
+
 func (p *Place) before(o *Place, zone string) bool {
 	a, b := p.Load()*max(o.Slots, 1), o.Load()*max(p.Slots, 1)
 	if a != b {
--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -164,6 +164,14 @@
 	return d.director.Propose(now, expert.Strip(p.Map, d.shape.Experts), fence, fence), p.Gain
 }
 
+// stampRanks is above the number of ranks that may direct.
+const stampRanks = 1 << 10
+
+// stamp returns a fence, or a version of a map, that is above all earlier ones and that no other process uses.
+func stamp(rank int) int64 {
+	return clock.Wall()*stampRanks + int64(rank)
+}
+
 // round polls the ranks where this process directs.
 func (a *Agent) round(ctx context.Context, now clock.Time) {
 	own, ok := a.look(ctx, int64(now))
@@ -194,7 +202,7 @@
 	if a.desk.director.Busy() {
 		return
 	}
-	if proposed, gain := a.desk.plan(now, clock.Wall()); proposed {
+	if proposed, gain := a.desk.plan(now, stamp(own.Rank)); proposed {
 		level.Info(a.logger).Log("msg", "map proposed", "gain", gain, "step", own.Step, "version", own.Version)
 	}
 }
@@ -216,7 +224,7 @@
 	}
 	now := a.clock.Now()
 	waited := a.desk.director.Urgent()
-	for _, c := range a.desk.director.Tick(now, clock.Wall()) {
+	for _, c := range a.desk.director.Tick(now, stamp(a.own.Rank)) {
 		i := slices.IndexFunc(a.roster.Members, func(m Member) bool { return m.Rank == c.Rank })
 		if i < 0 {
 			continue
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func newTable(routes ...Route) *Table {
+	t := &Table{Routes: routes}
+	t.Index()
+	return t
+}
+
+func TestMatch(t *testing.T) {
+	table := newTable(
+		Route{Name: "all", Host: "a.example", Prefix: "/"},
+		Route{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
+		Route{Name: "shallow", Host: "a.example", Prefix: "/x/"},
+		Route{Name: "other", Host: "b.example", Prefix: "/x/"},
+	)
+	for path, want := range map[string]string{"/x/y/z": "deep", "/x/z": "shallow", "/x": "all", "/x%2fy/": "all"} {
+		t.Run(path, func(t *testing.T) {
+			got := table.Match("A.example:80", path)
+			require.NotNil(t, got)
+			assert.Equal(t, want, got.Name)
+		})
+	}
+	t.Run("no route", func(t *testing.T) {
+		assert.Nil(t, table.Match("b.example", "/y/"))
+		assert.Nil(t, table.Match("c.example", "/x/"))
+	})
+}
+
+func TestChoose(t *testing.T) {
+	t.Run("whole", func(t *testing.T) {
+		assert.Equal(t, "s", (&Route{Service: "s"}).Choose(0.9))
+	})
+	t.Run("split by weight", func(t *testing.T) {
+		r := &Route{Service: "s", Split: []Weight{{Service: "a", Weight: 1}, {Service: "b", Weight: 3}}}
+		assert.Equal(t, "a", r.Choose(0.24))
+		assert.Equal(t, "b", r.Choose(0.26))
+		assert.Equal(t, "b", r.Choose(0.9999))
+	})
+	t.Run("weights of nothing", func(t *testing.T) {
+		assert.Equal(t, "s", (&Route{Service: "s", Split: []Weight{{Service: "a"}}}).Choose(0.5))
+	})
+}
+
+func ids(servers []*Server) (all []string) {
+	for _, s := range servers {
+		all = append(all, s.ID)
+	}
+	return all
+}
+
+func TestArrange(t *testing.T) {
+	v := &View{
+		Servers: map[string]*Server{
+			"a": {ID: "a", Service: "s", Address: "1", Zone: "z", Born: 1},
+			"b": {ID: "b", Service: "s", Address: "1", Zone: "z", Born: 2},
+			"c": {ID: "c", Service: "s", Address: "2", Zone: "out"},
+			"d": {ID: "d", Service: "s", Address: "3", Zone: "z", Leaving: true},
+			"e": {ID: "e", Service: "s", Address: "4", Zone: "z", GoneAt: 50},
+			"f": {ID: "f", Service: "other", Address: "5", Zone: "z"},
+			"g": {ID: "g", Service: "s", Address: "5", Zone: "z", Revision: 9},
+		},
+		Evacuated: map[string]bool{"out": true},
+	}
+	t.Run("the newest life holds the address, and nothing goes where it must not", func(t *testing.T) {
+		v.Arrange(49)
+		assert.Equal(t, []string{"b", "e", "g"}, ids(v.Services["s"]))
+		assert.Empty(t, v.Services["other"])
+	})
+	t.Run("a grace ends", func(t *testing.T) {
+		v.Arrange(50)
+		assert.Equal(t, []string{"b", "g"}, ids(v.Services["s"]))
+	})
+}
