--- /dev/null
+++ b/internal/direct/entry_test.go
@@ -0,0 +1,241 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"carawaypick/pkg/clock"
+)
+
+func TestEntryForwards(t *testing.T) {
+	b := newBackend(t, plainOK)
+	_, url := newTestEntry(t, b)
+	response, body, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/x%2fy?q=1%20", "payload", "Own", "yes", "Connection", "Own2", "Team", "other")
+	require.NoError(t, err)
+	assert.Equal(t, 200, response.StatusCode)
+	assert.Equal(t, "hello", body)
+	assert.Equal(t, "s", response.Header.Get("Seal"))
+	require.Equal(t, 1, b.count())
+	r := b.requests[0]
+	assert.Equal(t, "/unsafe/x%2fy?q=1%20", r.RequestURI)
+	assert.Equal(t, "payload", b.bodies[0])
+	assert.Equal(t, []string{"a", "yes", "t", "i0", ""}, []string{r.Host, r.Header.Get("Own"), r.Header.Get("Team"), r.Header.Get("Server"), r.Header.Get("Key")})
+}
+
+func TestEntryTurnsAway(t *testing.T) {
+	b := newBackend(t, plainOK)
+	e, url := newTestEntry(t, b)
+	cases := []struct {
+		name, path, body string
+		headers          []string
+		want             int
+	}{
+		{"no route", "/nothing/", "", nil, 404},
+		{"unknown key", "/safe/", "", []string{"Key", "x"}, 401},
+		{"no id", "/safe/", "", []string{"Id", ""}, 400},
+		{"large body", "/safe/", strings.Repeat("x", 1001), nil, 413},
+		{"large header", "/safe/", "", []string{"Own", strings.Repeat("x", 4096)}, 431},
+		{"public without a key", "/public/", "", []string{"Key", ""}, 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			response, _, err := ask(t, t.Context(), http.MethodPost, url+c.path, c.body, c.headers...)
+			require.NoError(t, err)
+			assert.Equal(t, c.want, response.StatusCode)
+		})
+	}
+	t.Run("no configuration yet", func(t *testing.T) {
+		e.belief = NewBelief(testWire().Decode, e.clock, e.journal.Logger, nil)
+		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/nothing/", "")
+		require.NoError(t, err)
+		assert.Equal(t, 503, response.StatusCode)
+		assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	})
+	assert.Equal(t, 1, b.count())
+}
+
+// once answers a request by the first script the first time, by the second from then on.
+func once(first, then script) script {
+	done := make(chan struct{}, 1)
+	done <- struct{}{}
+	return func(conn net.Conn, r *http.Request) {
+		select {
+		case <-done:
+			first(conn, r)
+		default:
+			then(conn, r)
+		}
+	}
+}
+
+func reset(conn net.Conn, _ *http.Request) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+func rejects(conn net.Conn, r *http.Request) {
+	say(conn, r, "503 Full\nNotrun: 1\nContent-Length: 0\n\n")
+}
+
+func TestEntryRepeats(t *testing.T) {
+	// Each script plays at whichever backend server the entry chooses first.
+	cases := []struct {
+		name, path string
+		first      script
+		want, runs int
+	}{
+		{"idempotent after a lost answer", "/safe/", reset, 200, 2},
+		{"idempotent after a failure", "/safe/", func(conn net.Conn, r *http.Request) {
+			say(conn, r, "500 E\nId: $ID\nSeal: s\nContent-Length: 0\n\n")
+		}, 200, 2},
+		{"not idempotent after a lost answer", "/unsafe/", reset, 502, 1},
+		{"not idempotent after half an answer", "/unsafe/", func(conn net.Conn, r *http.Request) {
+			say(conn, r, "200 OK\nId: $ID\nSeal: s\nContent-Length: 9\n\nhell")
+			reset(conn, r)
+		}, 502, 1},
+		{"not idempotent after a rejection", "/unsafe/", rejects, 200, 2},
+		{"not idempotent where another one has the address", "/unsafe/", func(conn net.Conn, r *http.Request) {
+			say(conn, r, "421 Moved\nServer: i9\nContent-Length: 0\n\n")
+		}, 200, 2},
+		{"a success without proof", "/unsafe/", func(conn net.Conn, r *http.Request) {
+			say(conn, r, "200 OK\nId: $ID\nContent-Length: 5\n\nhello")
+		}, 502, 1},
+		{"an answer to another request only", "/unsafe/", func(conn net.Conn, r *http.Request) {
+			say(conn, r, "200 OK\nId: other\nSeal: s\nContent-Length: 5\n\nwrong")
+			reset(conn, r)
+		}, 502, 1},
+		{"an answer to another request first", "/unsafe/", func(conn net.Conn, r *http.Request) {
+			say(conn, r, "200 OK\nId: other\nSeal: s\nContent-Length: 5\n\nwrong")
+			plainOK(conn, r)
+		}, 200, 1},
+		{"bytes that are no answer", "/unsafe/", func(conn net.Conn, _ *http.Request) {
+			_, _ = conn.Write([]byte("garbage\r\n\r\n"))
+		}, 502, 1},
+		{"an interim answer", "/unsafe/", func(conn net.Conn, r *http.Request) {
+			say(conn, r, "103 Early\n\n")
+			plainOK(conn, r)
+		}, 200, 1},
+		{"a recoded body", "/unsafe/", func(conn net.Conn, r *http.Request) {
+			say(conn, r, "200 OK\nId: $ID\nSeal: s\nContent-Encoding: gzip\nContent-Length: 5\n\nhello")
+		}, 502, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := once(c.first, plainOK)
+			first, second := newBackend(t, s), newBackend(t, s)
+			_, url := newTestEntry(t, first, second)
+			response, body, err := ask(t, t.Context(), http.MethodPost, url+c.path, "x")
+			require.NoError(t, err)
+			assert.Equal(t, c.want, response.StatusCode)
+			assert.Equal(t, c.runs, first.count()+second.count())
+			if c.want == 200 {
+				assert.Equal(t, "hello", body)
+			}
+		})
+	}
+}
+
+func TestEntryRefusesTruthfully(t *testing.T) {
+	t.Run("rejected everywhere", func(t *testing.T) {
+		_, url := newTestEntry(t, newBackend(t, rejects), newBackend(t, rejects))
+		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
+		require.NoError(t, err)
+		assert.Equal(t, 503, response.StatusCode)
+		assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	})
+	t.Run("not after one of them may have run it", func(t *testing.T) {
+		s := once(reset, rejects)
+		_, url := newTestEntry(t, newBackend(t, s), newBackend(t, s))
+		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/safe/", "x")
+		require.NoError(t, err)
+		assert.Equal(t, 502, response.StatusCode)
+	})
+	t.Run("a backend server's own failure keeps its status and proof", func(t *testing.T) {
+		_, url := newTestEntry(t, newBackend(t, func(conn net.Conn, r *http.Request) {
+			say(conn, r, "500 E\nId: $ID\nSeal: s\nContent-Length: 2\n\nno")
+		}))
+		response, body, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
+		require.NoError(t, err)
+		assert.Equal(t, []any{500, "s", "no"}, []any{response.StatusCode, response.Header.Get("Seal"), body})
+	})
+	t.Run("the final answer comes when the route's time is over", func(t *testing.T) {
+		hang := func(net.Conn, *http.Request) { time.Sleep(2 * time.Second) }
+		_, url := newTestEntry(t, newBackend(t, hang))
+		start := time.Now()
+		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
+		require.NoError(t, err)
+		assert.Equal(t, 504, response.StatusCode)
+		assert.InDelta(t, 600, time.Since(start).Milliseconds(), 250)
+	})
+}
+
+func TestEntryFollowsTheCaller(t *testing.T) {
+	closed := make(chan struct{})
+	b := newBackend(t, func(conn net.Conn, _ *http.Request) {
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			close(closed)
+		}
+	})
+	_, url := newTestEntry(t, b)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, _, err := ask(t, ctx, http.MethodPost, url+"/stream/", "x")
+	require.Error(t, err)
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the backend server still works half a second after the caller left")
+	}
+}
+
+func TestEntryReusesConnections(t *testing.T) {
+	addresses := map[string]bool{}
+	b := newBackend(t, func(conn net.Conn, r *http.Request) {
+		addresses[conn.RemoteAddr().String()] = true
+		plainOK(conn, r)
+	})
+	_, url := newTestEntry(t, b)
+	for range 5 {
+		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
+		require.NoError(t, err)
+		require.Equal(t, 200, response.StatusCode)
+	}
+	assert.Len(t, addresses, 1)
+}
+
+func TestEntryDropsConnectionsWithMoreToRead(t *testing.T) {
+	b := newBackend(t, func(conn net.Conn, r *http.Request) {
+		plainOK(conn, r)
+		plainOK(conn, r) // a second answer that nobody asked for
+	})
+	_, url := newTestEntry(t, b)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x", "Id", id)
+		require.NoError(t, err)
+		assert.Equal(t, []any{200, id}, []any{response.StatusCode, response.Header.Get("Id")})
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestDirectoryAndReady(t *testing.T) {
+	e, _ := newTestEntry(t)
+	e.settings.Front = "127.0.0.1:1"
+	e.peers.hear(beat{Name: "p", IP: "127.0.0.2", Front: "127.0.0.2:1", Ready: true, Number: 1})
+	e.peers.hear(beat{Name: "q", IP: "127.0.0.3", Front: "127.0.0.3:1", Number: 1})
+	assert.Equal(t, []string{"127.0.0.2:1"}, e.peers.Fronts())
+	assert.True(t, e.ready())
+	e.leaving.Store(true)
+	assert.False(t, e.ready())
+	t.Run("a silent peer is not named", func(t *testing.T) {
+		now := e.clock.Now().Add(silentAfter + 1)
+		e.peers.clock = clock.Fixed(&now)
+		assert.Empty(t, e.peers.Fronts())
+	})
+}
--- /dev/null
+++ b/internal/direct/kit_test.go
@@ -0,0 +1,186 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"carawaypick/internal/routing"
+	"carawaypick/internal/telemetry"
+	"carawaypick/pkg/clock"
+)
+
+// testWire speaks headers of its own.
+func testWire() Wire {
+	return Wire{
+		Call: func(h http.Header) Call {
+			budget, _ := strconv.Atoi(h.Get("Budget"))
+			return Call{ID: h.Get("Id"), Key: h.Get("Key"), Budget: clock.Span(budget), LastEvent: h.Get("Last")}
+		},
+		Forward: func(h http.Header, f Forward) {
+			h.Del("Key")
+			h.Set("Server", f.Server)
+			h.Set("Team", f.Team)
+			h.Set("Budget", strconv.Itoa(int(f.Left)))
+			if f.LastEvent != "" {
+				h.Set("Last", f.LastEvent)
+			}
+		},
+		Answer: func(status int, h http.Header) Answer {
+			return Answer{
+				ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Notrun") != "" || status == 421,
+				Moved: status == 421, Server: h.Get("Server"), Encoded: h.Get("Content-Encoding") != "",
+			}
+		},
+		Refuse: func(h http.Header, id string, after clock.Span) {
+			h.Set("Id", id)
+			if after > 0 {
+				h.Set("Retry-After", strconv.Itoa(int(after)))
+			}
+		},
+		Decode: func(Change) (News, error) { return News{}, nil },
+		Resolve: func(addresses []string, _ clock.Span) ([]byte, error) {
+			return []byte(strings.Join(addresses, " ")), nil
+		},
+		ReadyPath:   "/ready",
+		ResolvePath: "/resolve",
+	}
+}
+
+// script is what a backend server does with each request that reaches it.
+type script func(conn net.Conn, r *http.Request)
+
+// backend is a scripted backend server.
+type backend struct {
+	address string
+
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+}
+
+func (b *backend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.requests)
+}
+
+func newBackend(t *testing.T, s script) *backend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, listener.Close()) })
+	b := &backend{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn, s)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(conn net.Conn, s script) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.requests, b.bodies = append(b.requests, r), append(b.bodies, string(body))
+		b.mu.Unlock()
+		s(conn, r)
+	}
+}
+
+// say writes an answer to r; text begins with the status line's code.
+func say(conn net.Conn, r *http.Request, text string) {
+	text = strings.ReplaceAll(strings.ReplaceAll(text, "\r\n", "\n"), "\n", "\r\n")
+	_, _ = io.WriteString(conn, "HTTP/1.1 "+strings.ReplaceAll(text, "$ID", r.Header.Get("Id")))
+}
+
+// plainOK answers a request as a sound backend server does.
+func plainOK(conn net.Conn, r *http.Request) {
+	say(conn, r, "200 OK\nId: $ID\nSeal: s\nContent-Length: 5\n\nhello")
+}
+
+// table sends /safe/, /unsafe/ and /stream/ of host a to the service s.
+func table() *routing.Table {
+	t := &routing.Table{
+		Version: 1,
+		Routes: []routing.Route{
+			{Name: "safe", Host: "a", Prefix: "/safe/", Service: "s", Kind: routing.Safe, Timeout: 600, Aim: 100, Attempts: 2},
+			{Name: "unsafe", Host: "a", Prefix: "/unsafe/", Service: "s", Kind: routing.Unsafe, Timeout: 600, Aim: 100, Attempts: 2},
+			{Name: "stream", Host: "a", Prefix: "/stream/", Service: "s", Kind: routing.Stream, Timeout: 8000, Aim: 400, Attempts: 2, Resume: true},
+			{Name: "fixed", Host: "a", Prefix: "/fixed/", Service: "s", Kind: routing.Stream, Timeout: 8000, Aim: 400, Attempts: 2},
+			{Name: "public", Host: "a", Prefix: "/public/", Service: "s", Kind: routing.Safe, Timeout: 600, Attempts: 1, Public: true},
+		},
+		Services: map[string]routing.Service{"s": {Name: "s"}},
+		Keys:     map[string]routing.Team{"k": {Name: "t"}},
+		Keyed:    true,
+		Limits:   routing.Limits{Header: 4096, Body: 1000},
+	}
+	t.Index()
+	return t
+}
+
+// newTestEntry returns an entry that knows the backend servers, and its address for callers.
+func newTestEntry(t *testing.T, backends ...*backend) (e *Entry, address string) {
+	t.Helper()
+	s := Settings{Name: "e", Zone: "z", IP: "127.0.0.1", Ports: []int{1, 2}, Grace: 2000, RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10_000}
+	e = newEntry(s, testWire(), clock.New(), telemetry.NewMetrics(), log.NewNopLogger())
+	view := &routing.View{Table: table(), Servers: map[string]*routing.Server{}, Evacuated: map[string]bool{}}
+	for i, b := range backends {
+		id := "i" + strconv.Itoa(i)
+		view.Servers[id] = &routing.Server{ID: id, Service: "s", Address: b.address, Zone: "z", Slots: 4}
+	}
+	view.Arrange(0)
+	e.belief.view.Store(view)
+	for range 100 {
+		e.budget.first(&call{service: routing.Service{Name: "s"}}, 0)
+	}
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return e, server.URL
+}
+
+// ask sends a caller's request.
+func ask(t *testing.T, ctx context.Context, method, url, body string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Host = "a"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "k")
+	r.Header.Set("Budget", "5000")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	content, err := io.ReadAll(response.Body)
+	assert.NoError(t, response.Body.Close())
+	return response, string(content), err
+}
