Free a group whose director's instance stands still

Change: another rank holds, the own rank is armed last and disarmed first, so that a repair may leave the silent rank out while others are not armed; engines of silent processes are asked from here.

--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -17,14 +17,17 @@
 )
 
 const (
-	pollPeriod   = 60 * clock.Millisecond   // least time between two rounds of counts: a pass takes about as long
-	pollNumbers  = 120                      // counts of all ranks that a round may bring for each ms of the period
-	urgentPeriod = 30 * clock.Millisecond   // between two looks while a switch is under way
-	askPeriod    = 2 * clock.Second         // between two questions for the group's members
-	directors    = 3                        // ranks whose processes may direct
-	directedBy   = 1200 * clock.Millisecond // silence of a lower rank's process after which a higher one directs
-	maxDatagram  = 60 << 10                 // bytes
-	callers      = 24                       // orders under way at one time
+	pollPeriod   = 60 * clock.Millisecond  // least time between two rounds of counts: a pass takes about as long
+	pollNumbers  = 120                     // counts of all ranks that a round may bring for each ms of the period
+	urgentPeriod = 30 * clock.Millisecond  // between two looks while a switch is under way
+	askPeriod    = 2 * clock.Second        // between two questions for the group's members
+	directors    = 3                       // ranks whose processes may direct
+	directedBy   = 500 * clock.Millisecond // silence of a lower rank's process after which a higher one directs
+	silentAgent  = 250 * clock.Millisecond // silence of a process after which its engine is asked from here
+	distantEach  = 200 * clock.Millisecond // between two such questions, which other requests of the engine pay for
+	distantAge   = 500 * clock.Millisecond // age that a report may have that is read from another instance
+	maxDatagram  = 60 << 10                // bytes
+	callers      = 24                      // orders under way at one time
 )
 
 // Settings are what an agent is told at its start.
@@ -87,6 +90,10 @@
 		if polled < 0 || now.Sub(polled) >= a.pause() {
 			a.round(ctx, now)
 			polled = now
+			if a.act(ctx) {
+				polled = -1
+				continue
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -172,7 +179,7 @@
 	case m.Answer != nil:
 		a.mu.Lock()
 		if a.desk != nil {
-			a.desk.hear(*m.Answer)
+			a.desk.hear(a.clock.Now(), *m.Answer)
 			if a.desk.director.Urgent() {
 				select {
 				case a.heard <- struct{}{}:
@@ -246,7 +253,7 @@
 	}
 	return answer{
 		Asked: asked, Group: r.Group, Rank: r.Rank, Born: r.Born, Epoch: r.Epoch, Open: r.Open, Step: r.Step,
-		Version: r.Version, Prepared: r.Prepared, Armed: r.Armed, ArmedAt: r.ArmedStep, Held: r.Held, Pace: r.Pace,
+		Version: r.Version, Prepared: r.Prepared, Armed: r.Armed, ArmedAt: r.ArmedStep, Held: r.Held, Busy: r.Busy, Pace: r.Pace,
 		Experts: lists.Sets, Counts: counts.Sets,
 	}, true
 }
--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -18,7 +18,9 @@
 	shape    Shape
 	experts  int // with those that stand for free slots
 	answers  []answer
-	counted  []answer // by rank: the answer up to which counts have gone into the estimate
+	heard    []clock.Time // by rank: when its process last answered
+	distant  []clock.Time // by rank: when its engine was last asked from here
+	counted  []answer     // by rank: the answer up to which counts have gone into the estimate
 	round    uint64
 	period   clock.Span // between two rounds of counts
 	version  int64      // of the map that the planner starts from
@@ -40,20 +42,23 @@
 		shape:    shape,
 		period:   shape.period(ranks),
 		answers:  make([]answer, ranks),
+		heard:    make([]clock.Time, ranks),
+		distant:  make([]clock.Time, ranks),
 		counted:  make([]answer, ranks),
 		version:  expert.None,
 	}
 }
 
 // hear takes in a rank's answer.
-func (d *desk) hear(v answer) {
+func (d *desk) hear(now clock.Time, v answer) {
 	if v.Rank < 0 || v.Rank >= len(d.answers) || len(v.Counts) != d.shape.Sets || v.Asked < d.answers[v.Rank].Asked {
 		return
 	}
 	d.answers[v.Rank] = v
+	d.heard[v.Rank] = now
 	d.director.Read(v.Rank, expert.Standing{
 		Asked: clock.Time(v.Asked), Epoch: v.Epoch, Open: v.Open, Step: v.Step, Version: v.Version,
-		Prepared: v.Prepared, Armed: v.Armed, ArmedStep: v.ArmedAt, Held: v.Held,
+		Prepared: v.Prepared, Armed: v.Armed, ArmedStep: v.ArmedAt, Held: v.Held, Busy: v.Busy,
 	})
 }
 
@@ -164,12 +169,9 @@
 	return d.director.Propose(now, expert.Strip(p.Map, d.shape.Experts), fence, fence), p.Gain
 }
 
-// stampRanks is above the number of ranks that may direct.
-const stampRanks = 1 << 10
-
 // stamp returns a fence, or a version of a map, that is above all earlier ones and that no other process uses.
 func stamp(rank int) int64 {
-	return clock.Wall()*stampRanks + int64(rank)
+	return clock.Wall()*expert.Owners + int64(rank)
 }
 
 // round polls the ranks where this process directs.
@@ -193,10 +195,11 @@
 		a.desk = newDesk(a.own.Size, own.Rank, a.roster.Shape)
 		level.Info(a.logger).Log("msg", "this process directs the group", "group", own.Group, "rank", own.Rank, "ranks", a.own.Size)
 	}
-	a.desk.hear(own)
+	a.desk.hear(now, own)
 	for _, m := range a.roster.Members {
 		if m.Rank != own.Rank {
 			a.send(m.IP, message{Poll: &poll{Group: own.Group, Rank: own.Rank, Asked: int64(now)}})
+			a.askDistant(ctx, now, m)
 		}
 	}
 	if a.desk.director.Busy() {
@@ -207,6 +210,31 @@
 	}
 }
 
+// askDistant asks the engine of a rank whose process is silent: a step may be held there.
+func (a *Agent) askDistant(ctx context.Context, now clock.Time, m Member) {
+	d := a.desk
+	if m.Rank < 0 || m.Rank >= len(d.heard) || now.Sub(d.heard[m.Rank]) < silentAgent || now.Sub(d.distant[m.Rank]) < distantEach {
+		return
+	}
+	d.distant[m.Rank] = now
+	kernel.Start(ctx, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, settle.Duration())
+		defer cancel()
+		r, err := a.dialect.Report(ctx, m.Engine)
+		if err != nil {
+			level.Info(a.logger).Log("msg", "engine of a silent process does not answer", "rank", m.Rank, "engine", m.Engine, "error", err)
+			return nil
+		}
+		r.Asked = now.Add(-distantAge)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if r.Rank == m.Rank {
+			d.director.Read(m.Rank, r.Standing)
+		}
+		return nil
+	})
+}
+
 func (a *Agent) handle(r reply) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -29,6 +29,7 @@
 	Armed    int64     `json:"armed"`
 	ArmedAt  int64     `json:"armedat"`
 	Held     int64     `json:"held"`
+	Busy     bool      `json:"busy"`
 	Pace     float64   `json:"pace"`
 	Experts  [][]int   `json:"experts"` // that it holds, by set
 	Counts   [][]int64 `json:"counts"`  // since the engine's start, by set
--- a/pkg/expert/director.go
+++ b/pkg/expert/director.go
@@ -1,8 +1,6 @@
 package expert
 
 import (
-	"slices"
-
 	"carawaypick/pkg/clock"
 )
 
@@ -52,33 +50,41 @@
 	Armed     int64 // version, or None
 	ArmedStep int64
 	Held      int64 // step, or None
+	Busy      bool  // it has requests, so that passes follow one another
 }
 
 // Phases of a director.
 const (
-	phaseIdle = iota
-	phasePrepare
-	phaseHold
-	phaseArm
-	phaseVerify
-	phaseGo
-	phaseBackOut
-	phaseCheck
-	phaseSeize
-	phaseSurvey
+	phaseIdle       = iota
+	phasePrepare    // all ranks copy their experts
+	phaseHold       // the holder holds a step
+	phaseArm        // all ranks but the director's own arm
+	phaseVerify     // they are read back
+	phaseArmOwn     // the own rank arms
+	phaseVerifyOwn  // it is read back
+	phaseGo         // the holder releases the step
+	phaseBackOutOwn // the own rank disarms
+	phaseBackOut    // the others disarm
+	phaseCheck      // all are read back
+	phaseSeize      // a hold that another director left behind is taken over
+	phaseSurvey     // all ranks are read to decide what becomes of it
 )
 
+// Owners bounds the ranks that may direct: a version of a map is a multiple of it plus the rank of its director.
+const Owners = 1 << 10
+
 // Timing of a director, in ms.
 const (
 	resend       = 60 * clock.Millisecond   // until an unanswered command is sent again
 	copyResend   = 400 * clock.Millisecond  // the same for an order to prepare, which is large
 	prepareLimit = 6 * clock.Second         // for all ranks to copy their experts
+	absentAfter  = 400 * clock.Millisecond  // silence of a rank beside a director that is gone, after which it is left out
 	armLimit     = 700 * clock.Millisecond  // for all ranks to arm and to be read back, while a step is held
 	holdLimit    = 2 * clock.Second         // for a hold to be acknowledged
-	foreignAfter = 900 * clock.Millisecond  // a hold that is not the director's own is looked into after that
+	foreignAfter = 300 * clock.Millisecond  // a hold that is not the director's own is looked into after that
 	restAfter    = 1500 * clock.Millisecond // after a switch that failed
 	fencedRest   = 3 * clock.Second         // after another director has shown itself
-	ahead        = 2                        // steps from the newest known one to the held one: the ranks are armed before it is reached
+	ahead        = 3                        // steps from the newest known one to the held one: the ranks are armed before it is reached
 	aheadLossy   = 9                        // the same after orders have gone unanswered
 	lossyFor     = 10 * clock.Second        // after an order has gone unanswered
 )
@@ -86,11 +92,13 @@
 // Director switches a group from one map to the next: it holds a step, arms every rank for it, reads all back and
 // releases the step only where they are unanimous; else it takes everything back first.
 //
-// The rank at index holder is the one that holds. Orders may be lost and carried out late, so each try has a higher
-// fence than anything before it, and nothing is left half done: a hold that another director left behind is seized,
-// and completed or taken back. It is a pure state machine, for one goroutine.
+// Orders may be lost and carried out late, so each try has a higher fence than anything before it, and nothing is left
+// half done: a hold that another director left behind is seized, and completed or taken back. The rank beside the
+// director is out of reach when the director's instance is, so another one holds, and the own rank is armed last and
+// disarmed first: while some other rank is not armed, it isn't either. It is a pure state machine, for one goroutine.
 type Director struct {
-	holder int
+	own    int // the rank beside the director
+	holder int // the rank that holds
 	ranks  []Standing
 	phase  int
 	since  clock.Time // begin of the phase
@@ -108,6 +116,7 @@
 	rest    clock.Time         // no new switch before
 	foreign clock.Time         // since when a foreign hold is seen, 0 for none
 	commits bool               // phaseGo completes a switch
+	left    bool               // a rank was left out of this repair
 	lost    clock.Time         // last unanswered order, 0 for none
 	result  Outcome
 }
@@ -121,8 +130,8 @@
 }
 
 // NewDirector returns a director of a group of so many ranks, all unknown yet.
-func NewDirector(ranks, holder int) *Director {
-	d := &Director{holder: holder, ranks: make([]Standing, ranks), open: make(map[uint64]Command)}
+func NewDirector(ranks, own int) *Director {
+	d := &Director{own: own, ranks: make([]Standing, ranks), open: make(map[uint64]Command)}
 	for i := range d.ranks {
 		d.ranks[i] = Standing{Epoch: None, Prepared: None, Armed: None, Held: None, Asked: -1}
 	}
@@ -136,7 +145,11 @@
 
 // Urgent tells whether the director waits for standings that were read after it began its phase.
 func (d *Director) Urgent() bool {
-	return d.phase == phaseVerify || d.phase == phaseCheck || d.phase == phaseSurvey
+	switch d.phase {
+	case phaseVerify, phaseVerifyOwn, phaseCheck, phaseSurvey:
+		return true
+	}
+	return false
 }
 
 // Holding tells whether a step may be held by this director now.
@@ -166,17 +179,21 @@
 	return true
 }
 
-// Propose begins the switch to m, or refuses where one is under way or the group is not whole; fence must be above
-// all fences that this director has used.
+// Propose begins the switch to m, or refuses where one is under way, the group is not whole or the version is not above
+// all that are known; fence must be above all fences that this director has used.
 func (d *Director) Propose(now clock.Time, m Map, version, fence int64) bool {
 	if d.phase != phaseIdle || now < d.rest || !d.settled() {
 		return false
 	}
 	for _, s := range d.ranks {
-		version = max(version, s.Version+1, s.Prepared+1, s.Armed+1)
+		if version <= max(s.Version, s.Prepared, s.Armed) {
+			return false
+		}
 	}
 	d.version, d.m, d.epoch = version, m, d.ranks[0].Epoch
+	d.holder = (d.own + (len(d.ranks)+1)/2) % len(d.ranks)
 	d.fence = max(d.fence+1, fence)
+	d.left = false
 	d.enter(now, phasePrepare)
 	return true
 }
@@ -248,12 +265,12 @@
 	case phaseHold:
 		d.step = None // the step has begun: hold a later one
 		d.sent[d.holder] = -1
-	case phaseArm:
+	case phaseArm, phaseArmOwn:
 		d.backOut(now, "a rank refused to arm")
 	case phaseGo, phaseSeize:
 		d.step = None // nothing is held there any more
 		d.end(now, false, "the step is not held")
-	case phaseBackOut:
+	case phaseBackOut, phaseBackOutOwn:
 		d.done[c.Rank] = true // nothing of that version is armed; the order's fence has been seen
 		d.marks[c.Rank] = now
 	}
@@ -268,7 +285,7 @@
 	}
 	d.fence++
 	d.commits = false
-	d.enter(now, phaseBackOut)
+	d.enter(now, phaseBackOutOwn)
 }
 
 func (d *Director) end(now clock.Time, committed bool, reason string) {
@@ -295,19 +312,23 @@
 	case phaseHold:
 		d.hold(now)
 	case phaseArm:
-		if all(d.done) {
-			d.enter(now, phaseVerify)
-		} else if now.Sub(d.since) > armLimit {
-			d.backOut(now, "a rank did not answer")
-		}
+		d.arm(now, phaseVerify)
 	case phaseVerify:
-		d.verify(now)
+		d.verify(now, phaseArmOwn)
+	case phaseArmOwn:
+		d.arm(now, phaseVerifyOwn)
+	case phaseVerifyOwn:
+		d.verify(now, phaseGo)
 	case phaseGo:
 		if d.done[d.holder] {
 			d.released(now)
 		}
+	case phaseBackOutOwn:
+		if d.obeyed(now) {
+			d.enter(now, phaseBackOut)
+		}
 	case phaseBackOut:
-		if all(d.done) {
+		if d.obeyed(now) {
 			d.enter(now, phaseCheck)
 		}
 	case phaseCheck:
@@ -357,6 +378,7 @@
 		d.version = max(d.version, s.Armed)
 	}
 	d.fence = max(d.fence+1, fence)
+	d.left = false
 	d.enter(now, phaseSeize)
 }
 
@@ -400,47 +422,126 @@
 	return newest
 }
 
-// read tells whether every rank was read since its part of the phase was done.
-func (d *Director) read() bool {
-	for i, s := range d.ranks {
-		if s.Asked <= d.marks[i] {
-			return false
+// targets returns the ranks that the phase concerns.
+func (d *Director) targets() []int {
+	switch d.phase {
+	case phaseHold, phaseSeize, phaseGo:
+		return []int{d.holder}
+	case phaseArmOwn, phaseVerifyOwn, phaseBackOutOwn:
+		return []int{d.own}
+	}
+	var ranks []int
+	others := d.phase == phaseArm || d.phase == phaseVerify || d.phase == phaseBackOut
+	for i := range d.ranks {
+		if i != d.own || !others {
+			ranks = append(ranks, i)
 		}
 	}
-	return true
+	return ranks
+}
+
+// absent returns the rank whose part is missing only because it is beside the director that left a hold behind and is
+// out of reach with it, or -1. While passes follow one another, an order of that director that comes late finds its
+// step begun.
+func (d *Director) absent(now clock.Time, has func(rank int) bool) int {
+	owner := d.owner()
+	if owner < 0 || owner == d.own || has(owner) {
+		return -1
+	}
+	if now.Sub(d.since) < absentAfter && !d.left {
+		return -1
+	}
+	for _, s := range d.ranks {
+		if s.Busy {
+			d.left = true
+			return owner
+		}
+	}
+	return -1
 }
 
-func (d *Director) armedAll() bool {
+// owner returns the rank beside the director that proposed the newest map that is prepared, or -1.
+func (d *Director) owner() int {
+	newest := None
 	for _, s := range d.ranks {
-		if s.Armed != d.version || s.ArmedStep != d.step || s.Epoch != d.epoch {
+		newest = max(newest, s.Prepared)
+	}
+	if owner := int(newest % Owners); newest > 0 && owner < len(d.ranks) {
+		return owner
+	}
+	return -1
+}
+
+// obeyed tells whether every rank that can be reached has done its part of the phase.
+func (d *Director) obeyed(now clock.Time) bool {
+	has := func(rank int) bool { return d.done[rank] }
+	return d.complete(has, d.absent(now, has))
+}
+
+// read tells whether every rank that can be reached was read since its part of the phase began, and which is absent.
+func (d *Director) read(now clock.Time) (absent int, ok bool) {
+	has := func(rank int) bool { return d.ranks[rank].Asked > d.marks[rank] }
+	absent = d.absent(now, has)
+	return absent, d.complete(has, absent)
+}
+
+func (d *Director) complete(has func(rank int) bool, absent int) bool {
+	for _, rank := range d.targets() {
+		if rank != absent && !has(rank) {
 			return false
 		}
 	}
 	return true
 }
 
-func (d *Director) verify(now clock.Time) {
-	if d.read() {
-		if d.armedAll() && d.ranks[d.holder].Held == d.step {
-			d.commits = true
-			d.enter(now, phaseGo)
-			return
+// armed counts the ranks, but the absent one, that are armed for the step and those that are not.
+func (d *Director) armed(absent int) (armed, not int) {
+	for i, s := range d.ranks {
+		switch {
+		case i == absent:
+		case s.Armed == d.version && s.ArmedStep == d.step && s.Epoch == d.epoch:
+			armed++
+		default:
+			not++
+		}
+	}
+	return armed, not
+}
+
+func (d *Director) arm(now clock.Time, next int) {
+	if d.obeyed(now) {
+		d.enter(now, next)
+	} else if now.Sub(d.since) > armLimit {
+		d.backOut(now, "a rank did not answer")
+	}
+}
+
+// verify goes on once all ranks that the phase concerns are read back as armed.
+func (d *Director) verify(now clock.Time, next int) {
+	if _, ok := d.read(now); !ok {
+		if now.Sub(d.since) > armLimit {
+			d.backOut(now, "a rank could not be read back")
 		}
-		d.backOut(now, "the ranks are not unanimous")
 		return
 	}
-	if now.Sub(d.since) > armLimit {
-		d.backOut(now, "a rank could not be read back")
+	for _, rank := range d.targets() {
+		if s := d.ranks[rank]; s.Armed != d.version || s.ArmedStep != d.step || s.Epoch != d.epoch {
+			d.backOut(now, "the ranks are not unanimous")
+			return
+		}
 	}
+	d.commits = next == phaseGo
+	d.enter(now, next)
 }
 
 // check releases the step once nothing is armed any more.
 func (d *Director) check(now clock.Time) {
-	if !d.read() {
+	absent, ok := d.read(now)
+	if !ok {
 		return
 	}
-	for _, s := range d.ranks {
-		if s.Armed != None && s.Epoch == d.epoch {
+	for i, s := range d.ranks {
+		if i != absent && s.Armed != None && s.Epoch == d.epoch {
 			d.version = max(d.version, s.Armed)
 			d.backOut(now, d.result.Reason)
 			return
@@ -451,17 +552,23 @@
 
 // survey decides what becomes of a hold that was seized.
 func (d *Director) survey(now clock.Time) {
-	if !d.read() {
+	absent, ok := d.read(now)
+	if !ok {
 		return
 	}
 	d.version = None
-	for _, s := range d.ranks {
-		d.version = max(d.version, s.Armed)
+	for i, s := range d.ranks {
+		if i != absent {
+			d.version = max(d.version, s.Armed)
+		}
 	}
-	if d.version != None && d.armedAll() {
-		d.commits = true
-		d.enter(now, phaseGo)
-		return
+	armed, not := d.armed(absent)
+	if armed > 0 && not == 0 {
+		if absent < 0 {
+			d.commits = true
+			d.enter(now, phaseGo)
+		}
+		return // whether the absent rank is armed as well only it can tell
 	}
 	d.result.Reason = "a hold was left behind"
 	d.backOut(now, d.result.Reason)
@@ -504,28 +611,19 @@
 }
 
 func (d *Director) orders() (op string, ranks []int) {
-	everyone := make([]int, len(d.ranks))
-	for i := range everyone {
-		everyone[i] = i
-	}
 	switch d.phase {
 	case phasePrepare:
-		return OpPrepare, everyone
-	case phaseArm:
-		return OpArm, everyone
-	case phaseBackOut:
-		return OpDisarm, everyone
+		op = OpPrepare
+	case phaseArm, phaseArmOwn:
+		op = OpArm
+	case phaseBackOut, phaseBackOutOwn:
+		op = OpDisarm
 	case phaseHold, phaseSeize:
-		if d.step == None {
-			return "", nil
+		if d.step != None {
+			op = OpHold
 		}
-		return OpHold, []int{d.holder}
 	case phaseGo:
-		return OpGo, []int{d.holder}
+		op = OpGo
 	}
-	return "", nil
-}
-
-func all(done []bool) bool {
-	return !slices.Contains(done, false)
+	return op, d.targets()
 }
--- a/pkg/expert/director_test.go
+++ b/pkg/expert/director_test.go
@@ -22,10 +22,11 @@
 	epoch int64
 	step  int64
 	now   clock.Time
+	work  bool // passes follow one another
 }
 
 func newHeldGroup(ranks int) *heldGroup {
-	g := &heldGroup{ranks: make([]heldRank, ranks), now: 1}
+	g := &heldGroup{ranks: make([]heldRank, ranks), now: 1, work: true}
 	g.restart()
 	return g
 }
@@ -48,7 +49,7 @@
 }
 
 func (g *heldGroup) pass(t require.TestingT) {
-	if g.blocked() {
+	if g.blocked() || !g.work {
 		return
 	}
 	g.step++
@@ -62,7 +63,7 @@
 	}
 }
 
-func (g *heldGroup) apply(c Command) Reply {
+func (g *heldGroup) apply(t require.TestingT, c Command) Reply {
 	r := &g.ranks[c.Rank]
 	if c.Epoch != g.epoch {
 		return ReplyRefused
@@ -109,6 +110,7 @@
 			return done[false]
 		}
 		r.held = None
+		g.pass(t)
 	}
 	return ReplyDone
 }
@@ -117,7 +119,7 @@
 	r := g.ranks[rank]
 	return Standing{
 		Asked: g.now, Epoch: g.epoch, Open: true, Step: g.step, Version: r.version,
-		Prepared: r.prepared, Armed: r.armed, ArmedStep: r.armedStep, Held: r.held,
+		Prepared: r.prepared, Armed: r.armed, ArmedStep: r.armedStep, Held: r.held, Busy: g.work,
 	}
 }
 
@@ -141,10 +143,11 @@
 	orders    []pending
 	reports   []news
 	fence     int64
+	frozen    int // director whose instance stands still with the rank beside it, or -1
 }
 
 func newHeldWorld(ranks int) *heldWorld {
-	w := &heldWorld{group: newHeldGroup(ranks)}
+	w := &heldWorld{group: newHeldGroup(ranks), frozen: -1}
 	for i := range 2 {
 		w.directors = append(w.directors, NewDirector(ranks, i))
 	}
@@ -152,7 +155,10 @@
 }
 
 func (w *heldWorld) tick(director int) {
-	w.fence += 1000
+	if director == w.frozen {
+		return
+	}
+	w.fence += Owners
 	for _, c := range w.directors[director].Tick(w.group.now, w.fence+int64(director)) {
 		w.orders = append(w.orders, pending{director: director, command: c})
 	}
@@ -160,13 +166,19 @@
 }
 
 func (w *heldWorld) propose(director int) {
-	w.fence += 1000
+	if director == w.frozen {
+		return
+	}
+	w.fence += Owners
 	stamp := w.fence + int64(director)
 	w.directors[director].Propose(w.group.now, Map{}, stamp, stamp)
 }
 
 func (w *heldWorld) read(director int) {
 	for rank := range w.group.ranks {
+		if director == w.frozen || rank == w.frozen {
+			continue
+		}
 		w.reports = append(w.reports, news{director, rank, w.group.standing(rank)})
 	}
 }
@@ -174,15 +186,23 @@
 // hear delivers report i, perhaps long after it was made.
 func (w *heldWorld) hear(i int) {
 	n := w.reports[i]
+	if n.director == w.frozen {
+		w.reports = append(append(w.reports[:i:i], w.reports[i+1:]...), n)
+		return
+	}
 	w.reports = append(w.reports[:i], w.reports[i+1:]...)
 	w.directors[n.director].Read(n.rank, n.standing)
 }
 
 // deliver carries order i out and, unless it was given up on, answers it.
-func (w *heldWorld) deliver(i int) {
+func (w *heldWorld) deliver(t require.TestingT, i int) {
 	p := w.orders[i]
+	if p.director == w.frozen || p.command.Rank == w.frozen {
+		w.orders = append(append(w.orders[:i:i], w.orders[i+1:]...), p) // waits for the end of the freeze
+		return
+	}
 	w.orders = append(w.orders[:i], w.orders[i+1:]...)
-	reply := w.group.apply(p.command)
+	reply := w.group.apply(t, p.command)
 	if !p.lost {
 		w.directors[p.director].Handle(w.group.now, p.command.ID, reply)
 	}
@@ -191,7 +211,7 @@
 // give makes a director give up on order i, which stays on its way.
 func (w *heldWorld) give(i int) {
 	p := &w.orders[i]
-	if !p.lost {
+	if !p.lost && p.director != w.frozen {
 		p.lost = true
 		w.directors[p.director].Handle(w.group.now, p.command.ID, ReplyLost)
 	}
@@ -204,14 +224,14 @@
 		for _, director := range live {
 			w.read(director)
 		}
-		for len(w.reports) > 0 {
+		for range len(w.reports) {
 			w.hear(0)
 		}
 		for _, director := range live {
 			w.tick(director)
 		}
-		for len(w.orders) > 0 {
-			w.deliver(0)
+		for range len(w.orders) {
+			w.deliver(t, 0)
 		}
 		w.group.pass(t)
 	}
@@ -240,15 +260,25 @@
 			}
 			w.tick(0)
 			if len(w.orders) > 0 {
-				w.deliver(0)
+				w.deliver(t, 0)
 			}
 			if stop%3 == 0 {
 				w.group.pass(t)
 			}
 		}
+		w.frozen = 0
 		w.settle(t, []int{1})
 		before := w.group.step
 		w.settle(t, []int{1})
+		if w.group.step == before {
+			for _, r := range w.group.ranks[1:] {
+				require.NotEqual(t, None, r.armed, "stopped after %d events: the group waits only where every rank in reach is armed", stop)
+			}
+		}
+		w.frozen = -1
+		w.settle(t, []int{1})
+		before = w.group.step
+		w.settle(t, []int{1})
 		require.Greater(t, w.group.step, before, "stopped after %d events", stop)
 		require.False(t, w.group.blocked(), "stopped after %d events", stop)
 	}
@@ -274,15 +304,20 @@
 			case event < 27:
 				w.propose(director)
 			case event < 34 && len(w.orders) > 0:
-				w.deliver(pick(len(w.orders)))
+				w.deliver(t, pick(len(w.orders)))
 			case event < 36 && len(w.orders) > 0:
 				w.give(pick(len(w.orders)))
-			case event < 40:
+			case event < 38:
 				w.group.pass(t)
+			case event < 39:
+				w.group.work = !w.group.work
+			case event < 40:
+				w.frozen = rapid.IntRange(-1, 1).Draw(t, "frozen")
 			case rapid.IntRange(0, 3).Draw(t, "crash") == 0:
 				w.group.restart()
 			}
 		}
+		w.group.work, w.frozen = true, -1
 		w.settle(t, []int{0, 1})
 		before := w.group.step
 		w.settle(t, []int{0, 1})
