--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -13,7 +13,6 @@
 	"github.com/go-kit/log/level"
 
 	"carawaypick/pkg/clock"
-	"carawaypick/pkg/expert"
 )
 
 const (
@@ -58,12 +57,6 @@
 	broken   bool          // the engine did not answer last time
 }
 
-// reply is the answer to an order.
-type reply struct {
-	id    uint64
-	reply expert.Reply
-}
-
 // New returns an agent.
 func New(s Settings, d Dialect, c clock.Clock, logger log.Logger) *Agent {
 	return &Agent{settings: s, dialect: d, clock: c, logger: logger, directed: c.Now(), replies: make(chan reply, 256), heard: make(chan struct{}, 1)}
@@ -176,6 +169,13 @@
 		a.join(*m.Roster)
 	case m.Poll != nil:
 		a.answerPoll(ctx, from, *m.Poll)
+	case m.Order != nil:
+		a.relay(ctx, from, m.Order.Command)
+	case m.Reply != nil:
+		select {
+		case a.replies <- *m.Reply:
+		default: // the director sends the order again
+		}
 	case m.Answer != nil:
 		a.mu.Lock()
 		if a.desk != nil {
--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -24,15 +25,18 @@
 	round    uint64
 	period   clock.Span // between two rounds of counts
 	version  int64      // of the map that the planner starts from
-	born     []int64
+	gain     float64    // of the plan that was put off in the last round
+	waited   int        // rounds for which it was put off
 }
 
 const (
 	trigger    = 0.2              // skew that a new map must take from a set: a switch costs copies and orders
 	leastCopy  = 0.3              // skew, times the number of ranks, that each copy must take from its set: passes are slower meanwhile
 	payBack    = 4 * clock.Second // time within which a map must pay for its copies: what is liked changes
-	copiesEach = 2                // experts that one plan may bring to a rank: all wait for the rank that copies longest
-	leastGain  = 0.3              // mean skew that a plan must take: a small switch delays the next, larger one
+	growth     = 1.25             // of the gain from one round to the next, from which the next is waited for
+	mostWaits  = 3
+	copiesEach = 2   // experts that one plan may bring to a rank: all wait for the rank that copies longest
+	leastGain  = 0.3 // mean skew that a plan must take: a small switch delays the next, larger one
 )
 
 // newDesk returns a desk for the group.
@@ -80,6 +84,7 @@
 // settings of the planner: a line a round, and a map must pay within some seconds, since what is liked changes.
 func (d *desk) settings() expert.Settings {
 	s := expert.Defaults()
+	s.Decays = []float64{0.3, 0.6} // a round holds thousands of choices: what counts is to follow a change at once
 	s.Step = d.period
 	s.Horizon = int(payBack / d.period)
 	s.Trigger = trigger
@@ -161,7 +166,7 @@
 	if err != nil || p.Stay {
 		return false, 0
 	}
-	if p.Gain < leastGain {
+	if p.Gain < leastGain || d.growing(p.Gain) {
 		d.version = expert.None
 		return false, 0
 	}
@@ -174,6 +179,17 @@
 	return clock.Wall()*expert.Owners + int64(rank)
 }
 
+// growing tells whether the gain still grows from round to round, since the counts of a change have only begun to come
+// in: a plan made too early delays the better one that follows it.
+func (d *desk) growing(gain float64) bool {
+	grew := gain > growth*d.gain && d.waited < mostWaits
+	d.gain, d.waited = gain, d.waited+1
+	if !grew {
+		d.gain, d.waited = 0, 0
+	}
+	return grew
+}
+
 // round polls the ranks where this process directs.
 func (a *Agent) round(ctx context.Context, now clock.Time) {
 	own, ok := a.look(ctx, int64(now))
@@ -239,7 +255,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.desk != nil {
-		a.desk.director.Handle(a.clock.Now(), r.id, r.reply)
+		a.desk.director.Handle(a.clock.Now(), r.ID, r.Reply)
 	}
 }
 
@@ -257,7 +273,7 @@
 		if i < 0 {
 			continue
 		}
-		a.order(ctx, a.roster.Members[i].Engine, c)
+		a.order(ctx, a.roster.Members[i], c, now.Sub(a.desk.heard[c.Rank]) < silentAgent)
 	}
 	if o := a.desk.director.Take(); o.Ended {
 		level.Info(a.logger).Log("msg", "map switch ended", "committed", o.Committed, "version", o.Version, "reason", o.Reason)
@@ -265,21 +281,49 @@
 	return a.desk.director.Urgent() && !waited
 }
 
-// order sends one order; its reply comes on the agent's channel.
-func (a *Agent) order(ctx context.Context, address string, c expert.Command) {
+// relayTime is the time in ms after which an order that another process was to pass on counts as unanswered.
+const relayTime = 150 * clock.Millisecond
+
+// order sends one order, through the process beside the rank where it lives, since an order from another instance costs
+// the engine more; the reply comes on the agent's channel.
+func (a *Agent) order(ctx context.Context, m Member, c expert.Command, near bool) {
+	relayed := c.Op == expert.OpPrepare || c.Op == expert.OpArm || c.Op == expert.OpDisarm // a step waits for the others
+	if near && relayed && !c.Again && m.IP != a.settings.IP {
+		a.send(m.IP, message{Order: &relay{Command: c}})
+		time.AfterFunc(relayTime.Duration(), func() { a.replied(ctx, reply{ID: c.ID, Reply: expert.ReplyLost}) })
+		return
+	}
 	kernel.Start(ctx, func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, settle.Duration())
-		defer cancel()
-		r, err := a.dialect.Order(ctx, address, c)
-		if err != nil {
-			level.Info(a.logger).Log("msg", "order not answered", "op", c.Op, "rank", c.Rank, "version", c.Version, "step", c.Step, "fence", c.Fence, "error", err)
-		} else if r != expert.ReplyDone {
-			level.Info(a.logger).Log("msg", "order refused", "op", c.Op, "rank", c.Rank, "version", c.Version, "step", c.Step, "fence", c.Fence, "fenced", r == expert.ReplyFenced)
-		}
-		select {
-		case a.replies <- reply{id: c.ID, reply: r}:
-		case <-ctx.Done():
-		}
+		a.replied(ctx, a.give(ctx, m.Engine, c))
 		return nil
 	})
 }
+
+func (a *Agent) replied(ctx context.Context, r reply) {
+	select {
+	case a.replies <- r:
+	case <-ctx.Done():
+	}
+}
+
+// relay gives an order to the engine beside this process and tells the director what became of it.
+func (a *Agent) relay(ctx context.Context, director string, c expert.Command) {
+	kernel.Start(ctx, func(ctx context.Context) error {
+		r := a.give(ctx, a.settings.Engine, c)
+		a.send(director, message{Reply: &r})
+		return nil
+	})
+}
+
+// give gives the engine an order.
+func (a *Agent) give(ctx context.Context, address string, c expert.Command) reply {
+	ctx, cancel := context.WithTimeout(ctx, settle.Duration())
+	defer cancel()
+	r, err := a.dialect.Order(ctx, address, c)
+	if err != nil {
+		level.Info(a.logger).Log("msg", "order not answered", "op", c.Op, "rank", c.Rank, "version", c.Version, "step", c.Step, "fence", c.Fence, "error", err)
+	} else if r != expert.ReplyDone {
+		level.Info(a.logger).Log("msg", "order refused", "op", c.Op, "rank", c.Rank, "version", c.Version, "step", c.Step, "fence", c.Fence, "fenced", r == expert.ReplyFenced)
+	}
+	return reply{ID: c.ID, Reply: r}
+}
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -1,11 +1,26 @@
 package engine
 
+import "carawaypick/pkg/expert"
+
 // message is what the processes beside the ranks of a group tell one another, and ask an entry, by UDP.
 type message struct {
 	Ask    string  `json:"ask,omitempty"`    // the engine whose group an entry is asked for
 	Roster *Roster `json:"roster,omitempty"` // the entry's answer
 	Poll   *poll   `json:"poll,omitempty"`
 	Answer *answer `json:"answer,omitempty"`
+	Order  *relay  `json:"order,omitempty"`
+	Reply  *reply  `json:"reply,omitempty"`
+}
+
+// relay is an order that the process beside a rank passes on to its engine.
+type relay struct {
+	Command expert.Command `json:"command"`
+}
+
+// reply is what became of an order.
+type reply struct {
+	ID    uint64       `json:"id"`
+	Reply expert.Reply `json:"reply"`
 }
 
 // poll asks a process for its rank's standing.
--- a/pkg/expert/director.go
+++ b/pkg/expert/director.go
@@ -22,7 +22,8 @@
 	Step    int64
 	Epoch   int64 // life of the group
 	Fence   int64
-	Map     Map // for OpPrepare
+	Map     Map  // for OpPrepare
+	Again   bool // it was sent before and not answered
 }
 
 // Reply is how a rank answered a command.
@@ -75,7 +76,7 @@
 
 // Timing of a director, in ms.
 const (
-	resend       = 60 * clock.Millisecond   // until an unanswered command is sent again
+	resend       = 35 * clock.Millisecond   // until an unanswered command is sent again
 	copyResend   = 400 * clock.Millisecond  // the same for an order to prepare, which is large
 	prepareLimit = 6 * clock.Second         // for all ranks to copy their experts
 	absentAfter  = 400 * clock.Millisecond  // silence of a rank beside a director that is gone, after which it is left out
@@ -84,9 +85,11 @@
 	foreignAfter = 300 * clock.Millisecond  // a hold that is not the director's own is looked into after that
 	restAfter    = 1500 * clock.Millisecond // after a switch that failed
 	fencedRest   = 3 * clock.Second         // after another director has shown itself
-	ahead        = 3                        // steps from the newest known one to the held one: the ranks are armed before it is reached
-	aheadLossy   = 9                        // the same after orders have gone unanswered
-	lossyFor     = 10 * clock.Second        // after an order has gone unanswered
+	armTime      = 60 * clock.Millisecond   // for all ranks to be armed and read back before the held step is reached
+	armTimeLossy = 450 * clock.Millisecond  // the same after orders have gone unanswered
+	usualPass    = 60 * clock.Millisecond   // of a pass, before any is measured
+	leastPass    = 10 * clock.Millisecond
+	lossyFor     = 10 * clock.Second // after an order has gone unanswered
 )
 
 // Director switches a group from one map to the next: it holds a step, arms every rank for it, reads all back and
@@ -117,6 +120,7 @@
 	foreign clock.Time         // since when a foreign hold is seen, 0 for none
 	commits bool               // phaseGo completes a switch
 	left    bool               // a rank was left out of this repair
+	pass    clock.Span         // length of a pass in ms, 0 before one is measured
 	lost    clock.Time         // last unanswered order, 0 for none
 	result  Outcome
 }
@@ -226,6 +230,9 @@
 	if rank < 0 || rank >= len(d.ranks) || s.Asked < d.ranks[rank].Asked {
 		return
 	}
+	if rank == d.own {
+		d.timed(d.ranks[rank], s)
+	}
 	d.ranks[rank] = s
 }
 
@@ -406,14 +413,32 @@
 		return
 	}
 	if d.step == None {
-		d.step = d.newest() + ahead
-		if d.lost > 0 && now.Sub(d.lost) < lossyFor {
-			d.step = d.newest() + aheadLossy
-		}
+		d.step = d.newest() + d.ahead(now)
 		d.fence++
 	}
 }
 
+// ahead returns the steps from the newest known one to the one to hold: the ranks are to be armed before it is reached.
+func (d *Director) ahead(now clock.Time) int64 {
+	time := armTime
+	if d.lost > 0 && now.Sub(d.lost) < lossyFor {
+		time = armTimeLossy
+	}
+	pass := d.pass
+	if pass == 0 {
+		pass = usualPass
+	}
+	pass = max(pass, leastPass)
+	return 1 + int64((time+pass-1)/pass)
+}
+
+// timed measures the length of a pass between two standings of the own rank.
+func (d *Director) timed(old, s Standing) {
+	if steps := s.Step - old.Step; old.Epoch == s.Epoch && steps > 0 {
+		d.pass = s.Asked.Sub(old.Asked) / clock.Span(steps)
+	}
+}
+
 func (d *Director) newest() int64 {
 	newest := int64(0)
 	for _, s := range d.ranks {
@@ -598,9 +623,10 @@
 		if op == OpPrepare && d.sent[rank] >= 0 && now.Sub(d.sent[rank]) < copyResend {
 			continue
 		}
+		again := d.sent[rank] >= 0
 		d.sent[rank] = now
 		d.next++
-		c := Command{ID: d.next, Rank: rank, Op: op, Version: d.version, Step: d.step, Epoch: d.epoch, Fence: d.fence}
+		c := Command{ID: d.next, Rank: rank, Op: op, Version: d.version, Step: d.step, Epoch: d.epoch, Fence: d.fence, Again: again}
 		if op == OpPrepare {
 			c.Map = d.m
 		}
