--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -14,6 +14,8 @@
 	crowdRelevant = 0.5                     // part of the pause below which a pass tells nothing of the limit
 	crowdHot      = 0.80                    // part of the pause from which nothing is started
 	crowdStale    = 300 * clock.Millisecond // age from which an observation no longer tells of the present
+	crowdStall    = 2.0                     // multiple of the pause from which it is a stall and not the load of a pass
+	crowdHopeless = 1.0 / 6                 // part of the slots below which no number of requests is on time, and throughput counts
 	crowdLeast    = 1.0                     // requests that a rank may run however slow it is
 )
 
@@ -36,6 +38,9 @@
 
 // Observe takes in the mean pause in ms between the events of streams while each engine ran so many requests.
 func (c *Crowd) Observe(now clock.Time, pause, running float64) {
+	if pause > float64(c.Gap)*crowdStall {
+		return // a held step, a dead rank or one that is slow whatever it runs: fewer requests would not help
+	}
 	c.pause, c.at = pause, now
 	if running <= 0 || pause < float64(c.Gap)*crowdRelevant {
 		return
@@ -75,5 +80,8 @@
 		return float64(slots)
 	}
 	limit := (float64(c.Gap)*crowdHeadroom - c.fixed()) / cost
+	if limit < crowdHopeless*float64(slots) {
+		return float64(slots)
+	}
 	return min(max(limit, crowdLeast), float64(slots))
 }
