Arm the rank beside the director first, so that another director can complete the switch

Cause: with the own rank armed last, a director that stood still between the others' arms and the release left a state that nobody could decide for 4 s, and its successor stepped down in the middle of the repair as soon as it woke.

--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -203,7 +203,8 @@
 		a.desk = nil
 		return
 	}
-	if own.Rank > 0 && now.Sub(a.directed) < directedBy*clock.Span(own.Rank) {
+	repairs := a.desk != nil && a.desk.director.Holding() // it alone may give orders that are not refused
+	if own.Rank > 0 && now.Sub(a.directed) < directedBy*clock.Span(own.Rank) && !repairs {
 		a.desk = nil
 		return
 	}
--- a/pkg/expert/director.go
+++ b/pkg/expert/director.go
@@ -56,19 +56,18 @@
 
 // Phases of a director.
 const (
-	phaseIdle       = iota
-	phasePrepare    // all ranks copy their experts
-	phaseHold       // the holder holds a step
-	phaseArm        // all ranks but the director's own arm
-	phaseVerify     // they are read back
-	phaseArmOwn     // the own rank arms
-	phaseVerifyOwn  // it is read back
-	phaseGo         // the holder releases the step
-	phaseBackOutOwn // the own rank disarms
-	phaseBackOut    // the others disarm
-	phaseCheck      // all are read back
-	phaseSeize      // a hold that another director left behind is taken over
-	phaseSurvey     // all ranks are read to decide what becomes of it
+	phaseIdle     = iota
+	phasePrepare  // all ranks copy their experts
+	phaseHold     // the holder holds a step
+	phaseArmFirst // the rank beside the proposing director arms
+	phaseArm      // the others arm
+	phaseVerify   // all are read back
+	phaseGo       // the holder releases the step
+	phaseBackOut  // all but the first rank disarm
+	phaseBackOutFirst
+	phaseCheck  // all are read back
+	phaseSeize  // a hold that another director left behind is taken over
+	phaseSurvey // all ranks are read to decide what becomes of it
 )
 
 // Owners bounds the ranks that may direct: a version of a map is a multiple of it plus the rank of its director.
@@ -97,10 +96,12 @@
 //
 // Orders may be lost and carried out late, so each try has a higher fence than anything before it, and nothing is left
 // half done: a hold that another director left behind is seized, and completed or taken back. The rank beside the
-// director is out of reach when the director's instance is, so another one holds, and the own rank is armed last and
-// disarmed first: while some other rank is not armed, it isn't either. It is a pure state machine, for one goroutine.
+// director is out of reach when the director's instance is, so another one holds, and the own rank is armed first and
+// disarmed last: where any other rank is armed it is too, and another director can complete the switch without it. It is
+// a pure state machine, for one goroutine.
 type Director struct {
 	own    int // the rank beside the director
+	first  int // the rank that is armed first: the one beside the director that proposed the map
 	holder int // the rank that holds
 	ranks  []Standing
 	phase  int
@@ -119,7 +120,7 @@
 	rest    clock.Time         // no new switch before
 	foreign clock.Time         // since when a foreign hold is seen, 0 for none
 	commits bool               // phaseGo completes a switch
-	left    bool               // a rank was left out of this repair
+	left    bool               // the first rank is out of reach and known to be armed
 	pass    clock.Span         // length of a pass in ms, 0 before one is measured
 	lost    clock.Time         // last unanswered order, 0 for none
 	result  Outcome
@@ -150,7 +151,7 @@
 // Urgent tells whether the director waits for standings that were read after it began its phase.
 func (d *Director) Urgent() bool {
 	switch d.phase {
-	case phaseVerify, phaseVerifyOwn, phaseCheck, phaseSurvey:
+	case phaseVerify, phaseCheck, phaseSurvey:
 		return true
 	}
 	return false
@@ -195,6 +196,7 @@
 		}
 	}
 	d.version, d.m, d.epoch = version, m, d.ranks[0].Epoch
+	d.first = d.own
 	d.holder = (d.own + (len(d.ranks)+1)/2) % len(d.ranks)
 	d.fence = max(d.fence+1, fence)
 	d.left = false
@@ -272,12 +274,12 @@
 	case phaseHold:
 		d.step = None // the step has begun: hold a later one
 		d.sent[d.holder] = -1
-	case phaseArm, phaseArmOwn:
+	case phaseArm, phaseArmFirst:
 		d.backOut(now, "a rank refused to arm")
 	case phaseGo, phaseSeize:
 		d.step = None // nothing is held there any more
 		d.end(now, false, "the step is not held")
-	case phaseBackOut, phaseBackOutOwn:
+	case phaseBackOut, phaseBackOutFirst:
 		d.done[c.Rank] = true // nothing of that version is armed; the order's fence has been seen
 		d.marks[c.Rank] = now
 	}
@@ -291,8 +293,8 @@
 		}
 	}
 	d.fence++
-	d.commits = false
-	d.enter(now, phaseBackOutOwn)
+	d.commits, d.left = false, false
+	d.enter(now, phaseBackOut)
 }
 
 func (d *Director) end(now clock.Time, committed bool, reason string) {
@@ -318,24 +320,22 @@
 		d.prepare(now)
 	case phaseHold:
 		d.hold(now)
+	case phaseArmFirst:
+		d.arm(now, phaseArm)
 	case phaseArm:
 		d.arm(now, phaseVerify)
 	case phaseVerify:
-		d.verify(now, phaseArmOwn)
-	case phaseArmOwn:
-		d.arm(now, phaseVerifyOwn)
-	case phaseVerifyOwn:
-		d.verify(now, phaseGo)
+		d.verify(now)
 	case phaseGo:
 		if d.done[d.holder] {
 			d.released(now)
 		}
-	case phaseBackOutOwn:
-		if d.obeyed(now) {
-			d.enter(now, phaseBackOut)
-		}
 	case phaseBackOut:
-		if d.obeyed(now) {
+		if d.complete(d.obeyed) {
+			d.enter(now, phaseBackOutFirst)
+		}
+	case phaseBackOutFirst:
+		if d.complete(d.obeyed) {
 			d.enter(now, phaseCheck)
 		}
 	case phaseCheck:
@@ -404,7 +404,7 @@
 
 func (d *Director) hold(now clock.Time) {
 	if d.step != None && d.done[d.holder] {
-		d.enter(now, phaseArm)
+		d.enter(now, phaseArmFirst)
 		return
 	}
 	if now.Sub(d.since) > holdLimit {
@@ -448,126 +448,82 @@
 }
 
 // targets returns the ranks that the phase concerns.
-func (d *Director) targets() []int {
+func (d *Director) targets() (ranks []int) {
 	switch d.phase {
 	case phaseHold, phaseSeize, phaseGo:
 		return []int{d.holder}
-	case phaseArmOwn, phaseVerifyOwn, phaseBackOutOwn:
-		return []int{d.own}
+	case phaseArmFirst, phaseBackOutFirst:
+		return []int{d.first}
+	}
+	skip := -1
+	if d.phase == phaseArm || d.phase == phaseBackOut || (d.phase == phaseVerify && d.left) {
+		skip = d.first
 	}
-	var ranks []int
-	others := d.phase == phaseArm || d.phase == phaseVerify || d.phase == phaseBackOut
 	for i := range d.ranks {
-		if i != d.own || !others {
+		if i != skip {
 			ranks = append(ranks, i)
 		}
 	}
 	return ranks
 }
 
-// absent returns the rank whose part is missing only because it is beside the director that left a hold behind and is
-// out of reach with it, or -1. While passes follow one another, an order of that director that comes late finds its
-// step begun.
-func (d *Director) absent(now clock.Time, has func(rank int) bool) int {
-	owner := d.owner()
-	if owner < 0 || owner == d.own || has(owner) {
-		return -1
-	}
-	if now.Sub(d.since) < absentAfter && !d.left {
-		return -1
-	}
-	for _, s := range d.ranks {
-		if s.Busy {
-			d.left = true
-			return owner
-		}
-	}
-	return -1
+// obeyed tells whether the rank has done its part of the phase.
+func (d *Director) obeyed(rank int) bool {
+	return d.done[rank]
 }
 
-// owner returns the rank beside the director that proposed the newest map that is prepared, or -1.
-func (d *Director) owner() int {
-	newest := None
-	for _, s := range d.ranks {
-		newest = max(newest, s.Prepared)
-	}
-	if owner := int(newest % Owners); newest > 0 && owner < len(d.ranks) {
-		return owner
-	}
-	return -1
-}
-
-// obeyed tells whether every rank that can be reached has done its part of the phase.
-func (d *Director) obeyed(now clock.Time) bool {
-	has := func(rank int) bool { return d.done[rank] }
-	return d.complete(has, d.absent(now, has))
+// read tells whether the rank was read since it did its part of the phase.
+func (d *Director) read(rank int) bool {
+	return d.ranks[rank].Asked > d.marks[rank]
 }
 
-// read tells whether every rank that can be reached was read since its part of the phase began, and which is absent.
-func (d *Director) read(now clock.Time) (absent int, ok bool) {
-	has := func(rank int) bool { return d.ranks[rank].Asked > d.marks[rank] }
-	absent = d.absent(now, has)
-	return absent, d.complete(has, absent)
-}
-
-func (d *Director) complete(has func(rank int) bool, absent int) bool {
+func (d *Director) complete(has func(rank int) bool) bool {
 	for _, rank := range d.targets() {
-		if rank != absent && !has(rank) {
+		if !has(rank) {
 			return false
 		}
 	}
 	return true
 }
 
-// armed counts the ranks, but the absent one, that are armed for the step and those that are not.
-func (d *Director) armed(absent int) (armed, not int) {
-	for i, s := range d.ranks {
-		switch {
-		case i == absent:
-		case s.Armed == d.version && s.ArmedStep == d.step && s.Epoch == d.epoch:
-			armed++
-		default:
-			not++
-		}
-	}
-	return armed, not
+// armed tells whether the rank is armed for the switch that is under way.
+func (d *Director) armed(rank int) bool {
+	s := d.ranks[rank]
+	return s.Armed == d.version && s.ArmedStep == d.step && s.Epoch == d.epoch
 }
 
 func (d *Director) arm(now clock.Time, next int) {
-	if d.obeyed(now) {
+	if d.complete(d.obeyed) {
 		d.enter(now, next)
 	} else if now.Sub(d.since) > armLimit {
 		d.backOut(now, "a rank did not answer")
 	}
 }
 
-// verify goes on once all ranks that the phase concerns are read back as armed.
-func (d *Director) verify(now clock.Time, next int) {
-	if _, ok := d.read(now); !ok {
+// verify releases the step once all ranks that the phase concerns are read back as armed.
+func (d *Director) verify(now clock.Time) {
+	if !d.complete(d.read) {
 		if now.Sub(d.since) > armLimit {
 			d.backOut(now, "a rank could not be read back")
 		}
 		return
 	}
-	for _, rank := range d.targets() {
-		if s := d.ranks[rank]; s.Armed != d.version || s.ArmedStep != d.step || s.Epoch != d.epoch {
-			d.backOut(now, "the ranks are not unanimous")
-			return
-		}
+	if !d.complete(d.armed) {
+		d.backOut(now, "the ranks are not unanimous")
+		return
 	}
-	d.commits = next == phaseGo
-	d.enter(now, next)
+	d.commits = true
+	d.enter(now, phaseGo)
 }
 
 // check releases the step once nothing is armed any more.
 func (d *Director) check(now clock.Time) {
-	absent, ok := d.read(now)
-	if !ok {
+	if !d.complete(d.read) {
 		return
 	}
-	for i, s := range d.ranks {
-		if i != absent && s.Armed != None && s.Epoch == d.epoch {
-			d.version = max(d.version, s.Armed)
+	for _, s := range d.ranks {
+		if s.Armed != None && s.Epoch == d.epoch {
+			d.version, d.first = s.Armed, d.ownerOf(s.Armed)
 			d.backOut(now, d.result.Reason)
 			return
 		}
@@ -577,26 +533,54 @@
 
 // survey decides what becomes of a hold that was seized.
 func (d *Director) survey(now clock.Time) {
-	absent, ok := d.read(now)
-	if !ok {
-		return
-	}
-	d.version = None
-	for i, s := range d.ranks {
-		if i != absent {
-			d.version = max(d.version, s.Armed)
+	missing := 0
+	for rank := range d.ranks {
+		if !d.read(rank) {
+			missing++
 		}
 	}
-	armed, not := d.armed(absent)
-	if armed > 0 && not == 0 {
-		if absent < 0 {
+	d.version, d.first = d.newestMap()
+	if missing == 0 {
+		if d.complete(d.armed) {
 			d.commits = true
 			d.enter(now, phaseGo)
+			return
 		}
-		return // whether the absent rank is armed as well only it can tell
+		d.result.Reason = "a hold was left behind"
+		d.backOut(now, d.result.Reason)
+		return
+	}
+	if missing == 1 && !d.read(d.first) && now.Sub(d.since) > absentAfter && d.follows() {
+		d.left = true
+		d.enter(now, phaseArm) // the first rank is armed, since another one is
+	}
+}
+
+// newestMap returns the newest version that a rank has prepared and the rank beside its director.
+func (d *Director) newestMap() (version int64, first int) {
+	for _, s := range d.ranks {
+		version = max(version, s.Prepared, s.Armed)
+	}
+	return version, d.ownerOf(version)
+}
+
+// ownerOf returns the rank beside the director that proposed the version.
+func (d *Director) ownerOf(version int64) int {
+	if owner := int(version % Owners); version > 0 && owner < len(d.ranks) {
+		return owner
+	}
+	return d.own
+}
+
+// follows tells whether a rank that was read is armed for the held step while passes follow one another: then an order
+// of the director that is gone finds the step begun when it comes late.
+func (d *Director) follows() bool {
+	armed, busy := false, false
+	for rank := range d.ranks {
+		armed = armed || (d.read(rank) && d.armed(rank))
+		busy = busy || (d.read(rank) && d.ranks[rank].Busy)
 	}
-	d.result.Reason = "a hold was left behind"
-	d.backOut(now, d.result.Reason)
+	return armed && busy
 }
 
 func (d *Director) released(now clock.Time) {
@@ -640,9 +624,9 @@
 	switch d.phase {
 	case phasePrepare:
 		op = OpPrepare
-	case phaseArm, phaseArmOwn:
+	case phaseArm, phaseArmFirst:
 		op = OpArm
-	case phaseBackOut, phaseBackOutOwn:
+	case phaseBackOut, phaseBackOutFirst:
 		op = OpDisarm
 	case phaseHold, phaseSeize:
 		if d.step != None {
