--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -92,8 +92,9 @@
 	return &serverConn{Conn: conn, reader: bufio.NewReaderSize(conn, connBuffer), limit: p.clock.Now().Add(idleDefault)}, nil
 }
 
-// put keeps a connection whose last exchange ended cleanly; idle is the owner's timeout, 0 where it names none.
-func (p *connPool) put(id string, c *serverConn, idle clock.Span) {
+// put keeps a connection whose last exchange ended cleanly, up to most of them; idle is the owner's timeout, 0 where it
+// names none.
+func (p *connPool) put(id string, c *serverConn, idle clock.Span, most int) {
 	c.used = p.clock.Now()
 	if idle <= 0 {
 		idle = idleDefault
@@ -105,7 +106,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[id]) >= keptEach {
+	if len(p.idle[id]) >= most {
 		_ = c.Close()
 		return
 	}
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -87,13 +87,13 @@
 	mux.HandleFunc("GET "+e.wire.ResolvePath, func(w http.ResponseWriter, r *http.Request) {
 		addresses := e.peers.Fronts()
 		if e.ready() {
-			addresses = append(addresses, e.settings.Front)
+			addresses = append(addresses, e.settings.Load().Front)
 		}
 		if len(addresses) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		content, err := e.wire.Resolve(addresses[:min(len(addresses), maxNamed)], min(directoryTTL, e.settings.TTL))
+		content, err := e.wire.Resolve(addresses[:min(len(addresses), maxNamed)], min(directoryTTL, e.settings.Load().TTL))
 		if err != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 			level.Error(e.journal.Logger).Log("msg", "directory's answer not encoded", "error", err)
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -26,7 +26,7 @@
 
 // Entry serves callers.
 type Entry struct {
-	settings Settings
+	settings atomic.Pointer[Settings]
 	wire     Wire
 	clock    clock.Clock
 	belief   *Belief
@@ -180,7 +180,7 @@
 		return nil, &refusal{http.StatusServiceUnavailable, "the service has no usable backend server", emptyAfter}
 	}
 	places := e.board.Candidates(servers, c.service, c.tried)
-	i := balance.Pick(places, e.settings.Zone, e.peers.Part(), rand.Uint64)
+	i := balance.Pick(places, e.settings.Load().Zone, e.peers.Part(), rand.Uint64)
 	if i < 0 {
 		return nil, &refusal{http.StatusServiceUnavailable, "every backend server is down or was tried", emptyAfter}
 	}
--- a/internal/direct/entry_test.go
+++ b/internal/direct/entry_test.go
@@ -226,7 +226,6 @@
 
 func TestDirectoryAndReady(t *testing.T) {
 	e, _ := newTestEntry(t)
-	e.settings.Front = "127.0.0.1:1"
 	e.peers.hear(beat{Name: "p", IP: "127.0.0.2", Front: "127.0.0.2:1", Ready: true, Number: 1})
 	e.peers.hear(beat{Name: "q", IP: "127.0.0.3", Front: "127.0.0.3:1", Number: 1})
 	assert.Equal(t, []string{"127.0.0.2:1"}, e.peers.Fronts())
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -140,13 +140,22 @@
 }
 
 // done keeps the connection for the next request where the answer has ended cleanly, or else gives it up.
-func (e *Entry) done(s *routing.Server, x *exchange, clean bool) {
+func (e *Entry) done(c *call, s *routing.Server, x *exchange, clean bool) {
 	if !clean || !x.keep {
 		x.close()
 		return
 	}
 	x.release()
-	e.conns.put(s.ID, x.conn, x.idle)
+	e.conns.put(s.ID, x.conn, x.idle, e.kept(c.service))
+}
+
+// kept returns the idle connections that are kept to a backend server, so that those of all entries leave half of what
+// it accepts to requests that run.
+func (e *Entry) kept(service routing.Service) int {
+	if service.Connections == 0 {
+		return keptEach
+	}
+	return max(min(keptEach, int(float64(service.Connections)*e.peers.Part()/2)), 1)
 }
 
 // keepAlive returns the timeout that the Keep-Alive header names, or 0.
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -74,17 +74,19 @@
 		clock: c, logger: logger, board: board, port: s.Ports[0], self: self, roster: roster,
 		fellows: make(map[string]*fellow), targets: make(map[string]clock.Time), most: 1,
 	}
-	for _, seed := range s.Seeds {
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			level.Warn(logger).Log("msg", "seed ignored", "seed", seed, "error", err)
-			continue
-		}
+	p.Seed(s)
+	return p
+}
+
+// Seed adds the seeds of the settings to the entries that are told.
+func (p *Peers) Seed(s Settings) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, host := range s.seedHosts(p.logger) {
 		if host != s.IP {
-			p.targets[host] = c.Now()
+			p.targets[host] = p.clock.Now()
 		}
 	}
-	return p
 }
 
 // Run sends and receives until ctx ends.
--- a/internal/direct/plain.go
+++ b/internal/direct/plain.go
@@ -121,7 +121,7 @@
 		if x.fate == fateNotRun && x.response != nil {
 			clean = discard(x.response) == nil
 		}
-		e.done(s, x, clean)
+		e.done(c, s, x, clean)
 	}
 	e.board.End(s.ID, verdict)
 	e.learn(s, x)
--- a/internal/direct/rank.go
+++ b/internal/direct/rank.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"io"
-	"net"
 	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"carawaypick/internal/engine"
@@ -16,7 +16,7 @@
 )
 
 // RunRank works beside one rank until ctx ends.
-func RunRank(ctx context.Context, s Settings, dialect engine.Dialect, stdout io.Writer) (err error) {
+func RunRank(ctx context.Context, s Settings, dialect engine.Dialect, reload <-chan Reload, stdout io.Writer) (err error) {
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart))
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -26,21 +26,30 @@
 	if err != nil {
 		return err
 	}
-	var entries []string
-	for _, seed := range s.Seeds {
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			level.Warn(logger).Log("msg", "seed ignored", "seed", seed, "error", err)
-			continue
-		}
-		entries = append(entries, host)
-	}
 	level.Info(logger).Log("msg", "started", "engine", s.Engine, "zone", s.Zone, "fencing", s.Fencing)
 	agent := engine.New(engine.Settings{
-		IP: s.IP, Port: s.Ports[0], Engine: s.Engine, Entries: entries, Fencing: s.Fencing,
+		IP: s.IP, Port: s.Ports[0], Engine: s.Engine, Entries: s.seedHosts(logger), Fencing: s.Fencing,
 	}, dialect, clock.New(), logger)
-	err = agent.Run(ctx)
+	ended := kernel.Start(ctx, agent.Run)
+	err = attendRank(agent, ended, reload, logger)
 	level.Info(logger).Log("msg", "stopped", "dropped", output.Dropped.Load())
 	cancel()
 	return errors.CombineErrors(err, <-written)
 }
+
+// attendRank takes in new settings until the agent ends.
+func attendRank(a *engine.Agent, ended <-chan error, reload <-chan Reload, logger log.Logger) error {
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case r := <-reload:
+			if r.Fault != nil {
+				level.Warn(logger).Log("msg", "new settings refused, the old ones stay", "error", r.Fault)
+				continue
+			}
+			a.Seed(r.Settings.seedHosts(logger))
+			level.Info(logger).Log("msg", "settings reloaded", "seeds", len(r.Settings.Seeds))
+		}
+	}
+}
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -31,7 +31,9 @@
 )
 
 // Run serves callers until ctx ends, then leaves.
-func Run(ctx context.Context, s Settings, wire Wire, stdout io.Writer) (err error) {
+//
+// Each value on reload is a new version of the settings; the listening addresses need a restart.
+func Run(ctx context.Context, s Settings, wire Wire, reload <-chan Reload, stdout io.Writer) (err error) {
 	defer func() { err = errors.Wrap(err, "run entry") }()
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart))
 	inner, cancel := context.WithCancel(context.Background())
@@ -48,10 +50,7 @@
 	if err != nil {
 		return err
 	}
-	select {
-	case <-ctx.Done():
-	case err = <-work:
-	}
+	err = e.attend(ctx, work, reload)
 	e.leave(servers)
 	level.Info(logger).Log("msg", "stopped", "active", e.active.Load(), "dropped", output.Dropped.Load())
 	cancel()
@@ -60,14 +59,14 @@
 
 func newEntry(s Settings, wire Wire, c clock.Clock, metrics *telemetry.Metrics, logger log.Logger) *Entry {
 	e := &Entry{
-		settings: s,
-		wire:     wire,
-		clock:    c,
-		board:    NewBoard(c),
-		conns:    newConnPool(c),
-		metrics:  metrics,
-		turns:    newTurns(),
+		wire:    wire,
+		clock:   c,
+		board:   NewBoard(c),
+		conns:   newConnPool(c),
+		metrics: metrics,
+		turns:   newTurns(),
 	}
+	e.settings.Store(&s)
 	e.journal = &telemetry.Journal{Logger: logger, Clock: c, Plain: map[string]bool{"whole": true}}
 	e.belief = NewBelief(wire.Decode, c, logger, func(v *routing.View) { e.board.Forget(v) })
 	born := clock.Wall()
@@ -83,7 +82,7 @@
 
 // start opens the servers and starts the loops; the first loop that fails ends the entry.
 func (e *Entry) start(ctx context.Context) (work chan error, servers []*http.Server, err error) {
-	s := e.settings
+	s := *e.settings.Load()
 	work = make(chan error, 8)
 	run := func(name string, loop func(context.Context) error) {
 		ended := kernel.Start(ctx, loop)
@@ -131,6 +130,33 @@
 	return work, servers, nil
 }
 
+// Reload is a new version of the settings, or why it can't be used.
+type Reload struct {
+	Settings Settings
+	Fault    error
+}
+
+// attend takes in new settings until ctx or the work ends.
+func (e *Entry) attend(ctx context.Context, work <-chan error, reload <-chan Reload) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-work:
+			return err
+		case r := <-reload:
+			if r.Fault != nil {
+				level.Warn(e.journal.Logger).Log("msg", "new settings refused, the old ones stay", "error", r.Fault)
+				continue
+			}
+			old := e.settings.Swap(&r.Settings)
+			e.peers.Seed(r.Settings)
+			level.Info(e.journal.Logger).Log("msg", "settings reloaded", "seeds", len(r.Settings.Seeds),
+				"restart", old.Front != r.Settings.Front || old.Control != r.Settings.Control || old.Store != r.Settings.Store)
+		}
+	}
+}
+
 // sweep drops what is past its time.
 func (e *Entry) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepPeriod.Duration())
@@ -172,11 +198,11 @@
 
 // leave serves on while callers may still hold this address, then finishes what is in progress.
 func (e *Entry) leave(servers []*http.Server) {
-	start := e.clock.Now()
+	start, grace := e.clock.Now(), e.settings.Load().Grace
 	e.leaving.Store(true)
-	level.Info(e.journal.Logger).Log("msg", "leaving", "active", e.active.Load(), "grace", e.settings.Grace)
-	last := start.Add(max(e.settings.Grace-exitMargin, 0))
-	time.Sleep(min(acceptFor, e.settings.Grace/2).Duration())
+	level.Info(e.journal.Logger).Log("msg", "leaving", "active", e.active.Load(), "grace", grace)
+	last := start.Add(max(grace-exitMargin, 0))
+	time.Sleep(min(acceptFor, grace/2).Duration())
 	ctx, cancel := until(context.Background(), e.clock, last)
 	defer cancel()
 	for _, server := range servers {
--- a/internal/direct/settings.go
+++ b/internal/direct/settings.go
@@ -4,6 +4,8 @@
 	"net"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"carawaypick/pkg/clock"
 )
@@ -71,3 +73,16 @@
 	}
 	return nil
 }
+
+// seedHosts returns the IP addresses of the seeds.
+func (s Settings) seedHosts(logger log.Logger) (hosts []string) {
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			level.Warn(logger).Log("msg", "seed ignored", "seed", seed, "error", err)
+			continue
+		}
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -120,9 +120,19 @@
 	return max(pollPeriod, clock.Span(ranks*s.Sets*s.Experts/pollNumbers))
 }
 
+// Seed replaces the entries that are asked for the group's members.
+func (a *Agent) Seed(entries []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settings.Entries = entries
+}
+
 // askEntries asks the entries for the members of the engine's group.
 func (a *Agent) askEntries() {
-	for _, ip := range a.settings.Entries {
+	a.mu.Lock()
+	entries := a.settings.Entries
+	a.mu.Unlock()
+	for _, ip := range entries {
 		a.send(ip, message{Ask: a.settings.Engine})
 	}
 }
