--- a/pkg/expert/director.go
+++ b/pkg/expert/director.go
@@ -56,18 +56,20 @@
 
 // Phases of a director.
 const (
-	phaseIdle     = iota
-	phasePrepare  // all ranks copy their experts
-	phaseHold     // the holder holds a step
-	phaseArmFirst // the rank beside the proposing director arms
-	phaseArm      // the others arm
-	phaseVerify   // all are read back
-	phaseGo       // the holder releases the step
-	phaseBackOut  // all but the first rank disarm
-	phaseBackOutFirst
-	phaseCheck  // all are read back
-	phaseSeize  // a hold that another director left behind is taken over
-	phaseSurvey // all ranks are read to decide what becomes of it
+	phaseIdle          = iota
+	phasePrepare       // all ranks copy their experts
+	phaseHold          // the holder holds a step
+	phaseArmHolder     // the holder arms
+	phaseArmFirst      // the rank beside the proposing director arms
+	phaseArm           // the others arm
+	phaseVerify        // all are read back
+	phaseGo            // the holder releases the step
+	phaseBackOut       // all but these two disarm
+	phaseBackOutFirst  // the rank beside the proposing director disarms
+	phaseBackOutHolder // the holder disarms
+	phaseCheck         // all are read back
+	phaseSeize         // a hold that another director left behind is taken over
+	phaseSurvey        // all ranks are read to decide what becomes of it
 )
 
 // Owners bounds the ranks that may direct: a version of a map is a multiple of it plus the rank of its director.
@@ -96,12 +98,13 @@
 //
 // Orders may be lost and carried out late, so each try has a higher fence than anything before it, and nothing is left
 // half done: a hold that another director left behind is seized, and completed or taken back. The rank beside the
-// director is out of reach when the director's instance is, so another one holds, and the own rank is armed first and
-// disarmed last: where any other rank is armed it is too, and another director can complete the switch without it. It is
-// a pure state machine, for one goroutine.
+// director is out of reach when the director's instance is, so another one holds. The holder is armed first, then the own
+// rank, then the others, and all are disarmed the other way round: while the holder is not armed no rank is, and where
+// any but these two is armed the own rank is too. So another director can decide without it. It is a pure state machine,
+// for one goroutine.
 type Director struct {
 	own    int // the rank beside the director
-	first  int // the rank that is armed first: the one beside the director that proposed the map
+	first  int // the rank that is armed before the others: the one beside the director that proposed the map
 	holder int // the rank that holds
 	ranks  []Standing
 	phase  int
@@ -274,12 +277,12 @@
 	case phaseHold:
 		d.step = None // the step has begun: hold a later one
 		d.sent[d.holder] = -1
-	case phaseArm, phaseArmFirst:
+	case phaseArm, phaseArmFirst, phaseArmHolder:
 		d.backOut(now, "a rank refused to arm")
 	case phaseGo, phaseSeize:
 		d.step = None // nothing is held there any more
 		d.end(now, false, "the step is not held")
-	case phaseBackOut, phaseBackOutFirst:
+	case phaseBackOut, phaseBackOutFirst, phaseBackOutHolder:
 		d.done[c.Rank] = true // nothing of that version is armed; the order's fence has been seen
 		d.marks[c.Rank] = now
 	}
@@ -320,6 +323,8 @@
 		d.prepare(now)
 	case phaseHold:
 		d.hold(now)
+	case phaseArmHolder:
+		d.arm(now, phaseArmFirst)
 	case phaseArmFirst:
 		d.arm(now, phaseArm)
 	case phaseArm:
@@ -331,10 +336,16 @@
 			d.released(now)
 		}
 	case phaseBackOut:
-		if d.complete(d.obeyed) {
+		if d.complete(d.obeyed) && d.left {
+			d.enter(now, phaseBackOutHolder)
+		} else if d.complete(d.obeyed) {
 			d.enter(now, phaseBackOutFirst)
 		}
 	case phaseBackOutFirst:
+		if d.complete(d.obeyed) {
+			d.enter(now, phaseBackOutHolder)
+		}
+	case phaseBackOutHolder:
 		if d.complete(d.obeyed) {
 			d.enter(now, phaseCheck)
 		}
@@ -404,7 +415,7 @@
 
 func (d *Director) hold(now clock.Time) {
 	if d.step != None && d.done[d.holder] {
-		d.enter(now, phaseArmFirst)
+		d.enter(now, phaseArmHolder)
 		return
 	}
 	if now.Sub(d.since) > holdLimit {
@@ -450,19 +461,27 @@
 // targets returns the ranks that the phase concerns.
 func (d *Director) targets() (ranks []int) {
 	switch d.phase {
-	case phaseHold, phaseSeize, phaseGo:
+	case phaseHold, phaseSeize, phaseGo, phaseArmHolder, phaseBackOutHolder:
 		return []int{d.holder}
 	case phaseArmFirst, phaseBackOutFirst:
 		return []int{d.first}
 	}
-	skip := -1
-	if d.phase == phaseArm || d.phase == phaseBackOut || (d.phase == phaseVerify && d.left) {
-		skip = d.first
-	}
 	for i := range d.ranks {
-		if i != skip {
-			ranks = append(ranks, i)
+		switch d.phase {
+		case phaseArm:
+			if i == d.first {
+				continue
+			}
+		case phaseBackOut:
+			if i == d.first || i == d.holder {
+				continue
+			}
+		case phaseVerify, phaseCheck:
+			if i == d.first && d.left {
+				continue
+			}
 		}
+		ranks = append(ranks, i)
 	}
 	return ranks
 }
@@ -521,8 +540,8 @@
 	if !d.complete(d.read) {
 		return
 	}
-	for _, s := range d.ranks {
-		if s.Armed != None && s.Epoch == d.epoch {
+	for _, rank := range d.targets() {
+		if s := d.ranks[rank]; s.Armed != None && s.Epoch == d.epoch {
 			d.version, d.first = s.Armed, d.ownerOf(s.Armed)
 			d.backOut(now, d.result.Reason)
 			return
@@ -550,9 +569,17 @@
 		d.backOut(now, d.result.Reason)
 		return
 	}
-	if missing == 1 && !d.read(d.first) && now.Sub(d.since) > absentAfter && d.follows() {
+	if missing != 1 || d.read(d.first) || now.Sub(d.since) < absentAfter || !d.busy() {
+		return
+	}
+	switch {
+	case d.othersArmed():
 		d.left = true
 		d.enter(now, phaseArm) // the first rank is armed, since another one is
+	case d.ranks[d.holder].Armed == None:
+		d.result.Reason = "a hold was left behind"
+		d.backOut(now, d.result.Reason)
+		d.left = true // it is not armed, and never will be once the holder has seen the fence
 	}
 }
 
@@ -572,15 +599,25 @@
 	return d.own
 }
 
-// follows tells whether a rank that was read is armed for the held step while passes follow one another: then an order
-// of the director that is gone finds the step begun when it comes late.
-func (d *Director) follows() bool {
-	armed, busy := false, false
+// othersArmed tells whether a rank that was read, other than the holder, is armed for the held step.
+func (d *Director) othersArmed() bool {
 	for rank := range d.ranks {
-		armed = armed || (d.read(rank) && d.armed(rank))
-		busy = busy || (d.read(rank) && d.ranks[rank].Busy)
+		if rank != d.holder && d.read(rank) && d.armed(rank) {
+			return true
+		}
 	}
-	return armed && busy
+	return false
+}
+
+// busy tells whether passes follow one another: then an order of the director that is gone finds the step begun when it
+// comes late.
+func (d *Director) busy() bool {
+	for rank, s := range d.ranks {
+		if d.read(rank) && s.Busy {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *Director) released(now clock.Time) {
@@ -624,9 +661,9 @@
 	switch d.phase {
 	case phasePrepare:
 		op = OpPrepare
-	case phaseArm, phaseArmFirst:
+	case phaseArm, phaseArmFirst, phaseArmHolder:
 		op = OpArm
-	case phaseBackOut, phaseBackOutFirst:
+	case phaseBackOut, phaseBackOutFirst, phaseBackOutHolder:
 		op = OpDisarm
 	case phaseHold, phaseSeize:
 		if d.step != None {
