--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -32,7 +32,7 @@
 
 	peak  float64
 	seen  clock.Time
-	pause float64 // last observation
+	pause float64 // last one noted, in ms
 	at    clock.Time
 }
 
@@ -41,7 +41,6 @@
 	if pause > float64(c.Gap)*crowdStall {
 		return // a held step, a dead rank or one that is slow whatever it runs: fewer requests would not help
 	}
-	c.pause, c.at = pause, now
 	if running <= 0 || pause < float64(c.Gap)*crowdRelevant {
 		return
 	}
@@ -50,9 +49,14 @@
 	}
 }
 
+// Note takes in one pause in ms between two events: all streams of a pass share it, so each tells of the present.
+func (c *Crowd) Note(now clock.Time, pause clock.Span) {
+	c.pause, c.at = float64(pause), now
+}
+
 // Hot tells whether passes are nearly too long right now, so that no prompt should be read besides.
 func (c *Crowd) Hot(now clock.Time) bool {
-	return c.Gap > 0 && c.pause > float64(c.Gap)*crowdHot && now.Sub(c.at) < crowdStale
+	return c.Gap > 0 && c.pause > float64(c.Gap)*crowdHot && c.pause <= float64(c.Gap)*crowdStall && now.Sub(c.at) < crowdStale
 }
 
 // fixed returns the ms of a pass that don't depend on the requests that run.
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -190,7 +190,7 @@
 		}
 		now := e.clock.Now()
 		if last > 0 {
-			e.turns.event(c.service.Name, now.Sub(last))
+			e.turns.event(now, c.service.Name, now.Sub(last))
 			f.pause = max(f.pause, now.Sub(last))
 		}
 		last = now
--- a/internal/direct/turn.go
+++ b/internal/direct/turn.go
@@ -53,10 +53,11 @@
 }
 
 // event notes the pause in ms between two events of a stream.
-func (t *turns) event(service string, pause clock.Span) {
+func (t *turns) event(now clock.Time, service string, pause clock.Span) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if q := t.services[service]; q != nil {
+		q.crowd.Note(now, pause)
 		q.gaps += float64(pause)
 		q.events++
 	}
