Let no director complete or take back a switch that another one has taken over

Change: a switch that is taken over is armed again with the successor's fence before it is released, and a director that backs out first has the holder confirm the hold with its new fence. TestDirectorsAtOnce replays the case, red before.

--- a/pkg/expert/director.go
+++ b/pkg/expert/director.go
@@ -64,6 +64,7 @@
 	phaseArm           // the others arm
 	phaseVerify        // all are read back
 	phaseGo            // the holder releases the step
+	phaseBackOutHold   // the holder confirms that the step is still held for this director
 	phaseBackOut       // all but these two disarm
 	phaseBackOutFirst  // the rank beside the proposing director disarms
 	phaseBackOutHolder // the holder disarms
@@ -279,7 +280,7 @@
 		d.sent[d.holder] = -1
 	case phaseArm, phaseArmFirst, phaseArmHolder:
 		d.backOut(now, "a rank refused to arm")
-	case phaseGo, phaseSeize:
+	case phaseGo, phaseSeize, phaseBackOutHold:
 		d.step = None // nothing is held there any more
 		d.end(now, false, "the step is not held")
 	case phaseBackOut, phaseBackOutFirst, phaseBackOutHolder:
@@ -297,7 +298,7 @@
 	}
 	d.fence++
 	d.commits, d.left = false, false
-	d.enter(now, phaseBackOut)
+	d.enter(now, phaseBackOutHold)
 }
 
 func (d *Director) end(now clock.Time, committed bool, reason string) {
@@ -335,6 +336,10 @@
 		if d.done[d.holder] {
 			d.released(now)
 		}
+	case phaseBackOutHold:
+		if d.complete(d.obeyed) {
+			d.enter(now, phaseBackOut)
+		}
 	case phaseBackOut:
 		if d.complete(d.obeyed) && d.left {
 			d.enter(now, phaseBackOutHolder)
@@ -461,7 +466,7 @@
 // targets returns the ranks that the phase concerns.
 func (d *Director) targets() (ranks []int) {
 	switch d.phase {
-	case phaseHold, phaseSeize, phaseGo, phaseArmHolder, phaseBackOutHolder:
+	case phaseHold, phaseSeize, phaseGo, phaseArmHolder, phaseBackOutHold, phaseBackOutHolder:
 		return []int{d.holder}
 	case phaseArmFirst, phaseBackOutFirst:
 		return []int{d.first}
@@ -561,8 +566,7 @@
 	d.version, d.first = d.newestMap()
 	if missing == 0 {
 		if d.complete(d.armed) {
-			d.commits = true
-			d.enter(now, phaseGo)
+			d.enter(now, phaseArmHolder) // again, with this director's fence: no other one may disarm them any more
 			return
 		}
 		d.result.Reason = "a hold was left behind"
@@ -665,7 +669,7 @@
 		op = OpArm
 	case phaseBackOut, phaseBackOutFirst, phaseBackOutHolder:
 		op = OpDisarm
-	case phaseHold, phaseSeize:
+	case phaseHold, phaseSeize, phaseBackOutHold:
 		if d.step != None {
 			op = OpHold
 		}
--- a/pkg/expert/director_test.go
+++ b/pkg/expert/director_test.go
@@ -285,6 +285,52 @@
 	}
 }
 
+// TestDirectorsAtOnce lets one director take over a switch that the other one backs out of at the same time, as drawn
+// with seed 195278237: the second had read all ranks as armed before the first disarmed one.
+func TestDirectorsAtOnce(t *testing.T) {
+	for steps := range 8 {
+		w := newHeldWorld(2)
+		w.settle(t, []int{0})
+		w.propose(0)
+		act := func(director int) {
+			w.tick(director)
+			for range len(w.orders) {
+				w.deliver(t, 0)
+			}
+		}
+		look := func(director int) {
+			w.read(director)
+			for range len(w.reports) {
+				w.hear(0)
+			}
+		}
+		for w.directors[0].phase < phaseArm {
+			w.group.now += 40
+			look(0)
+			act(0)
+		}
+		act(0)
+		w.group.now += 40
+		look(1)
+		act(1) // sees the hold
+		w.group.now = w.group.now.Add(foreignAfter + 1)
+		for w.directors[1].phase != phaseSurvey {
+			w.group.now += 40
+			look(1)
+			act(1)
+		}
+		w.group.now = w.group.now.Add(armLimit + 1)
+		look(1)
+		for range steps {
+			act(0)
+		}
+		for range 4 {
+			act(1)
+		}
+		w.settle(t, []int{0, 1})
+	}
+}
+
 // TestDirectorKeepsOneMap draws lost, late and reordered orders, old reports, frozen directors and restarts.
 func TestDirectorKeepsOneMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
