--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -35,6 +35,15 @@
 	reused bool
 }
 
+// abandon resets the connection: a request that is still held up on its way is lost with it, whereas after an orderly
+// close it would reach the backend server once the way is free again.
+func (c *serverConn) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection only
+	}
+	_ = c.Close() // whatever was on it is of no use any more
+}
+
 // connPool keeps idle connections to backend servers, by id.
 type connPool struct {
 	clock clock.Clock
--- a/internal/direct/entry_test.go
+++ b/internal/direct/entry_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -177,11 +178,10 @@
 }
 
 func TestEntryFollowsTheCaller(t *testing.T) {
-	closed := make(chan struct{})
+	closed := make(chan error, 1)
 	b := newBackend(t, func(conn net.Conn, _ *http.Request) {
-		if _, err := conn.Read(make([]byte, 1)); err != nil {
-			close(closed)
-		}
+		_, err := conn.Read(make([]byte, 1))
+		closed <- err
 	})
 	_, url := newTestEntry(t, b)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
@@ -189,7 +189,8 @@
 	_, _, err := ask(t, ctx, http.MethodPost, url+"/stream/", "x")
 	require.Error(t, err)
 	select {
-	case <-closed:
+	case err := <-closed:
+		assert.ErrorIs(t, err, syscall.ECONNRESET, "a request that is held up on its way must be lost with the connection")
 	case <-time.After(500 * time.Millisecond):
 		t.Fatal("the backend server still works half a second after the caller left")
 	}
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return exchange{fate: fateNotRun, err: err, reason: "dial"}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abandon)
 	x = exchange{fate: fateUnknown, conn: conn, release: func() { stop() }}
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := conn.SetDeadline(deadline); err != nil {
@@ -136,7 +136,7 @@
 // close gives the connection up.
 func (x *exchange) close() {
 	x.release()
-	_ = x.conn.Close() // whatever was on it is of no use any more
+	x.conn.abandon()
 }
 
 // done keeps the connection for the next request where the answer has ended cleanly, or else gives it up.
