--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"carawaypick/internal/direct"
 	"carawaypick/internal/kernel"
 	"carawaypick/pkg/clock"
@@ -59,8 +61,7 @@
 	watched := kernel.Start(inner, func(ctx context.Context) error { return watch(ctx, path, hangups, reload) })
 	err = run(ctx, s, reload)
 	cancel()
-	<-watched // it ends without an error
-	return err
+	return errors.CombineErrors(err, <-watched)
 }
 
 // watch sends the settings anew after each signal and each change of the file.
--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -165,25 +165,32 @@
 // maxCrossed is the number of answers to other requests that are skipped before a connection is given up.
 const maxCrossed = 2
 
-// readAnswer reads the head of the answer to the request with the id; answers to other requests are skipped.
-func (c *serverConn) readAnswer(request *http.Request, id string, read func(int, http.Header) Answer) (response *http.Response, a Answer, crossed int, err error) {
+// head is the head of an answer; its body is read from the connection.
+type head struct {
+	response *http.Response
+	answer   Answer
+	crossed  int // answers to other requests that came before it
+}
+
+// readHead reads the head of the answer to the request with the id; answers to other requests are skipped.
+func (c *serverConn) readHead(request *http.Request, id string, read func(int, http.Header) Answer) (h head, err error) {
 	for {
-		response, err = http.ReadResponse(c.reader, request)
+		h.response, err = http.ReadResponse(c.reader, request) //nolint:bodyclose // read and closed by whoever takes the head
 		if err != nil {
-			return nil, a, crossed, err
+			return h, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if h.response.StatusCode < http.StatusOK {
 			continue
 		}
-		a = read(response.StatusCode, response.Header)
-		if a.ID == id || a.ID == "" {
-			return response, a, crossed, nil
+		h.answer = read(h.response.StatusCode, h.response.Header)
+		if h.answer.ID == id || h.answer.ID == "" {
+			return h, nil
 		}
-		if crossed++; crossed > maxCrossed {
-			return nil, a, crossed, errors.Newf("%d answers to other requests", crossed)
+		if h.crossed++; h.crossed > maxCrossed {
+			return h, errors.Newf("%d answers to other requests", h.crossed)
 		}
-		if err := discard(response); err != nil {
-			return nil, a, crossed, errors.Wrap(err, "skip answer to another request")
+		if err := discard(h.response); err != nil {
+			return h, errors.Wrap(err, "skip answer to another request")
 		}
 	}
 }
--- a/internal/direct/entry_test.go
+++ b/internal/direct/entry_test.go
@@ -18,11 +18,11 @@
 func TestEntryForwards(t *testing.T) {
 	b := newBackend(t, plainOK)
 	_, url := newTestEntry(t, b)
-	response, body, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/x%2fy?q=1%20", "payload", "Own", "yes", "Connection", "Own2", "Team", "other")
+	response, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/x%2fy?q=1%20", "payload", "Own", "yes", "Connection", "Own2", "Team", "other")
 	require.NoError(t, err)
-	assert.Equal(t, 200, response.StatusCode)
-	assert.Equal(t, "hello", body)
-	assert.Equal(t, "s", response.Header.Get("Seal"))
+	assert.Equal(t, 200, response.status)
+	assert.Equal(t, "hello", response.body)
+	assert.Equal(t, "s", response.header.Get("Seal"))
 	require.Equal(t, 1, b.count())
 	r := b.requests[0]
 	assert.Equal(t, "/unsafe/x%2fy?q=1%20", r.RequestURI)
@@ -47,17 +47,17 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			response, _, err := ask(t, t.Context(), http.MethodPost, url+c.path, c.body, c.headers...)
+			response, err := ask(t, t.Context(), http.MethodPost, url+c.path, c.body, c.headers...)
 			require.NoError(t, err)
-			assert.Equal(t, c.want, response.StatusCode)
+			assert.Equal(t, c.want, response.status)
 		})
 	}
 	t.Run("no configuration yet", func(t *testing.T) {
 		e.belief = NewBelief(testWire().Decode, e.clock, e.journal.Logger, nil)
-		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/nothing/", "")
+		response, err := ask(t, t.Context(), http.MethodPost, url+"/nothing/", "")
 		require.NoError(t, err)
-		assert.Equal(t, 503, response.StatusCode)
-		assert.NotEmpty(t, response.Header.Get("Retry-After"))
+		assert.Equal(t, 503, response.status)
+		assert.NotEmpty(t, response.header.Get("Retry-After"))
 	})
 	assert.Equal(t, 1, b.count())
 }
@@ -132,12 +132,12 @@
 			s := once(c.first, plainOK)
 			first, second := newBackend(t, s), newBackend(t, s)
 			_, url := newTestEntry(t, first, second)
-			response, body, err := ask(t, t.Context(), http.MethodPost, url+c.path, "x")
+			response, err := ask(t, t.Context(), http.MethodPost, url+c.path, "x")
 			require.NoError(t, err)
-			assert.Equal(t, c.want, response.StatusCode)
+			assert.Equal(t, c.want, response.status)
 			assert.Equal(t, c.runs, first.count()+second.count())
 			if c.want == 200 {
-				assert.Equal(t, "hello", body)
+				assert.Equal(t, "hello", response.body)
 			}
 		})
 	}
@@ -146,33 +146,33 @@
 func TestEntryRefusesTruthfully(t *testing.T) {
 	t.Run("rejected everywhere", func(t *testing.T) {
 		_, url := newTestEntry(t, newBackend(t, rejects), newBackend(t, rejects))
-		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
+		response, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
 		require.NoError(t, err)
-		assert.Equal(t, 503, response.StatusCode)
-		assert.NotEmpty(t, response.Header.Get("Retry-After"))
+		assert.Equal(t, 503, response.status)
+		assert.NotEmpty(t, response.header.Get("Retry-After"))
 	})
 	t.Run("not after one of them may have run it", func(t *testing.T) {
 		s := once(reset, rejects)
 		_, url := newTestEntry(t, newBackend(t, s), newBackend(t, s))
-		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/safe/", "x")
+		response, err := ask(t, t.Context(), http.MethodPost, url+"/safe/", "x")
 		require.NoError(t, err)
-		assert.Equal(t, 502, response.StatusCode)
+		assert.Equal(t, 502, response.status)
 	})
 	t.Run("a backend server's own failure keeps its status and proof", func(t *testing.T) {
 		_, url := newTestEntry(t, newBackend(t, func(conn net.Conn, r *http.Request) {
 			say(conn, r, "500 E\nId: $ID\nSeal: s\nContent-Length: 2\n\nno")
 		}))
-		response, body, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
+		response, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
 		require.NoError(t, err)
-		assert.Equal(t, []any{500, "s", "no"}, []any{response.StatusCode, response.Header.Get("Seal"), body})
+		assert.Equal(t, []any{500, "s", "no"}, []any{response.status, response.header.Get("Seal"), response.body})
 	})
 	t.Run("the final answer comes when the route's time is over", func(t *testing.T) {
 		hang := func(net.Conn, *http.Request) { time.Sleep(2 * time.Second) }
 		_, url := newTestEntry(t, newBackend(t, hang))
 		start := time.Now()
-		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
+		response, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
 		require.NoError(t, err)
-		assert.Equal(t, 504, response.StatusCode)
+		assert.Equal(t, 504, response.status)
 		assert.InDelta(t, 600, time.Since(start).Milliseconds(), 250)
 	})
 }
@@ -186,7 +186,7 @@
 	_, url := newTestEntry(t, b)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	_, _, err := ask(t, ctx, http.MethodPost, url+"/stream/", "x")
+	_, err := ask(t, ctx, http.MethodPost, url+"/stream/", "x")
 	require.Error(t, err)
 	select {
 	case err := <-closed:
@@ -204,9 +204,9 @@
 	})
 	_, url := newTestEntry(t, b)
 	for range 5 {
-		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
+		response, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x")
 		require.NoError(t, err)
-		require.Equal(t, 200, response.StatusCode)
+		require.Equal(t, 200, response.status)
 	}
 	assert.Len(t, addresses, 1)
 }
@@ -218,9 +218,9 @@
 	})
 	_, url := newTestEntry(t, b)
 	for _, id := range []string{"r1", "r2", "r3"} {
-		response, _, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x", "Id", id)
+		response, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "x", "Id", id)
 		require.NoError(t, err)
-		assert.Equal(t, []any{200, id}, []any{response.StatusCode, response.Header.Get("Id")})
+		assert.Equal(t, []any{200, id}, []any{response.status, response.header.Get("Id")})
 		time.Sleep(10 * time.Millisecond)
 	}
 }
--- a/internal/direct/exchange.go
+++ b/internal/direct/exchange.go
@@ -9,7 +9,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -93,30 +92,27 @@
 		}
 	}
 	out := bufio.NewWriterSize(conn, connBuffer)
-	if err := request.Write(out); err == nil {
-		err = out.Flush()
-		x.err = err
-	} else {
-		x.err = err
+	if x.err = request.Write(out); x.err == nil {
+		x.err = out.Flush()
 	}
 	if x.err != nil {
 		x.reason = "write"
 		x.close()
 		return x
 	}
-	response, answer, crossed, err := conn.readAnswer(request, id, e.wire.Answer)
+	h, err := conn.readHead(request, id, e.wire.Answer)
 	if err != nil {
 		x.err, x.reason = err, readReason(ctx, err)
 		x.close()
 		return x
 	}
-	x.response, x.answer = response, answer
-	x.keep = crossed == 0 && !response.Close && response.ProtoAtLeast(1, 1)
-	x.idle = keepAlive(response.Header)
+	x.response, x.answer = h.response, h.answer
+	x.keep = h.crossed == 0 && !h.response.Close && h.response.ProtoAtLeast(1, 1)
+	x.idle = keepAlive(h.response.Header)
 	x.fate = fateAnswered
-	if answer.NotRun && !answer.Sealed || answer.NotRun && response.StatusCode >= http.StatusBadRequest {
+	if h.answer.NotRun && (!h.answer.Sealed || h.response.StatusCode >= http.StatusBadRequest) {
 		x.fate = fateNotRun
-		x.reason = "status " + strconv.Itoa(response.StatusCode)
+		x.reason = "status " + strconv.Itoa(h.response.StatusCode)
 	}
 	return x
 }
@@ -179,5 +175,5 @@
 
 // until returns a context that ends at the moment, measured by c.
 func until(ctx context.Context, c clock.Clock, moment clock.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(ctx, time.Now().Add(moment.Sub(c.Now()).Duration()))
+	return context.WithTimeout(ctx, moment.Sub(c.Now()).Duration())
 }
--- a/internal/direct/kit_test.go
+++ b/internal/direct/kit_test.go
@@ -164,8 +164,15 @@
 	return e, server.URL
 }
 
-// ask sends a caller's request.
-func ask(t *testing.T, ctx context.Context, method, url, body string, headers ...string) (*http.Response, string, error) {
+// reply is what a caller was answered.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// ask sends a caller's request; err tells that the answer broke off, and reply is nil where none began.
+func ask(t *testing.T, ctx context.Context, method, url, body string, headers ...string) (got *reply, err error) {
 	t.Helper()
 	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	require.NoError(t, err)
@@ -178,9 +185,9 @@
 	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
 	content, err := io.ReadAll(response.Body)
 	assert.NoError(t, response.Body.Close())
-	return response, string(content), err
+	return &reply{status: response.StatusCode, header: response.Header, body: string(content)}, err
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"carawaypick/internal/engine"
+	"carawaypick/internal/kernel"
 	"carawaypick/pkg/clock"
 )
 
@@ -96,8 +97,10 @@
 		return err
 	}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	received := make(chan error, 1)
-	go func() { received <- p.receive(ctx, conn) }()
+	received := kernel.Start(ctx, func(ctx context.Context) error {
+		p.receive(ctx, conn)
+		return nil
+	})
 	for {
 		p.send(conn)
 		select {
@@ -158,13 +161,13 @@
 	}
 }
 
-func (p *Peers) receive(ctx context.Context, conn net.PacketConn) error {
+func (p *Peers) receive(ctx context.Context, conn net.PacketConn) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
 		n, from, err := conn.ReadFrom(buffer)
 		if err != nil {
 			if ctx.Err() != nil {
-				return nil
+				return
 			}
 			level.Warn(p.logger).Log("msg", "message of a peer not received", "error", err)
 			continue
@@ -181,7 +184,6 @@
 		}
 		p.hear(b)
 	}
-	return nil
 }
 
 // answer tells an agent the group of its engine.
--- a/internal/direct/stream_test.go
+++ b/internal/direct/stream_test.go
@@ -72,19 +72,19 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			_, url := newTestEntry(t, newBackend(t, c.script), newBackend(t, c.script))
-			response, body, err := ask(t, t.Context(), http.MethodPost, url+c.path, "x")
+			response, err := ask(t, t.Context(), http.MethodPost, url+c.path, "x")
 			if c.broken {
 				if response == nil {
 					require.Error(t, err)
 					return
 				}
 				require.Error(t, err, "a broken stream must not look complete")
-				assert.True(t, strings.HasPrefix(c.want, body), "%q", body)
+				assert.True(t, strings.HasPrefix(c.want, response.body), "%q", response.body)
 				return
 			}
 			require.NoError(t, err)
-			assert.Equal(t, "s", response.Header.Get("Seal"))
-			assert.Equal(t, c.want, body)
+			assert.Equal(t, "s", response.header.Get("Seal"))
+			assert.Equal(t, c.want, response.body)
 		})
 	}
 }
--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/kernel"
 	"carawaypick/pkg/clock"
 )
 
@@ -70,8 +71,10 @@
 		return err
 	}
 	context.AfterFunc(ctx, func() { _ = a.conn.Close() })
-	received := make(chan error, 1)
-	go func() { received <- a.receive(ctx) }()
+	received := kernel.Start(ctx, func(ctx context.Context) error {
+		a.receive(ctx)
+		return nil
+	})
 	asked := clock.Time(-1)
 	polled := clock.Time(-1) // -1 asks for a poll now
 	for ctx.Err() == nil {
@@ -148,13 +151,13 @@
 	}
 }
 
-func (a *Agent) receive(ctx context.Context) error {
+func (a *Agent) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
 		n, from, err := a.conn.ReadFrom(buffer)
 		if err != nil {
 			if ctx.Err() != nil {
-				return nil
+				return
 			}
 			level.Warn(a.logger).Log("msg", "message not received", "error", err)
 			continue
@@ -170,7 +173,6 @@
 		}
 		a.take(ctx, host, m)
 	}
-	return nil
 }
 
 func (a *Agent) take(ctx context.Context, from string, m message) {
