--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 FUZZ ?= 2000x
 
 fuzz:
-	@for f in $$(grep -rl --include='*_test.go' '^func Fuzz' internal pkg); do \
+	@for f in $$(grep -rl --include='*_test.go' '^func Fuzz' internal pkg platform); do \
 		for n in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\)(.*/\1/p' $$f); do \
 			echo "== $$(dirname $$f) $$n"; \
 			$(GO) test -run '^$$' -fuzz "^$$n\$$" -fuzztime $(FUZZ) -fuzzminimizetime 100x -parallel 2 ./$$(dirname $$f) || exit 1; \
