--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -26,7 +26,6 @@
 	memoryPart   = 0.6                     // part of the instance's memory that the runtime may use before it collects hard
 	acceptFor    = 3 * clock.Second        // after the signal to stop, new connections are still taken so long
 	exitMargin   = 700 * clock.Millisecond // before the kill, in which what is left is ended
-	idlePeriod   = 50 * clock.Millisecond  // between two looks at whether work is left
 	metricsRoute = "/metrics"
 )
 
--- a/internal/direct/settings.go
+++ b/internal/direct/settings.go
@@ -14,7 +14,6 @@
 type Settings struct {
 	Name        string
 	Zone        string
-	Region      string
 	IP          string
 	Front       string // address for callers
 	Ready       string // address for readiness checks
@@ -22,20 +21,13 @@
 	Directory   string // address for callers that ask where to connect
 	Ports       []int  // first and last port free for the system's own traffic
 	Seeds       []string
-	Store       string  // address of the metadata store
-	CPU         float64 // share of a core
-	Memory      int64   // bytes
-	Files       int     // file descriptors
-	Contact     clock.Span
-	Drain       clock.Span // ms within which a leaving backend server must get no more work
+	Store       string     // address of the metadata store
+	Memory      int64      // bytes
 	Grace       clock.Span // ms from the signal to stop to the kill
 	TTL         clock.Span // longest time in ms that callers keep an answer of the directory
 	RetryRatio  float64    // retries allowed for each request
 	RetryWindow clock.Span // window in ms of the retry budget
 	RetrySlack  float64    // retries allowed in a window besides
-	ColdFactor  float64    // tolerated multiple of a cold backend server's rate
-	ColdSlack   float64    // requests tolerated beyond that
-	Stall       clock.Span // ms after which work that waits for a dead rank is cut off
 	Engine      string     // address of the engine on the same instance, for agents
 	EngineOf    string     // service of that engine
 	Fencing     bool       // engines refuse orders of an older generation
