Switch maps of groups of 72 ranks over links of 8 Mbit/s

Each answer carried all counts since the engine's start as JSON (about 12 KB, 72 a round), the round was stretched to 1036 ms, and a process counted as silent after 250 and 500 ms, so three processes directed at once and their questions filled a link of 8 Mbit/s. With that mended, a switch still took 1.25 s: 72 copies of the map filled the same link, and orders sent again as JSON after 400 ms made it worse. Ruled out: the planner's time (61 to 97 ms a proposal, printed now with each). The log line of a switch says how long copying and arming took.

--- /dev/null
+++ b/internal/datagram/datagram_test.go
@@ -0,0 +1,51 @@
+package datagram
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+type sample struct {
+	Name   string
+	Counts [][]int64
+	Inner  *sample
+}
+
+func TestEncode(t *testing.T) {
+	t.Run("keeps what it was given", func(t *testing.T) {
+		before := sample{Name: "a", Counts: [][]int64{{0, 127, 70_000}, {-1}}, Inner: &sample{Name: "b"}}
+		content, err := Encode(before)
+		require.NoError(t, err)
+		var after sample
+		require.NoError(t, Decode(content, &after))
+		assert.Equal(t, before, after)
+	})
+	t.Run("takes a byte for a small number", func(t *testing.T) {
+		content, err := Encode(sample{Counts: [][]int64{make([]int64, 1000)}})
+		require.NoError(t, err)
+		assert.Less(t, len(content), 1100)
+	})
+	t.Run("refuses what fits no datagram", func(t *testing.T) {
+		_, err := Encode(sample{Counts: [][]int64{make([]int64, Most)}})
+		assert.ErrorContains(t, err, "larger than")
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	content, err := Encode(sample{Name: "a", Counts: [][]int64{{1, 2}}, Inner: &sample{}})
+	require.NoError(f, err)
+	f.Add(content)
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var into sample
+		if Decode(content, &into) != nil {
+			return
+		}
+		again, err := Encode(into)
+		if err == nil {
+			assert.NoError(t, Decode(again, &into))
+		}
+	})
+}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"slices"
 	"strconv"
@@ -12,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/datagram"
 	"carawaypick/internal/engine"
 	"carawaypick/internal/kernel"
 	"carawaypick/pkg/clock"
@@ -30,20 +30,20 @@
 
 // beat is what an entry tells the others about itself, by UDP.
 type beat struct {
-	Name     string             `json:"name"`
-	Zone     string             `json:"zone"`
-	IP       string             `json:"ip"`
-	Front    string             `json:"front"`
-	Control  string             `json:"control"`
-	Born     int64              `json:"born"` // Unix time in ms of its start
-	Number   uint64             `json:"number"`
-	Ready    bool               `json:"ready"`
-	Revision int64              `json:"revision"`
-	Flights  map[string]int     `json:"flights"` // its requests in flight by backend server
-	Costs    map[string]float64 `json:"costs"`   // ms that a request adds to a pass, by service
-	Known    []string           `json:"known"`   // addresses of the peers that it hears
+	Name     string
+	Zone     string
+	IP       string
+	Front    string
+	Control  string
+	Born     int64 // Unix time in ms of its start
+	Number   uint64
+	Ready    bool
+	Revision int64
+	Flights  map[string]int     // its requests in flight by backend server
+	Costs    map[string]float64 // ms that a request adds to a pass, by service
+	Known    []string           // addresses of the peers that it hears
 
-	Ask string `json:"ask,omitempty"` // an agent asks for the group of its engine
+	Ask string // an agent asks for the group of its engine
 }
 
 // fellow is another entry.
@@ -148,9 +148,9 @@
 		}
 	}
 	p.mu.Unlock()
-	content, err := json.Marshal(message)
-	if err != nil || len(content) > maxDatagram {
-		level.Error(p.logger).Log("msg", "message to peers not sent", "bytes", len(content), "error", err)
+	content, err := datagram.Encode(message)
+	if err != nil {
+		level.Error(p.logger).Log("msg", "message to peers not sent", "error", err)
 		return
 	}
 	for _, ip := range targets {
@@ -162,7 +162,7 @@
 }
 
 func (p *Peers) receive(ctx context.Context, conn net.PacketConn) {
-	buffer := make([]byte, maxDatagram)
+	buffer := make([]byte, datagram.Most)
 	for ctx.Err() == nil {
 		n, from, err := conn.ReadFrom(buffer)
 		if err != nil {
@@ -173,7 +173,7 @@
 			continue
 		}
 		var b beat
-		err = json.Unmarshal(buffer[:n], &b)
+		err = datagram.Decode(buffer[:n], &b)
 		if err == nil && b.Ask != "" {
 			p.answer(conn, from, b.Ask)
 			continue
@@ -189,11 +189,9 @@
 // answer tells an agent the group of its engine.
 func (p *Peers) answer(conn net.PacketConn, to net.Addr, address string) {
 	r := p.roster(address)
-	content, err := json.Marshal(struct {
-		Roster engine.Roster `json:"roster"`
-	}{r})
-	if err != nil || len(content) > maxDatagram {
-		level.Error(p.logger).Log("msg", "group not told to an agent", "bytes", len(content), "error", err)
+	content, err := datagram.Encode(struct{ Roster engine.Roster }{r})
+	if err != nil {
+		level.Error(p.logger).Log("msg", "group not told to an agent", "error", err)
 		return
 	}
 	if _, err := conn.WriteTo(content, to); err != nil {
--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"strconv"
 	"sync"
@@ -12,13 +11,14 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/datagram"
 	"carawaypick/internal/kernel"
 	"carawaypick/pkg/clock"
 )
 
 const (
-	pollPeriod   = 60 * clock.Millisecond  // least time between two rounds of counts: a pass takes about as long
-	pollNumbers  = 120                     // counts of all ranks that a round may bring for each ms of the period
+	pollPeriod   = 60 * clock.Millisecond  // between two rounds of counts: a pass takes about as long
+	countedEach  = 500                     // bytes of counts that may come in for each ms, about half of a link of 8 Mbit/s
 	urgentPeriod = 30 * clock.Millisecond  // between two looks while a switch is under way
 	askPeriod    = 2 * clock.Second        // between two questions for the group's members
 	directors    = 3                       // ranks whose processes may direct
@@ -26,7 +26,6 @@
 	silentAgent  = 250 * clock.Millisecond // silence of a process after which its engine is asked from here
 	distantEach  = 200 * clock.Millisecond // between two such questions, which other requests of the engine pay for
 	distantAge   = 500 * clock.Millisecond // age that a report may have that is read from another instance
-	maxDatagram  = 60 << 10                // bytes
 	callers      = 24                      // orders under way at one time
 )
 
@@ -53,6 +52,7 @@
 	lists    Lists
 	directed clock.Time // last poll by a lower rank's process
 	desk     *desk
+	told     map[int]told // by rank of the asker
 	replies  chan reply
 	heard    chan struct{} // an answer came that the director waits for
 	broken   bool          // the engine did not answer last time
@@ -60,7 +60,7 @@
 
 // New returns an agent.
 func New(s Settings, d Dialect, c clock.Clock, logger log.Logger) *Agent {
-	return &Agent{settings: s, dialect: d, clock: c, logger: logger, directed: c.Now(), replies: make(chan reply, 256), heard: make(chan struct{}, 1)}
+	return &Agent{settings: s, dialect: d, clock: c, logger: logger, directed: c.Now(), told: make(map[int]told), replies: make(chan reply, 256), heard: make(chan struct{}, 1)}
 }
 
 // Run works until ctx ends.
@@ -115,12 +115,13 @@
 	if a.desk != nil && a.desk.director.Busy() {
 		return urgentPeriod
 	}
-	return a.roster.Shape.period(len(a.roster.Members))
+	return pollPeriod
 }
 
-// period returns the time between two rounds of counts of so many ranks.
-func (s Shape) period(ranks int) clock.Span {
-	return max(pollPeriod, clock.Span(ranks*s.Sets*s.Experts/pollNumbers))
+// turns returns the number of rounds in which each of so many ranks is asked for its counts once.
+func (s Shape) turns(ranks int) int {
+	const round = countedEach * int(pollPeriod)
+	return max(1, (ranks*s.Sets*s.Experts+round-1)/round)
 }
 
 // Seed replaces the entries that are asked for the group's members.
@@ -141,9 +142,9 @@
 }
 
 func (a *Agent) send(ip string, m message) {
-	content, err := json.Marshal(m)
-	if err != nil || len(content) > maxDatagram {
-		level.Error(a.logger).Log("msg", "message not sent", "to", ip, "bytes", len(content), "error", err)
+	content, err := datagram.Encode(m)
+	if err != nil {
+		level.Error(a.logger).Log("msg", "message not sent", "to", ip, "error", err)
 		return
 	}
 	if _, err := a.conn.WriteTo(content, &net.UDPAddr{IP: net.ParseIP(ip), Port: a.settings.Port}); err != nil {
@@ -152,7 +153,7 @@
 }
 
 func (a *Agent) receive(ctx context.Context) {
-	buffer := make([]byte, maxDatagram)
+	buffer := make([]byte, datagram.Most)
 	for ctx.Err() == nil {
 		n, from, err := a.conn.ReadFrom(buffer)
 		if err != nil {
@@ -163,7 +164,7 @@
 			continue
 		}
 		var m message
-		if err := json.Unmarshal(buffer[:n], &m); err != nil {
+		if err := datagram.Decode(buffer[:n], &m); err != nil {
 			level.Warn(a.logger).Log("msg", "message can't be read", "from", from, "error", err)
 			continue
 		}
@@ -182,7 +183,7 @@
 	case m.Poll != nil:
 		a.answerPoll(ctx, from, *m.Poll)
 	case m.Order != nil:
-		a.relay(ctx, from, m.Order.Command)
+		a.relay(ctx, *m.Order)
 	case m.Reply != nil:
 		select {
 		case a.replies <- *m.Reply:
@@ -217,7 +218,7 @@
 
 // answerPoll reads the engine and tells the asker.
 func (a *Agent) answerPoll(ctx context.Context, from string, p poll) {
-	v, ok := a.look(ctx, p.Asked)
+	v, ok := a.look(ctx, p)
 	if !ok || v.Group != p.Group {
 		return
 	}
@@ -229,8 +230,8 @@
 	a.send(from, message{Answer: &v})
 }
 
-// look reads the engine beside this process.
-func (a *Agent) look(ctx context.Context, asked int64) (v answer, ok bool) {
+// look reads what the poll asks for from the engine beside this process.
+func (a *Agent) look(ctx context.Context, p poll) (v answer, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, settle.Duration())
 	defer cancel()
 	r, err := a.dialect.Report(ctx, a.settings.Engine)
@@ -238,36 +239,82 @@
 		a.lost(err)
 		return v, false
 	}
+	v = answer{
+		Asked: p.Asked, Group: r.Group, Rank: r.Rank, Born: r.Born, Epoch: r.Epoch, Open: r.Open, Step: r.Step,
+		Version: r.Version, Prepared: r.Prepared, Armed: r.Armed, ArmedAt: r.ArmedStep, Held: r.Held, Busy: r.Busy, Pace: r.Pace,
+	}
 	a.mu.Lock()
-	shape, lists, known := a.roster.Shape, a.lists, a.own
+	shape := a.roster.Shape
 	a.mu.Unlock()
 	if r.Group == "" || shape.Sets == 0 {
 		a.found(r)
 		return v, false
 	}
-	if lists.Sets == nil || lists.Version != r.Version || known.Born != r.Born || known.Epoch != r.Epoch {
-		if lists, err = a.dialect.Lists(ctx, a.settings.Engine); err != nil {
+	if p.Lists {
+		if v.Experts, err = a.held(ctx, r); err != nil {
 			a.lost(err)
 			return v, false
 		}
 	}
-	counts, err := a.dialect.Counts(ctx, a.settings.Engine, shape)
-	if err != nil {
-		a.lost(err)
-		return v, false
+	if p.Counts {
+		counts, err := a.dialect.Counts(ctx, a.settings.Engine, shape)
+		if err != nil {
+			a.lost(err)
+			return v, false
+		}
+		if counts.Epoch == r.Epoch {
+			v.Counts = a.since(p.Rank, r.Born, counts)
+		}
 	}
 	a.found(r)
+	return v, true
+}
+
+// held returns the experts that the rank holds, or nil where the engine moved on between two calls.
+func (a *Agent) held(ctx context.Context, r Report) (sets [][]int, err error) {
 	a.mu.Lock()
-	a.lists = lists
+	lists, known := a.lists, a.own
 	a.mu.Unlock()
-	if lists.Version != r.Version || counts.Epoch != r.Epoch {
-		return v, false // the engine moved on between the calls
+	if lists.Sets == nil || lists.Version != r.Version || known.Born != r.Born || known.Epoch != r.Epoch {
+		if lists, err = a.dialect.Lists(ctx, a.settings.Engine); err != nil {
+			return nil, err
+		}
+		a.mu.Lock()
+		a.lists = lists
+		a.mu.Unlock()
 	}
-	return answer{
-		Asked: asked, Group: r.Group, Rank: r.Rank, Born: r.Born, Epoch: r.Epoch, Open: r.Open, Step: r.Step,
-		Version: r.Version, Prepared: r.Prepared, Armed: r.Armed, ArmedAt: r.ArmedStep, Held: r.Held, Busy: r.Busy, Pace: r.Pace,
-		Experts: lists.Sets, Counts: counts.Sets,
-	}, true
+	if lists.Version != r.Version {
+		return nil, nil
+	}
+	return lists.Sets, nil
+}
+
+// told is what an asker was told last.
+type told struct {
+	born   int64
+	counts [][]int64
+}
+
+// since returns what was counted since the asker was last told, nil for the first time; what a lost answer held is lost.
+func (a *Agent) since(asker int, born int64, c Counts) (counts [][]int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if asker < 0 || asker >= directors {
+		return nil
+	}
+	before := a.told[asker]
+	a.told[asker] = told{born: born, counts: c.Sets}
+	if before.born != born || len(before.counts) != len(c.Sets) {
+		return nil
+	}
+	for set, line := range c.Sets {
+		grown := make([]int64, len(line))
+		for e, count := range line {
+			grown[e] = max(count-before.counts[set][e], 0)
+		}
+		counts = append(counts, grown)
+	}
+	return counts
 }
 
 func (a *Agent) lost(err error) {
--- a/internal/engine/dialect.go
+++ b/internal/engine/dialect.go
@@ -51,15 +51,15 @@
 
 // Member is the process beside a rank, as the entries know it.
 type Member struct {
-	Rank   int    `json:"rank"`
-	IP     string `json:"ip"`
-	Engine string `json:"engine"`
+	Rank   int
+	IP     string
+	Engine string
 }
 
 // Roster is the group of an engine, as an entry knows it.
 type Roster struct {
-	Members []Member `json:"members"`
-	Shape   Shape    `json:"shape"`
+	Members []Member
+	Shape   Shape
 }
 
 // settle is the time in ms that one call to an engine may take.
--- a/internal/engine/direct.go
+++ b/internal/engine/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -21,12 +22,14 @@
 	answers  []answer
 	heard    []clock.Time // by rank: when its process last answered
 	distant  []clock.Time // by rank: when its engine was last asked from here
-	counted  []answer     // by rank: the answer up to which counts have gone into the estimate
+	lists    []Lists      // by rank: the experts that it holds
+	fresh    [][]int64    // by set and expert: what was counted since the last round
+	counted  bool         // fresh holds counts
 	round    uint64
-	period   clock.Span // between two rounds of counts
-	version  int64      // of the map that the planner starts from
-	gain     float64    // of the plan that was put off in the last round
-	waited   int        // rounds for which it was put off
+	turns    int     // rounds in which each rank is asked for its counts once
+	version  int64   // of the map that the planner starts from
+	gain     float64 // of the plan that was put off in the last round
+	waited   int     // rounds for which it was put off
 }
 
 const (
@@ -35,8 +38,9 @@
 	payBack    = 4 * clock.Second // time within which a map must pay for its copies: what is liked changes
 	growth     = 1.25             // of the gain from one round to the next, from which the next is waited for
 	mostWaits  = 3
-	copiesEach = 2   // experts that one plan may bring to a rank: all wait for the rank that copies longest
-	leastGain  = 0.3 // mean skew that a plan must take: a small switch delays the next, larger one
+	copiesEach = 2              // experts that one plan may bring to a rank: all wait for the rank that copies longest
+	leastGain  = 0.3            // mean skew that a plan must take: a small switch delays the next, larger one
+	recent     = 2 * pollPeriod // age that the standing of a rank may have when a map is proposed
 )
 
 // newDesk returns a desk for the group.
@@ -44,20 +48,34 @@
 	return &desk{
 		director: expert.NewDirector(ranks, holder),
 		shape:    shape,
-		period:   shape.period(ranks),
+		turns:    shape.turns(ranks),
 		answers:  make([]answer, ranks),
 		heard:    make([]clock.Time, ranks),
 		distant:  make([]clock.Time, ranks),
-		counted:  make([]answer, ranks),
+		lists:    make([]Lists, ranks),
+		fresh:    shape.zero(),
 		version:  expert.None,
 	}
 }
 
+// zero returns counts of nothing.
+func (s Shape) zero() (counts [][]int64) {
+	for range s.Sets {
+		counts = append(counts, make([]int64, s.Experts))
+	}
+	return counts
+}
+
 // hear takes in a rank's answer.
 func (d *desk) hear(now clock.Time, v answer) {
-	if v.Rank < 0 || v.Rank >= len(d.answers) || len(v.Counts) != d.shape.Sets || v.Asked < d.answers[v.Rank].Asked {
+	if v.Rank < 0 || v.Rank >= len(d.answers) || v.Asked < d.answers[v.Rank].Asked {
 		return
 	}
+	d.add(v.Counts)
+	if len(v.Experts) == d.shape.Sets {
+		d.lists[v.Rank] = Lists{Version: v.Version, Sets: v.Experts}
+	}
+	v.Counts, v.Experts = nil, nil
 	d.answers[v.Rank] = v
 	d.heard[v.Rank] = now
 	d.director.Read(v.Rank, expert.Standing{
@@ -66,16 +84,30 @@
 	})
 }
 
+// add takes in what a rank counted.
+func (d *desk) add(counts [][]int64) {
+	if len(counts) != d.shape.Sets {
+		return
+	}
+	for set, line := range counts {
+		for e, count := range line[:min(len(line), d.shape.Experts)] {
+			d.fresh[set][e] += count
+			d.counted = d.counted || count > 0
+		}
+	}
+}
+
 // current returns the map that all ranks use, or nil.
 func (d *desk) current() expert.Map {
 	m := make(expert.Map, d.shape.Sets)
 	for set := range m {
 		m[set] = make([][]int, len(d.answers))
 		for rank, v := range d.answers {
-			if len(v.Experts) != d.shape.Sets || v.Version != d.answers[0].Version || v.Epoch != d.answers[0].Epoch {
+			known := d.lists[rank]
+			if known.Sets == nil || known.Version != v.Version || v.Version != d.answers[0].Version || v.Epoch != d.answers[0].Epoch {
 				return nil
 			}
-			m[set][rank] = v.Experts[set]
+			m[set][rank] = known.Sets[set]
 		}
 	}
 	return m
@@ -85,8 +117,8 @@
 func (d *desk) settings() expert.Settings {
 	s := expert.Defaults()
 	s.Decays = []float64{0.3, 0.6} // a round holds thousands of choices: what counts is to follow a change at once
-	s.Step = d.period
-	s.Horizon = int(payBack / d.period)
+	s.Step = pollPeriod
+	s.Horizon = int(payBack / pollPeriod)
 	s.Trigger = trigger
 	s.Least = leastCopy
 	s.Spare = d.shape.Spare
@@ -119,33 +151,19 @@
 	return true
 }
 
-// report returns what all ranks counted since the last round, or false where nothing was.
+// report returns what was counted since the last round, or false where nothing was.
 func (d *desk) report() (r expert.Report, ok bool) {
 	d.round++
 	r = expert.Report{
 		Step: d.round, Ranks: len(d.answers), Slots: d.shape.Places,
 		Weight: max(d.shape.ExpertMB, 1) << 20, Rate: max(d.shape.LinkMbps, 1) << 20 / 8,
-		Layers: make([][]int64, d.shape.Sets),
+		Layers: d.fresh,
 	}
-	for set := range r.Layers {
-		r.Layers[set] = make([]int64, d.experts)
-		for rank, v := range d.answers {
-			if len(v.Counts) != d.shape.Sets {
-				continue
-			}
-			before := d.counted[rank]
-			for e, count := range v.Counts[set] {
-				if v.Born == before.Born && len(before.Counts) == d.shape.Sets {
-					count -= before.Counts[set][e]
-				}
-				if e < d.experts && count > 0 {
-					r.Layers[set][e] += count
-					ok = true
-				}
-			}
-		}
+	for set := range r.Layers { // places that are free count as experts that nobody chose
+		r.Layers[set] = append(r.Layers[set], make([]int64, d.experts-len(r.Layers[set]))...)
 	}
-	copy(d.counted, d.answers)
+	ok = d.counted
+	d.fresh, d.counted = d.shape.zero(), false
 	return r, ok
 }
 
@@ -158,7 +176,7 @@
 	if !ok {
 		return false, 0
 	}
-	if d.director.Busy() || !d.director.Whole(now.Add(-2*d.period)) {
+	if d.director.Busy() || !d.director.Whole(now.Add(-recent)) {
 		_ = d.planner.Observe(r) // the shape is the one that the planner began with
 		return false, 0
 	}
@@ -192,7 +210,8 @@
 
 // round polls the ranks where this process directs.
 func (a *Agent) round(ctx context.Context, now clock.Time) {
-	own, ok := a.look(ctx, int64(now))
+	ask := a.ask(now)
+	own, ok := a.look(ctx, ask(a.rank()))
 	if !ok || !a.settings.Fencing {
 		return
 	}
@@ -215,7 +234,8 @@
 	a.desk.hear(now, own)
 	for _, m := range a.roster.Members {
 		if m.Rank != own.Rank {
-			a.send(m.IP, message{Poll: &poll{Group: own.Group, Rank: own.Rank, Asked: int64(now)}})
+			p := ask(m.Rank)
+			a.send(m.IP, message{Poll: &p})
 			a.askDistant(ctx, now, m)
 		}
 	}
@@ -223,7 +243,30 @@
 		return
 	}
 	if proposed, gain := a.desk.plan(now, stamp(own.Rank)); proposed {
-		level.Info(a.logger).Log("msg", "map proposed", "gain", gain, "step", own.Step, "version", own.Version)
+		level.Info(a.logger).Log("msg", "map proposed", "gain", gain, "step", own.Step, "version", own.Version, "planning", a.clock.Since(now))
+	}
+}
+
+// rank returns the rank of the engine beside this process, as last read.
+func (a *Agent) rank() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.own.Rank
+}
+
+// ask returns what each rank is asked for in this round: its counts in turn, and nothing but its standing while a switch
+// is under way.
+func (a *Agent) ask(now clock.Time) func(rank int) poll {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := poll{Group: a.own.Group, Rank: a.own.Rank, Asked: int64(now)}
+	if a.desk == nil || a.desk.director.Busy() {
+		return func(int) poll { return p }
+	}
+	round, turns := int(a.desk.round), a.desk.turns
+	return func(rank int) poll {
+		p.Lists, p.Counts = true, (rank+round)%turns == 0
+		return p
 	}
 }
 
@@ -269,35 +312,67 @@
 	}
 	now := a.clock.Now()
 	waited := a.desk.director.Urgent()
-	for _, c := range a.desk.director.Tick(now, stamp(a.own.Rank)) {
+	a.order(ctx, now, a.desk.director.Tick(now, stamp(a.own.Rank)))
+	if o := a.desk.director.Take(); o.Ended {
+		level.Info(a.logger).Log("msg", "map switch ended", "committed", o.Committed, "version", o.Version, "reason", o.Reason,
+			"copied", o.Copied, "armed", o.Armed)
+	}
+	return a.desk.director.Urgent() && !waited
+}
+
+const (
+	relayTime   = 150 * clock.Millisecond // after which an order that another process was to pass on counts as unanswered
+	ownMapBytes = 32 << 10                // of maps that the director sends to all ranks itself: 13 ms of a link of 20 Mbit/s
+)
+
+// order sends orders, through the process beside the rank where it lives, since an order from another instance costs the
+// engine more; the replies come on the agent's channel.
+func (a *Agent) order(ctx context.Context, now clock.Time, commands []expert.Command) {
+	var relays []relay
+	for _, c := range commands {
 		i := slices.IndexFunc(a.roster.Members, func(m Member) bool { return m.Rank == c.Rank })
 		if i < 0 {
 			continue
 		}
-		a.order(ctx, a.roster.Members[i], c, now.Sub(a.desk.heard[c.Rank]) < silentAgent)
+		m := a.roster.Members[i]
+		relayed := c.Op == expert.OpPrepare || c.Op == expert.OpArm || c.Op == expert.OpDisarm // a step waits for the others
+		if relayed && !c.Again && m.IP != a.settings.IP && now.Sub(a.desk.heard[c.Rank]) < silentAgent {
+			relays = append(relays, relay{Command: c, Director: a.settings.IP, Onward: []onward{{ID: c.ID, Rank: c.Rank, IP: m.IP}}})
+			time.AfterFunc(relayTime.Duration(), func() { a.replied(ctx, reply{ID: c.ID, Reply: expert.ReplyLost}) })
+			continue
+		}
+		kernel.Start(ctx, func(ctx context.Context) error {
+			a.replied(ctx, a.give(ctx, m.Engine, c))
+			return nil
+		})
 	}
-	if o := a.desk.director.Take(); o.Ended {
-		level.Info(a.logger).Log("msg", "map switch ended", "committed", o.Committed, "version", o.Version, "reason", o.Reason)
+	for _, r := range bundle(relays, a.roster.Shape) {
+		a.pass(r)
 	}
-	return a.desk.director.Urgent() && !waited
 }
 
-// relayTime is the time in ms after which an order that another process was to pass on counts as unanswered.
-const relayTime = 150 * clock.Millisecond
-
-// order sends one order, through the process beside the rank where it lives, since an order from another instance costs
-// the engine more; the reply comes on the agent's channel.
-func (a *Agent) order(ctx context.Context, m Member, c expert.Command, near bool) {
-	relayed := c.Op == expert.OpPrepare || c.Op == expert.OpArm || c.Op == expert.OpDisarm // a step waits for the others
-	if near && relayed && !c.Again && m.IP != a.settings.IP {
-		a.send(m.IP, message{Order: &relay{Command: c}})
-		time.AfterFunc(relayTime.Duration(), func() { a.replied(ctx, reply{ID: c.ID, Reply: expert.ReplyLost}) })
-		return
+// bundle puts relays of one large map together, so that the director sends it to few processes that pass it on.
+func bundle(relays []relay, s Shape) (bundles []relay) {
+	ranks := len(relays)
+	if ranks == 0 || relays[0].Command.Op != expert.OpPrepare || ranks*ranks*s.Sets*s.Places <= ownMapBytes {
+		return relays
 	}
-	kernel.Start(ctx, func(ctx context.Context) error {
-		a.replied(ctx, a.give(ctx, m.Engine, c))
-		return nil
-	})
+	each := int(math.Ceil(math.Sqrt(float64(ranks))))
+	for few := range slices.Chunk(relays, each) {
+		b := few[0]
+		for _, r := range few[1:] {
+			b.Onward = append(b.Onward, r.Onward...)
+		}
+		bundles = append(bundles, b)
+	}
+	return bundles
+}
+
+// pass sends the relay to the first process that it names.
+func (a *Agent) pass(r relay) {
+	first := r.Onward[0]
+	r.Command.ID, r.Command.Rank, r.Onward = first.ID, first.Rank, r.Onward[1:]
+	a.send(first.IP, message{Order: &r})
 }
 
 func (a *Agent) replied(ctx context.Context, r reply) {
@@ -307,11 +382,14 @@
 	}
 }
 
-// relay gives an order to the engine beside this process and tells the director what became of it.
-func (a *Agent) relay(ctx context.Context, director string, c expert.Command) {
+// relay passes an order on and gives it to the engine beside this process.
+func (a *Agent) relay(ctx context.Context, r relay) {
+	for _, o := range r.Onward {
+		a.pass(relay{Command: r.Command, Director: r.Director, Onward: []onward{o}})
+	}
 	kernel.Start(ctx, func(ctx context.Context) error {
-		r := a.give(ctx, a.settings.Engine, c)
-		a.send(director, message{Reply: &r})
+		done := a.give(ctx, a.settings.Engine, r.Command)
+		a.send(r.Director, message{Reply: &done})
 		return nil
 	})
 }
--- /dev/null
+++ b/pkg/expert/bench_test.go
@@ -0,0 +1,42 @@
+package expert
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"carawaypick/pkg/clock"
+)
+
+func BenchmarkPlanLarge(b *testing.B) {
+	const ranks, sets, experts, places = 72, 12, 144, 3
+	random := rand.New(rand.NewPCG(1, 2))
+	r := Report{Ranks: ranks, Slots: places, Weight: 370 << 20, Rate: 180000 << 20 / 8}
+	first := RoundRobin(Shape{Ranks: ranks, Slots: 2, Layers: sets, Experts: experts})
+	padded, all := Pad(first, experts, places)
+	for range sets {
+		line := make([]int64, all)
+		for e := range experts {
+			line[e] = int64(1000 * (0.2 + random.ExpFloat64()))
+		}
+		r.Layers = append(r.Layers, line)
+	}
+	for b.Loop() {
+		s := Defaults()
+		s.Decays = []float64{0.3, 0.6}
+		s.Step = 60 * clock.Millisecond
+		s.Horizon = 66
+		s.Trigger = 0.2
+		s.Least = 0.3
+		s.Spare = 2
+		s.Each = 2
+		s.Free = experts
+		p := NewPlanner(s)
+		_ = p.Adopt(padded)
+		r.Step++
+		plan, err := p.Next(r)
+		if b.N <= 1 {
+			fmt.Println(err, plan.Gain, len(plan.Moves), len(plan.Stages))
+		}
+	}
+}
--- a/pkg/expert/director.go
+++ b/pkg/expert/director.go
@@ -128,6 +128,8 @@
 	pass    clock.Span         // length of a pass in ms, 0 before one is measured
 	lost    clock.Time         // last unanswered order, 0 for none
 	result  Outcome
+	began   clock.Time // of the switch that is under way
+	copied  clock.Time // when all ranks had prepared its map, 0 before
 }
 
 // Outcome tells what became of a proposal.
@@ -136,6 +138,8 @@
 	Committed bool
 	Version   int64
 	Reason    string
+	Copied    clock.Span // time in ms until all ranks had prepared the map
+	Armed     clock.Span // time in ms from then until the end
 }
 
 // NewDirector returns a director of a group of so many ranks, all unknown yet.
@@ -204,6 +208,7 @@
 	d.holder = (d.own + (len(d.ranks)+1)/2) % len(d.ranks)
 	d.fence = max(d.fence+1, fence)
 	d.left = false
+	d.began, d.copied = now, 0
 	d.enter(now, phasePrepare)
 	return true
 }
@@ -306,6 +311,10 @@
 		d.result = Outcome{Version: d.version, Committed: committed, Reason: reason}
 	}
 	d.result.Ended = true
+	if d.began > 0 && d.copied > 0 {
+		d.result.Copied, d.result.Armed = d.copied.Sub(d.began), now.Sub(d.copied)
+	}
+	d.began = 0
 	if !committed {
 		d.rest = max(d.rest, now.Add(restAfter))
 	}
--- a/pkg/expert/directorsteps.go
+++ b/pkg/expert/directorsteps.go
@@ -11,6 +11,7 @@
 			return
 		}
 	}
+	d.copied = now
 	d.enter(now, phaseHold)
 	d.step = None
 }
