Let three entries read the store for all

The cost grows with entries times changes. Change: the first three living entries in an order by hash, of those that the store answers, watch it; they tell the others at once, which ask them for what changed since their revision (Belief.Since, with what is removed). An entry that gets no answer reads the store itself.

--- a/internal/direct/belief.go
+++ b/internal/direct/belief.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -18,6 +20,8 @@
 	goneGrace = 500 * clock.Millisecond
 	// lapseGrace is the same time after an outage of the store, in which living owners register again.
 	lapseGrace = 2500 * clock.Millisecond
+	// mostRemoved bounds the removed entries that are remembered for other processes.
+	mostRemoved = 2000
 )
 
 // Belief holds what a process believes of the configuration and the backend servers.
@@ -31,14 +35,17 @@
 
 	mu       sync.Mutex
 	items    map[string]Change
+	removed  map[string]int64 // revision at which an entry was known to be gone
+	since    int64            // removals up to this revision may be forgotten
 	revision int64
+	changed  int64      // revision up to which something is known that was not known before
 	lapse    clock.Time // up to this moment a missing entry may only have lapsed
 	view     atomic.Pointer[routing.View]
 }
 
 // NewBelief returns a belief that knows nothing; hear is told of each new view.
 func NewBelief(decode func(Change) (News, error), c clock.Clock, logger log.Logger, hear func(*routing.View)) *Belief {
-	b := &Belief{decode: decode, clock: c, logger: logger, hear: hear, items: make(map[string]Change)}
+	b := &Belief{decode: decode, clock: c, logger: logger, hear: hear, items: make(map[string]Change), removed: make(map[string]int64)}
 	b.view.Store(&routing.View{})
 	return b
 }
@@ -55,14 +62,50 @@
 	return b.revision
 }
 
-// Items returns all entries and the revision that they reflect, for another process that can't reach the store.
-func (b *Belief) Items() (items []Change, revision int64) {
+// Changed returns the revision up to which a process must have read to know what this one knows.
+func (b *Belief) Changed() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.changed
+}
+
+// Since returns what changed after the revision, oldest first, or all entries where that is no longer known.
+func (b *Belief) Since(revision int64) (d Delta) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d = Delta{Revision: b.revision, Whole: revision < b.since, Lapse: max(b.lapse.Sub(b.clock.Now()), 0)}
 	for _, c := range b.items {
-		items = append(items, c)
+		if d.Whole || c.Revision > revision {
+			d.Changes = append(d.Changes, c)
+		}
 	}
-	return items, b.revision
+	for key, gone := range b.removed {
+		if !d.Whole && gone > revision {
+			d.Changes = append(d.Changes, Change{Key: key, Revision: gone, Removed: true})
+		}
+	}
+	slices.SortFunc(d.Changes, func(x, y Change) int { return cmp.Compare(x.Revision, y.Revision) })
+	return d
+}
+
+// Delta is what another process's belief holds beyond one revision.
+type Delta struct {
+	Revision int64
+	Whole    bool       // Changes are all entries
+	Lapse    clock.Span // time in ms for which a missing entry may only have lapsed
+	Changes  []Change
+}
+
+// Learn takes in what another process knows more.
+func (b *Belief) Learn(d Delta, source string) {
+	b.mu.Lock()
+	b.lapse = max(b.lapse, b.clock.Now().Add(d.Lapse))
+	b.mu.Unlock()
+	if d.Whole {
+		b.Replace(d.Changes, d.Revision, source)
+		return
+	}
+	b.Apply(d.Changes, d.Revision, source)
 }
 
 // Back tells that the store answers again after an outage.
@@ -87,6 +130,7 @@
 	}
 	b.revision = max(b.revision, revision)
 	if changed {
+		b.changed = b.revision
 		b.publish(next)
 	}
 }
@@ -112,7 +156,7 @@
 			b.take(next, Change{Key: key, Revision: revision, Removed: true}, source)
 		}
 	}
-	b.revision = revision
+	b.revision, b.changed, b.since = revision, revision, revision
 	b.publish(next)
 }
 
@@ -180,8 +224,10 @@
 func (b *Belief) take(next *routing.View, c Change, source string) {
 	if c.Removed {
 		delete(b.items, c.Key)
+		b.forget(c)
 	} else {
 		b.items[c.Key] = c
+		delete(b.removed, c.Key)
 	}
 	news, err := b.decode(c)
 	if err != nil {
@@ -204,6 +250,15 @@
 	}
 }
 
+// forget notes a removal for other processes; mu is held.
+func (b *Belief) forget(c Change) {
+	if len(b.removed) >= mostRemoved {
+		clear(b.removed)
+		b.since = c.Revision
+	}
+	b.removed[c.Key] = c.Revision
+}
+
 func (b *Belief) configure(next *routing.View, t *routing.Table, c Change, source string) {
 	if next.Table != nil && t.Version <= next.Table.Version {
 		level.Warn(b.logger).Log("msg", "older configuration ignored", "version", t.Version, "known", next.Table.Version, "source", source)
--- a/internal/direct/belief_test.go
+++ b/internal/direct/belief_test.go
@@ -131,7 +131,11 @@
 	lost := 0
 	r := &Reader{
 		Belief: b, Clock: clock.Fixed(&now), Logger: log.NewNopLogger(),
-		Lost: func(clock.Span) { lost++ },
+		Following: Following{
+			Reads:  func(bool) bool { return true },
+			Follow: func(context.Context) error { lost++; return nil },
+			Tell:   func() {},
+		},
 		Wire: Wire{
 			Range: func(context.Context, string) ([]Change, int64, error) {
 				ranges++
--- a/internal/direct/control.go
+++ b/internal/direct/control.go
@@ -1,12 +1,10 @@
 package direct
 
 import (
-	"context"
 	"encoding/json"
-	"io"
 	"net/http"
+	"strconv"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
 	"carawaypick/pkg/clock"
@@ -14,73 +12,26 @@
 
 const (
 	statePath   = "/state"
-	askTimeout  = clock.Second
-	askAfter    = 300 * clock.Millisecond // silence of the store after which peers are asked
-	maxState    = 64 << 20                // bytes of a peer's answer
-	headerLimit = 10 * clock.Second       // for a caller to send its header
-	idleLimit   = 2 * clock.Minute        // of a caller's idle connection, above any limit that operators set
+	headerLimit = 10 * clock.Second // for a caller to send its header
+	idleLimit   = 2 * clock.Minute  // of a caller's idle connection, above any limit that operators set
 )
 
-// state is all that a peer knows of the store's entries.
-type state struct {
-	Revision int64   `json:"revision"`
-	Items    []entry `json:"items"`
-}
-
-// entry is one of the store's entries.
-type entry struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision int64  `json:"revision"`
-}
-
 // controlHandler serves the other entries.
 func (e *Entry) controlHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
-		items, revision := e.belief.Items()
-		s := state{Revision: revision}
-		for _, c := range items {
-			s.Items = append(s.Items, entry{Key: c.Key, Value: c.Value, Revision: c.Revision})
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, "after is not a revision", http.StatusBadRequest)
+			return
 		}
-		if err := json.NewEncoder(w).Encode(s); err != nil {
+		if err := json.NewEncoder(w).Encode(e.belief.Since(after)); err != nil {
 			level.Warn(e.journal.Logger).Log("msg", "state not sent to a peer", "error", err)
 		}
 	})
 	return mux
 }
 
-// askPeer reads the belief of a peer that knows more, since the store can't be reached.
-func (e *Entry) askPeer(ctx context.Context) (err error) {
-	control, ok := e.peers.Ahead(e.belief.Revision())
-	if !ok {
-		return nil
-	}
-	defer func() { err = errors.Wrapf(err, "ask peer %s", control) }()
-	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+statePath, nil)
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	var s state
-	err = json.NewDecoder(io.LimitReader(response.Body, maxState)).Decode(&s)
-	if err = errors.CombineErrors(err, response.Body.Close()); err != nil {
-		return err
-	}
-	items := make([]Change, 0, len(s.Items))
-	for _, i := range s.Items {
-		items = append(items, Change{Key: i.Key, Value: i.Value, Revision: i.Revision})
-	}
-	e.belief.Replace(items, s.Revision, "peer "+control)
-	level.Info(e.journal.Logger).Log("msg", "belief taken from a peer", "peer", control, "revision", s.Revision, "items", len(items))
-	return nil
-}
-
 // directoryHandler tells callers which entries to use.
 func (e *Entry) directoryHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -29,6 +29,7 @@
 	settings atomic.Pointer[Settings]
 	wire     Wire
 	clock    clock.Clock
+	reader   *Reader
 	belief   *Belief
 	board    *Board
 	conns    *connPool
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -25,6 +26,7 @@
 	maxDatagram  = 60 << 10                 // bytes
 	maxFlights   = 2000                     // backend servers named in one message, which keeps it within a datagram
 	sparePart    = 1.0                      // part of a sum over all entries that is kept for an entry nobody has heard of yet
+	readers      = 3                        // entries that read the store, so that the loss of any two goes unnoticed
 	leastParties = 3                        // entries among which a sum is divided at least
 )
 
@@ -38,7 +40,8 @@
 	Born     int64 // Unix time in ms of its start
 	Number   uint64
 	Ready    bool
-	Revision int64
+	Lost     bool               // the store does not answer it
+	Revision int64              // of the store, up to which one must have read to know what it knows
 	Flights  map[string]int     // its requests in flight by backend server
 	Costs    map[string]float64 // ms that a request adds to a pass, by service
 	Known    []string           // addresses of the peers that it hears
@@ -58,9 +61,13 @@
 	clock  clock.Clock
 	logger log.Logger
 	board  *Board
+	ip     string
 	port   int
 	self   func() beat                       // what this entry says of itself
 	roster func(engine string) engine.Roster // the group of an engine
+	urgent chan struct{}                     // the others are to be told now
+
+	News chan struct{} // a peer knows more than before
 
 	mu      sync.Mutex
 	number  uint64
@@ -72,7 +79,8 @@
 // NewPeers returns a circle that knows the seeds only.
 func NewPeers(s Settings, c clock.Clock, logger log.Logger, board *Board, self func() beat, roster func(string) engine.Roster) *Peers {
 	p := &Peers{
-		clock: c, logger: logger, board: board, port: s.Ports[0], self: self, roster: roster,
+		clock: c, logger: logger, board: board, ip: s.IP, port: s.Ports[0], self: self, roster: roster,
+		urgent: make(chan struct{}, 1), News: make(chan struct{}, 1),
 		fellows: make(map[string]*fellow), targets: make(map[string]clock.Time), most: 1,
 	}
 	p.Seed(s)
@@ -108,11 +116,44 @@
 			return <-received
 		case err := <-received:
 			return err
+		case <-p.urgent:
 		case <-time.After(p.period().Duration()):
 		}
 	}
 }
 
+// Tell tells the others soon, since this entry knows more.
+func (p *Peers) Tell() {
+	signal(p.urgent)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Reads tells whether this entry is one of the few that read the store for all: the first of the living entries in an
+// order that all share, in which those that the store does not answer come last. The argument tells whether it answers
+// this one.
+func (p *Peers) Reads(lost bool) bool {
+	own := xxhash.Sum64String(p.ip)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := 0
+	for ip, f := range p.fellows {
+		first := xxhash.Sum64String(ip) < own
+		if f.last.Lost != lost {
+			first = lost
+		}
+		if f.alive && first {
+			before++
+		}
+	}
+	return before < readers
+}
+
 // period returns the time between two messages to each peer.
 func (p *Peers) period() clock.Span {
 	p.mu.Lock()
@@ -215,10 +256,13 @@
 	if !f.alive || b.Ready != f.last.Ready || b.Born != f.last.Born {
 		level.Info(p.logger).Log("msg", "peer heard", "peer", b.Name, "ip", b.IP, "ready", b.Ready, "born", b.Born, "revision", b.Revision)
 	}
+	if b.Revision > f.last.Revision {
+		signal(p.News)
+	}
 	f.last, f.heard, f.alive = b, now, true
 	p.targets[b.IP] = now
 	for _, ip := range b.Known {
-		if _, known := p.targets[ip]; !known && ip != p.selfIP() {
+		if _, known := p.targets[ip]; !known && ip != p.ip {
 			p.targets[ip] = now
 		}
 	}
@@ -226,10 +270,6 @@
 	p.most = max(p.most, p.alive()+1)
 }
 
-func (p *Peers) selfIP() string {
-	return p.self().IP
-}
-
 func (p *Peers) alive() int {
 	count := 0
 	for _, f := range p.fellows {
--- a/internal/direct/reader.go
+++ b/internal/direct/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,14 +28,19 @@
 	Clock  clock.Clock
 	Logger log.Logger
 
-	// Lost is called after each failed call with the time in ms since the last success.
-	Lost func(silent clock.Span)
+	Following
 
-	last   clock.Time // last success
-	broken bool
+	last   clock.Time // last success, or last look at the processes that read
+	failed clock.Time // last failure
+	broken atomic.Bool
 	whole  bool // the belief reflects a range, so that a watch may follow
 }
 
+// Lost tells whether the store did not answer the last call.
+func (r *Reader) Lost() bool {
+	return r.broken.Load()
+}
+
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
 	r.last = r.Clock.Now()
@@ -45,7 +51,6 @@
 			return nil
 		}
 		if err == nil {
-			r.success()
 			pause = firstRetry
 			continue
 		}
@@ -54,7 +59,7 @@
 			r.whole = false
 			continue
 		}
-		r.failure(err)
+		r.failure(ctx, err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause.Duration()):
@@ -64,8 +69,22 @@
 	return nil
 }
 
-// step makes one call.
+// step makes one call, or follows the processes that do.
 func (r *Reader) step(ctx context.Context) error {
+	if r.whole && !r.Reads(r.Lost()) {
+		err := r.wait(ctx)
+		if err == nil {
+			r.last = r.Clock.Now()
+			if r.Lost() && r.Clock.Since(r.failed) > lostFor {
+				r.broken.Store(false) // it may be among the readers again
+			}
+			return nil
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		level.Info(r.Logger).Log("msg", "peer does not answer, reading the store", "error", err, "revision", r.Belief.Revision())
+	}
 	if !r.whole {
 		ctx, cancel := context.WithTimeout(ctx, rangeTimeout.Duration())
 		defer cancel()
@@ -73,7 +92,7 @@
 		if err != nil {
 			return err
 		}
-		r.back()
+		r.success()
 		r.Belief.Replace(items, revision, "store")
 		r.whole = true
 		return nil
@@ -84,33 +103,32 @@
 	if err != nil {
 		return err
 	}
-	r.back()
+	r.success()
 	r.Belief.Apply(changes, revision, "store")
+	if len(changes) > 0 {
+		r.Tell()
+	}
 	return nil
 }
 
-// back notes the end of an outage before what was read is applied.
-func (r *Reader) back() {
-	if r.Clock.Since(r.last) > outageAfter+watchWait {
+// success notes that the store answered, before what was read is applied: after an outage entries may have lapsed.
+func (r *Reader) success() {
+	silent := r.Clock.Since(r.last)
+	if silent > outageAfter+watchWait {
 		r.Belief.Back()
 	}
-}
-
-func (r *Reader) success() {
-	if r.broken {
-		level.Info(r.Logger).Log("msg", "store reached again", "silent", r.Clock.Since(r.last), "revision", r.Belief.Revision())
+	if r.broken.Swap(false) {
+		level.Info(r.Logger).Log("msg", "store reached again", "silent", silent, "revision", r.Belief.Revision())
 	}
-	r.broken = false
 	r.last = r.Clock.Now()
 }
 
-func (r *Reader) failure(err error) {
-	silent := r.Clock.Since(r.last)
-	if !r.broken {
-		level.Warn(r.Logger).Log("msg", "store lost", "error", err, "revision", r.Belief.Revision())
+func (r *Reader) failure(ctx context.Context, err error) {
+	r.failed = r.Clock.Now()
+	if !r.broken.Swap(true) {
+		level.Warn(r.Logger).Log("msg", "store lost", "error", err, "silent", r.Clock.Since(r.last), "revision", r.Belief.Revision())
 	}
-	r.broken = true
-	if r.Lost != nil {
-		r.Lost(silent)
+	if err := r.Follow(ctx); err != nil {
+		level.Warn(r.Logger).Log("msg", "peer did not answer", "error", err)
 	}
 }
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,9 +71,12 @@
 	e.peers = NewPeers(s, c, logger, e.board, func() beat {
 		return beat{
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
-			Ready: e.ready(), Revision: e.belief.Revision(), Flights: e.board.Flights(), Costs: e.costs(),
+			Ready: e.ready(), Lost: e.reader.Lost(), Revision: e.belief.Changed(), Flights: e.board.Flights(), Costs: e.costs(),
 		}
 	}, func(address string) engine.Roster { return roster(e.belief.View(), address) })
+	e.reader = &Reader{Wire: wire, Belief: e.belief, Clock: c, Logger: logger, Following: Following{
+		Reads: e.peers.Reads, Follow: e.follow, News: e.peers.News, Tell: e.peers.Tell,
+	}}
 	e.budget = newRetryBudget(s, e.peers.Part)
 	return e
 }
@@ -110,19 +112,7 @@
 		servers = append(servers, server)
 		run(h.name, func(context.Context) error { return server.Serve(listener) })
 	}
-	var asked atomic.Int64
-	reader := &Reader{Wire: e.wire, Belief: e.belief, Clock: e.clock, Logger: e.journal.Logger}
-	reader.Lost = func(silent clock.Span) {
-		now := int64(e.clock.Now())
-		if (silent < askAfter && e.belief.View().Table != nil) || now-asked.Load() < int64(askAfter) {
-			return
-		}
-		asked.Store(now)
-		if err := e.askPeer(ctx); err != nil {
-			level.Warn(e.journal.Logger).Log("msg", "peer did not answer", "error", err)
-		}
-	}
-	run("store", reader.Run)
+	run("store", e.reader.Run)
 	run("peers", func(ctx context.Context) error { return e.peers.Run(ctx, s.IP) })
 	run("sweep", e.sweep)
 	run("turns", e.watchTurns)
