Give up the margin of a pass before waiting requests are late

Cause: the limit on running requests rests on the highest cost of a request seen in the last 15 s with a margin of a tenth of the pause. Change: where a waiting request would be late within 60 ms, the whole pause may be used (Line.Pressed, Crowd.Limit).

--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -8,6 +8,7 @@
 
 const (
 	crowdHeadroom = 0.90                    // part of the pause between events that a pass may take: prompts are read in between
+	crowdPressed  = 1.00                    // the same where requests would be late for waiting
 	crowdFade     = 15 * clock.Second       // after which a peak of the cost counts for half
 	crowdPrior    = 3.0                     // cost of a request in a pass before any is measured, times what the engine names
 	crowdReading  = 0.15                    // part of the pause that a pass spends on reading prompts, whatever runs
@@ -72,8 +73,9 @@
 	return c.peak * math.Exp2(-float64(now.Sub(c.seen))/float64(crowdFade))
 }
 
-// Limit returns the requests that each engine may run where each costs so many ms of a pass, between 1 and its slots.
-func (c *Crowd) Limit(cost float64, slots int) float64 {
+// Limit returns the requests that each engine may run where each costs so many ms of a pass, between 1 and its slots;
+// pressed tells that requests would be late for waiting, so that the margin is given up.
+func (c *Crowd) Limit(cost float64, slots int, pressed bool) float64 {
 	if c.Gap <= 0 {
 		return float64(slots)
 	}
@@ -83,7 +85,11 @@
 	if cost = max(cost, c.Prior); cost <= 0 {
 		return float64(slots)
 	}
-	limit := (float64(c.Gap)*crowdHeadroom - c.fixed()) / cost
+	part := crowdHeadroom
+	if pressed {
+		part = crowdPressed
+	}
+	limit := (float64(c.Gap)*part - c.fixed()) / cost
 	if limit < crowdHopeless*float64(slots) {
 		return float64(slots)
 	}
--- a/internal/balance/line.go
+++ b/internal/balance/line.go
@@ -87,6 +87,11 @@
 	return Turn{Wait: wait}
 }
 
+// Pressed tells whether a request that still can be on time will be late unless it starts within the time.
+func (l *Line[T]) Pressed(now clock.Time, within clock.Span) bool {
+	return slices.ContainsFunc(l.waiting, func(w *Waiter[T]) bool { return w.OnTime >= now && w.OnTime < now.Add(within) })
+}
+
 // before tells whether a goes before b.
 func (l *Line[T]) before(now clock.Time, a, b *Waiter[T]) bool {
 	freshA, freshB := a.OnTime >= now, b.OnTime >= now
--- a/internal/balance/surge_test.go
+++ b/internal/balance/surge_test.go
@@ -163,20 +163,20 @@
 	crowd := func() *Crowd { return &Crowd{Base: 29, Prior: 2.2, Gap: 120} }
 	t.Run("a peak lowers the limit at once and fades", func(t *testing.T) {
 		c := crowd()
-		before := c.Limit(c.Cost(0), 12)
+		before := c.Limit(c.Cost(0), 12, false)
 		c.Observe(0, 125, 8)
-		low := c.Limit(c.Cost(0), 12)
+		low := c.Limit(c.Cost(0), 12, false)
 		assert.Less(t, low, 8.0)
 		assert.Less(t, low, before)
 		c.Observe(100, 60, 8)
-		assert.InDelta(t, low, c.Limit(c.Cost(100), 12), 0.1, "a short pass does not raise it")
-		assert.InDelta(t, 12, c.Limit(c.Cost(clock.Time(4*crowdFade)), 12), 0.01)
+		assert.InDelta(t, low, c.Limit(c.Cost(100), 12, false), 0.1, "a short pass does not raise it")
+		assert.InDelta(t, 12, c.Limit(c.Cost(clock.Time(4*crowdFade)), 12, false), 0.01)
 	})
 	t.Run("what a pass takes at the limit stays below the pause", func(t *testing.T) {
 		for _, cost := range []float64{3, 5, 8, 12} {
 			c := crowd()
 			c.Observe(0, c.fixed()+cost*8, 8)
-			n := c.Limit(c.Cost(0), 12)
+			n := c.Limit(c.Cost(0), 12, false)
 			assert.LessOrEqual(t, c.fixed()+cost*n, 120.0)
 		}
 	})
@@ -188,7 +188,7 @@
 	t.Run("where nothing can be on time, all slots are used", func(t *testing.T) {
 		c := crowd()
 		c.Observe(0, 200, 2)
-		assert.InDelta(t, 12, c.Limit(c.Cost(0), 12), 0)
+		assert.InDelta(t, 12, c.Limit(c.Cost(0), 12, false), 0)
 	})
 	t.Run("short passes tell nothing", func(t *testing.T) {
 		c := crowd()
@@ -207,7 +207,7 @@
 		assert.False(t, c.Hot(404), "a stall is not the load of a pass")
 	})
 	t.Run("no pause is asked for", func(t *testing.T) {
-		assert.InDelta(t, 6, (&Crowd{}).Limit(0, 6), 0)
+		assert.InDelta(t, 6, (&Crowd{}).Limit(0, 6, false), 0)
 	})
 }
 
--- a/internal/direct/turn.go
+++ b/internal/direct/turn.go
@@ -17,6 +17,7 @@
 	longestHold = 1200 * clock.Millisecond // that a request waits for its turn: it is better told to come again
 	returnAfter = 500 * clock.Millisecond  // Retry-After of a request that waited in vain
 	leastEvents = 8                        // pauses between events that an observation rests on
+	pressedTime = 60 * clock.Millisecond   // before a waiting request is late, in which it is started if at all possible
 	turnPeriod  = 50 * clock.Millisecond   // between two looks at what waits
 	turnsEach   = 2                        // looks between two observations
 )
@@ -68,9 +69,9 @@
 	if q.crowd.Hot(now) {
 		return 0
 	}
-	limit, cost := 0.0, e.cost(name, q, now)
+	limit, cost, pressed := 0.0, e.cost(name, q, now), q.line.Pressed(now, pressedTime)
 	for _, s := range servers {
-		limit += q.crowd.Limit(cost, s.Slots)
+		limit += q.crowd.Limit(cost, s.Slots, pressed)
 	}
 	return limit - float64(e.board.Running(servers)+q.reserved)
 }
@@ -206,7 +207,7 @@
 		gap := q.gaps / float64(q.events)
 		q.crowd.Observe(now, gap, running)
 		cost := e.cost(name, q, now)
-		limit := q.crowd.Limit(cost, servers[0].Slots)
+		limit := q.crowd.Limit(cost, servers[0].Slots, false)
 		e.journal.Log("crowd", "msg", "load", "service", name, "gap", gap, "running", running, "cost", cost, "limit", limit, "waiting", q.line.Len(), "events", q.events)
 		q.gaps, q.events = 0, 0
 	}
