Time the start of waiting requests by how long starts take

Change: balance.Lead learns it (mean and deviation, 80 to 300 ms); what the caller waits before it arrives is counted.

--- a/internal/balance/surge_test.go
+++ b/internal/balance/surge_test.go
@@ -211,6 +211,44 @@
 	})
 }
 
+func TestLead(t *testing.T) {
+	t.Run("passes that grow make starts take longer", func(t *testing.T) {
+		var l Lead
+		assert.Equal(t, leadPrior, l.Span())
+		for i := range 60 {
+			l.Add(140 + clock.Span(i%2)*40)
+		}
+		calm := l.Span()
+		assert.InDelta(t, 180, float64(calm), 10)
+		for i := range 60 {
+			l.Add(200 + clock.Span(i%2)*80)
+		}
+		assert.Greater(t, l.Span(), calm+60)
+	})
+	t.Run("a stall is not how long a start takes", func(t *testing.T) {
+		var l Lead
+		for range 60 {
+			l.Add(5 * clock.Second)
+		}
+		assert.Equal(t, leadMost, l.Span())
+	})
+}
+
+// TestPressed replays a line in front of engines that run one request less than are asked for.
+func TestPressed(t *testing.T) {
+	c := Crowd{Base: 34, Prior: 3, Gap: 120}
+	c.Observe(0, c.fixed()+10.4*5.4, 5.4)
+	var l Line[int]
+	l.Push(0, waiter(0, 200, 1000), 0)
+	assert.False(t, l.Pressed(0, 60), "there is time")
+	assert.True(t, l.Pressed(150, 60))
+	assert.False(t, l.Pressed(250, 60), "it is late in any case")
+	kept, used := c.Limit(c.Cost(0), 10, false), c.Limit(c.Cost(0), 10, true)
+	assert.Less(t, kept, 6.0)
+	assert.Greater(t, used, 6.0, "what is asked for")
+	assert.LessOrEqual(t, c.fixed()+c.Cost(0)*used, 120.001)
+}
+
 func waiter(now clock.Time, onTime, latest clock.Span) *Waiter[int] {
 	return &Waiter[int]{OnTime: now.Add(onTime), Latest: now.Add(latest)}
 }
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -52,6 +52,7 @@
 	route    *routing.Route
 	team     routing.Team
 	service  routing.Service
+	granted  clock.Time // its turn came
 	deadline clock.Time // moment at which the caller must have its final answer
 	attempts int        // backend servers that the request was sent to
 	tried    []string
@@ -91,6 +92,7 @@
 		e.refuse(w, c, *no)
 		return
 	}
+	c.granted = e.clock.Now()
 	if c.route.Kind == routing.Stream {
 		e.stream(ctx, w, c)
 		return
--- a/internal/direct/stream.go
+++ b/internal/direct/stream.go
@@ -196,6 +196,9 @@
 		last = now
 		if !f.begun {
 			f.first = now.Sub(c.start)
+			if c.attempts == 1 {
+				e.turns.first(c.service.Name, now.Sub(c.granted))
+			}
 			e.metrics.First.Get(c.service.Name).Update(float64(e.clock.Since(c.start)))
 			f.begin(response)
 		}
--- a/internal/direct/turn.go
+++ b/internal/direct/turn.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	firstEvent  = 200 * clock.Millisecond  // from the start at an engine to the first event: a pass begins, then reads the prompt
+	callerLag   = 15 * clock.Millisecond   // from the caller's start, with a new connection between zones, to the arrival here
 	usualWhole  = 2500 * clock.Millisecond // of a stream, from its start to its end
 	longestHold = 1200 * clock.Millisecond // that a request waits for its turn: it is better told to come again
 	returnAfter = 500 * clock.Millisecond  // Retry-After of a request that waited in vain
@@ -32,7 +32,8 @@
 type queue struct {
 	line     balance.Line[chan *refusal]
 	crowd    balance.Crowd
-	reserved int     // granted, but not yet sent
+	reserved int // granted, but not yet sent
+	lead     balance.Lead
 	gaps     float64 // sum in ms of the pauses between events since the last observation
 	events   int
 }
@@ -64,6 +65,15 @@
 	}
 }
 
+// first notes the time in ms from a request's turn to the first event of its stream.
+func (t *turns) first(service string, lead clock.Span) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if q := t.services[service]; q != nil {
+		q.lead.Add(lead)
+	}
+}
+
 // room returns how many more requests of the service may be started now; mu is held.
 func (e *Entry) room(name string, q *queue, servers []*routing.Server, now clock.Time) float64 {
 	if q.crowd.Hot(now) {
@@ -115,7 +125,7 @@
 		e.turns.mu.Unlock()
 		return nil
 	}
-	waiter := waiterOf(c, now)
+	waiter := waiterOf(c, now, q.lead.Span())
 	if e.board.Closed(servers, false) {
 		waiter.Latest = max(waiter.Latest, c.deadline.Add(-usualWhole)) // the group may open at any moment
 	}
@@ -142,10 +152,11 @@
 	return &refusal{http.StatusServiceUnavailable, "the time is over", 0}
 }
 
-func waiterOf(c *call, now clock.Time) *balance.Waiter[chan *refusal] {
+// waiterOf returns the request as one that waits; lead is the time in ms from its turn to the first event of a stream.
+func waiterOf(c *call, now clock.Time, lead clock.Span) *balance.Waiter[chan *refusal] {
 	w := &balance.Waiter[chan *refusal]{Priority: c.rank(), Value: make(chan *refusal, 1)}
 	if c.route.Kind == routing.Stream {
-		w.OnTime = c.start.Add(c.route.Aim - firstEvent)
+		w.OnTime = c.start.Add(c.route.Aim - callerLag - lead)
 		w.Latest = min(now.Add(longestHold), c.deadline.Add(-usualWhole))
 		return w
 	}
