--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -114,7 +114,7 @@
 		{"diff", "show what a change ticket changes", "Shows each field that the change ticket in FILE would change in the state in force.", &diffCommand{ticketCommand{app: a}}},
 		{"status", "show what each process believes", "Shows one row a process. It exits with 1 where some processes did not answer, and 3 where none did.", &statusCommand{desk: desk{app: a}}},
 		{"wait", "wait until a ticket is in force", "Waits until ticket N is in force at every listed process.", &waitCommand{desk: desk{app: a}}},
-		{"explain", "show why a request went where it went", "Shows the decisions that the processes still hold on the request id KEY.", &explainCommand{desk: desk{app: a}}},
+		{"explain", "show why a request went where it went", "Shows the decisions that the processes still hold on the request id KEY, or what their logs tell of it.", &explainCommand{desk: desk{app: a}}},
 		{"settings", "show the settings and where they come from", "Shows each setting, its value and its source: file, environment, flag or default. Secrets are hidden. Without a file it shows what each field means, in which unit, what it takes and its default.", &settingsCommand{app: a}},
 		{"schema", "show the JSON schema of a settings file", "Shows the JSON schema that settings files are checked against, with units, ranges and defaults.", &schemaCommand{app: a}},
 		{"plan", "plan expert maps", "Reads reports of expert counts as JSON lines from standard input and answers each with a line on standard output.", &planCommand{app: a}},
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -127,6 +127,13 @@
 		ends(t, command(&app{}, "wait", "4", "--ask", address), ExitDone, "ticket 4 is in force everywhere")
 		ends(t, command(&app{}, "wait", "5", "--timeout=1", "--ask", address), ExitRefused, "at ticket 4")
 	})
+	t.Run("explain from logs", func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "log")
+		require.NoError(t, os.WriteFile(path, []byte(`{"msg":"request","id":"k","name":"front-1","reason":"dial","ts":"2026-01-01T00:00:00Z"}`), 0o600))
+		ends(t, command(&app{}, "explain", "k", "--logs", path), ExitDone, "reason=dial")
+		ends(t, command(&app{}, "explain", "absent", "--logs", path), ExitRefused, "none of 1 lines is about it")
+		ends(t, command(&app{}, "explain", "k", "--logs", path+"x"), ExitRefused, "no such file")
+	})
 	t.Run("explain", func(t *testing.T) {
 		ends(t, command(&app{}, "explain", "k", "--ask", address), ExitDone, "a1")
 		ends(t, command(&app{}, "explain", "k", "--ask", silent), ExitRefused, "no process holds a decision")
--- a/internal/cli/desk.go
+++ b/internal/cli/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	"carawaypick/internal/config"
 	"carawaypick/internal/operator"
 	"carawaypick/internal/peer"
+	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
 
@@ -146,13 +148,17 @@
 // explainCommand shows the decisions on one request.
 type explainCommand struct {
 	desk
+	Logs     []string `long:"logs" value-name:"FILE" description:"Log file to read instead of asking processes, - for standard input; may be given several times"`
 	Position struct {
 		Key string `positional-arg-name:"KEY" description:"Request id"`
 	} `positional-args:"true" required:"true"`
 }
 
-// Execute asks every process for what it holds on the request.
+// Execute asks every process for what it holds on the request, or reads their logs.
 func (c *explainCommand) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.read()
+	}
 	replies, err := c.ask(c.Position.Key)
 	if err != nil {
 		return err
@@ -166,3 +172,39 @@
 	}
 	return operator.WriteDecisions(c.app.stdout, all)
 }
+
+// read shows what the logs tell of the request.
+func (c *explainCommand) read() (err error) {
+	defer func() { err = errors.Wrapf(err, "explain %q", c.Position.Key) }()
+	var all []telemetry.TrailLine
+	for _, path := range c.Logs {
+		lines, other, err := c.readFile(path)
+		if err != nil {
+			return err
+		}
+		if other > 0 {
+			fmt.Fprintf(c.app.stderr, "%s: %d lines are no log lines\n", path, other)
+		}
+		all = append(all, lines...)
+	}
+	trail := telemetry.Trail(all, c.Position.Key)
+	if len(trail) == 0 {
+		return errors.Newf("none of %d lines is about it", len(all))
+	}
+	if c.JSON {
+		return c.app.writeJSON(trail)
+	}
+	return telemetry.WriteTrail(c.app.stdout, trail)
+}
+
+func (c *explainCommand) readFile(path string) (lines []telemetry.TrailLine, other int, err error) {
+	if path == "-" {
+		return telemetry.ReadLog(c.app.stdin)
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { err = errors.CombineErrors(err, file.Close()) }()
+	return telemetry.ReadLog(file)
+}
--- /dev/null
+++ b/internal/telemetry/trail_test.go
@@ -0,0 +1,54 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const trailLog = `-3.1 front-1 {"msg":"backend server","name":"front-1","server":"a","revision":5,"ts":"2026-01-01T00:00:01Z"}
+{"msg":"backend server","name":"front-2","server":"a","revision":5,"ts":"2026-01-01T00:01:01Z"}
+{"msg":"evacuation","name":"front-2","zone":"z1","revision":6,"ts":"2026-01-01T00:01:02.200Z"}
+{"msg":"evacuation","name":"front-1","zone":"z1","revision":6,"ts":"2026-01-01T00:00:02.400Z"}
+no log line
+{"msg":"attempt failed","name":"front-1","id":"k","server":"a","reason":"dial","ts":"2026-01-01T00:00:02.300Z"}
+{"msg":"load","name":"front-1","service":"s","limit":4,"ts":"2026-01-01T00:00:02.350Z"}
+{"msg":"load","name":"front-2","service":"s","limit":4,"ts":"2026-01-01T00:00:02.350Z"}
+{"msg":"request","name":"front-1","id":"k","service":"s","outcome":"refused","took":200,"ts":"2026-01-01T00:00:02.500Z"}
+{"msg":"request","name":"front-1","id":"other","service":"s","outcome":"whole","ts":"2026-01-01T00:00:02.500Z"}
+{"msg":"started","name":"front-1","ts":"2025-01-01T00:00:02.500Z"}
+`
+
+func TestTrail(t *testing.T) {
+	lines, other, err := ReadLog(strings.NewReader(trailLog))
+	require.NoError(t, err)
+	assert.Equal(t, 1, other)
+	trail := Trail(lines, "k")
+	var order []string
+	for _, l := range trail {
+		order = append(order, l.Process+" "+l.Message)
+	}
+	assert.Equal(t, []string{
+		"front-1 backend server", "front-2 backend server", "front-2 evacuation", "front-1 attempt failed", "front-1 load",
+		"front-1 evacuation", "front-1 request",
+	}, order, "clocks a minute apart are compared")
+	var out bytes.Buffer
+	require.NoError(t, WriteTrail(&out, trail))
+	assert.Contains(t, out.String(), "*       0.0 front-1")
+	assert.Contains(t, out.String(), "reason=dial")
+	assert.Nil(t, Trail(lines, "absent"))
+}
+
+func FuzzReadLog(f *testing.F) {
+	f.Add([]byte(trailLog))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		lines, _, err := ReadLog(bytes.NewReader(content))
+		if err != nil {
+			return
+		}
+		assert.NoError(t, WriteTrail(&bytes.Buffer{}, Trail(lines, "k")))
+	})
+}
