Pass signs of life on in a large circle, and keep to groups that serve

Change: a message goes to 24 peers in turn and passes on whom its sender heard within 600 ms; silent peers get 3 places. TestCircleOfManyEntries plays 150 entries, half of which end at one moment.

--- a/internal/direct/belief_test.go
+++ b/internal/direct/belief_test.go
@@ -170,7 +170,7 @@
 	p := NewPeers(s, clock.Fixed(&now), log.NewNopLogger(), board, func() beat { return beat{IP: s.IP} }, func(string) engine.Roster { return engine.Roster{} })
 	server := &routing.Server{ID: "a"}
 	tell := func(number uint64, born int64, flights int) {
-		p.hear(beat{Name: "f", IP: "10.0.0.2", Control: "c", Born: born, Number: number, Ready: true, Revision: 7, Flights: map[string]int{"a": flights}, Known: []string{"10.0.0.3", "10.0.0.1"}})
+		p.hear(beat{Name: "f", IP: "10.0.0.2", Control: "c", Born: born, Number: number, Ready: true, Revision: 7, Flights: map[string]int{"a": flights}, Known: []sign{{IP: "10.0.0.3"}, {IP: "10.0.0.1"}}})
 	}
 	tell(2, 1, 5)
 	t.Run("counts of peers add to the load", func(t *testing.T) {
--- a/internal/direct/board.go
+++ b/internal/direct/board.go
@@ -102,6 +102,42 @@
 	return len(servers) > 0
 }
 
+// Serving returns the servers that are in no group of ranks that rejects work, or all where each is in one.
+func (b *Board) Serving(servers []*routing.Server) (open []*routing.Server) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.groups) == 0 {
+		return servers
+	}
+	for _, s := range servers {
+		if s.Group == "" || b.groups[s.Service+"/"+s.Group] == nil {
+			open = append(open, s)
+		}
+	}
+	if len(open) == 0 {
+		return servers
+	}
+	return open
+}
+
+// Trial returns the servers of a group that rejected work and is due to be tried, and counts the trial.
+func (b *Board) Trial(servers []*routing.Server) (trial []*routing.Server) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	tried := ""
+	for _, s := range servers {
+		name := s.Service + "/" + s.Group
+		d := b.groups[name]
+		if d == nil || (tried != name && (tried != "" || !d.Try(now))) {
+			continue
+		}
+		tried = name
+		trial = append(trial, s)
+	}
+	return trial
+}
+
 // Running returns the requests in flight at the servers, from all entries.
 func (b *Board) Running(servers []*routing.Server) int {
 	b.mu.Lock()
--- a/internal/direct/entry.go
+++ b/internal/direct/entry.go
@@ -182,6 +182,13 @@
 	if len(servers) == 0 {
 		return nil, &refusal{http.StatusServiceUnavailable, "the service has no usable backend server", emptyAfter}
 	}
+	if serving := e.board.Serving(servers); len(serving) < len(servers) {
+		trial := e.board.Trial(servers)
+		servers = serving
+		if len(trial) > 0 && c.attempts == 0 {
+			servers = trial
+		}
+	}
 	places := e.board.Candidates(servers, c.service, c.tried)
 	i := balance.Pick(places, e.settings.Load().Zone, e.peers.Part(), rand.Uint64)
 	if i < 0 {
--- a/internal/direct/entry_test.go
+++ b/internal/direct/entry_test.go
@@ -62,6 +62,29 @@
 	assert.Equal(t, 1, b.count())
 }
 
+// TestEntryKeepsToOpenGroups replays a group of ranks that never forms beside one that serves.
+func TestEntryKeepsToOpenGroups(t *testing.T) {
+	open := newBackend(t, plainOK)
+	closed := newBackend(t, func(conn net.Conn, r *http.Request) {
+		say(conn, r, "503 Service Unavailable\nId: $ID\nNotrun: 1\nContent-Length: 0\n\n")
+	})
+	e, url := newTestEntry(t, open, closed)
+	for id, s := range e.belief.View().Servers {
+		s.Group = "g" + id
+	}
+	start := time.Now()
+	for range 60 {
+		response, err := ask(t, t.Context(), http.MethodPost, url+"/unsafe/", "")
+		require.NoError(t, err)
+		assert.Equal(t, 200, response.status)
+	}
+	trials := 2 + int(time.Since(start).Milliseconds())/int(firstTrialOfDoor)
+	assert.LessOrEqual(t, closed.count(), trials, "of 60 requests")
+}
+
+// firstTrialOfDoor is the shortest time in ms between two trials of a group that rejects work.
+const firstTrialOfDoor = 100
+
 // once answers a request by the first script the first time, by the second from then on.
 func once(first, then script) script {
 	done := make(chan struct{}, 1)
--- a/internal/direct/follow_test.go
+++ b/internal/direct/follow_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"carawaypick/internal/datagram"
 	"carawaypick/internal/engine"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
@@ -188,3 +189,70 @@
 		assert.NoError(t, response.Body.Close())
 	})
 }
+
+// TestCircleOfManyEntries plays the messages of 150 entries, half of which are lost at one moment.
+func TestCircleOfManyEntries(t *testing.T) {
+	const (
+		count = 150
+		rate  = 90      // messages a second that an entry sends
+		size  = 2 << 10 // bytes of a message without what is in flight
+		bound = 4 * clock.Second
+	)
+	now := clock.Time(1)
+	all := make(map[string]*Peers)
+	due := make(map[string]clock.Time)
+	var ips []string
+	for i := range count {
+		s := Settings{Name: "e", IP: fmt.Sprintf("10.0.%d.%d", i/100, i%100+1), Ports: []int{1, 2}, Seeds: []string{"10.0.0.1:9", "10.0.0.2:9"}}
+		all[s.IP] = NewPeers(s, clock.Fixed(&now), log.NewNopLogger(), NewBoard(clock.Fixed(&now)),
+			func() beat { return beat{IP: s.IP, Front: s.IP, Ready: true} }, func(string) engine.Roster { return engine.Roster{} })
+		ips = append(ips, s.IP)
+		due[s.IP] = now.Add(clock.Span(i % 100))
+	}
+	sent := 0
+	play := func(length clock.Span) {
+		sent = 0
+		for end := now.Add(length); now < end; now = now.Add(10) {
+			for _, ip := range ips {
+				p := all[ip]
+				if p == nil || now < due[ip] {
+					continue
+				}
+				due[ip] = now.Add(p.period())
+				message, targets := p.compose()
+				if ip == ips[0] {
+					content, err := datagram.Encode(message)
+					require.NoError(t, err)
+					require.Less(t, len(content), size)
+				}
+				sent += len(targets)
+				for _, to := range targets {
+					if all[to] != nil {
+						all[to].hear(message)
+					}
+				}
+			}
+		}
+	}
+	named := func() (least, most int) {
+		least = count
+		for _, p := range all {
+			least, most = min(least, len(p.Fronts())), max(most, len(p.Fronts()))
+		}
+		return least, most
+	}
+	play(10 * clock.Second) // before traffic starts
+	least, _ := named()
+	assert.Equal(t, count-1, least, "all know all")
+	play(2 * clock.Second)
+	assert.Less(t, sent, rate*count*2)
+	for i, ip := range ips {
+		if i%2 == 1 {
+			delete(all, ip)
+		}
+	}
+	play(bound)
+	least, most := named()
+	assert.Equal(t, count/2-1, least, "those that live are named")
+	assert.Equal(t, count/2-1, most, "those that are gone are not")
+}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -19,15 +20,19 @@
 )
 
 const (
-	beatPeriod   = 100 * clock.Millisecond  // between two messages to each peer
-	beatShare    = 12 * clock.Millisecond   // for each peer, so that a larger circle costs an entry no more
-	silentAfter  = 1500 * clock.Millisecond // a peer that is silent so long is not named to callers and holds nothing
-	forgetAfter  = time.Minute              // a peer that is silent so long gets no more messages
-	maxDatagram  = 60 << 10                 // bytes
-	maxFlights   = 2000                     // backend servers named in one message, which keeps it within a datagram
-	sparePart    = 1.0                      // part of a sum over all entries that is kept for an entry nobody has heard of yet
-	readers      = 3                        // entries that read the store, so that the loss of any two goes unnoticed
-	leastParties = 3                        // entries among which a sum is divided at least
+	beatPeriod    = 100 * clock.Millisecond  // between two messages to each peer
+	beatShare     = 12 * clock.Millisecond   // for each peer that is told, so that a larger circle costs an entry no more
+	beatTargets   = 24                       // most peers that one message goes to; the next one goes to others
+	silentTargets = 3                        // of them, silent ones that may be back
+	mostSigns     = 2 * beatTargets          // signs of life passed on in one message: a few more than come in between two
+	relayWithin   = 600 * clock.Millisecond  // age up to which a peer's sign of life is passed on: about two periods
+	silentAfter   = 1500 * clock.Millisecond // a peer that is silent so long is not named to callers and holds nothing
+	forgetAfter   = time.Minute              // a peer that is silent so long gets no more messages
+	maxDatagram   = 60 << 10                 // bytes
+	maxFlights    = 2000                     // backend servers named in one message, which keeps it within a datagram
+	sparePart     = 1.0                      // part of a sum over all entries that is kept for an entry nobody has heard of yet
+	readers       = 3                        // entries that read the store, so that the loss of any two goes unnoticed
+	leastParties  = 3                        // entries among which a sum is divided at least
 )
 
 // beat is what an entry tells the others about itself, by UDP.
@@ -44,15 +49,22 @@
 	Revision int64              // of the store, up to which one must have read to know what it knows
 	Flights  map[string]int     // its requests in flight by backend server
 	Costs    map[string]float64 // ms that a request adds to a pass, by service
-	Known    []string           // addresses of the peers that it hears
+	Known    []sign             // the peers that it has heard itself lately
 
 	Ask string // an agent asks for the group of its engine
 }
 
+// sign is a sign of life of a peer.
+type sign struct {
+	IP  string
+	Age clock.Span // in ms since it was heard
+}
+
 // fellow is another entry.
 type fellow struct {
 	last  beat
-	heard clock.Time
+	heard clock.Time // last own or relayed sign of life
+	told  clock.Time // last message of its own
 	alive bool
 }
 
@@ -73,6 +85,7 @@
 	number  uint64
 	fellows map[string]*fellow    // by IP
 	targets map[string]clock.Time // IPs to send to, with the moment of the last sign of them
+	round   []string              // targets that are still to be told in this round
 	most    int                   // most entries alive at one time
 }
 
@@ -158,7 +171,7 @@
 func (p *Peers) period() clock.Span {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(beatPeriod, beatShare*clock.Span(len(p.targets)))
+	return max(beatPeriod, beatShare*clock.Span(min(len(p.targets), beatTargets)))
 }
 
 // Costs returns what the living peers have seen a request cost of a pass of the service's engines.
@@ -173,22 +186,55 @@
 	return costs
 }
 
-func (p *Peers) send(conn net.PacketConn) {
-	message := p.self()
+// compose returns the next message and the peers that it goes to.
+func (p *Peers) compose() (message beat, targets []string) {
+	message = p.self()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.expire()
 	p.number++
 	message.Number = p.number
-	targets := make([]string, 0, len(p.targets))
-	for ip := range p.targets {
-		targets = append(targets, ip)
-	}
+	now := p.clock.Now()
 	for ip, f := range p.fellows {
-		if f.alive {
-			message.Known = append(message.Known, ip)
+		if age := now.Sub(f.told); f.alive && age <= relayWithin && len(message.Known) < mostSigns {
+			message.Known = append(message.Known, sign{IP: ip, Age: age})
+		}
+	}
+	return message, p.turn()
+}
+
+// turn returns the next peers to tell: living ones in turn, and in the places that are left a few silent ones, which may
+// be back; mu is held.
+func (p *Peers) turn() (targets []string) {
+	var living, silent []string
+	for ip := range p.targets {
+		if p.silent(ip) {
+			silent = append(silent, ip)
+		} else {
+			living = append(living, ip)
 		}
 	}
-	p.mu.Unlock()
+	p.round = slices.DeleteFunc(p.round, p.silent)
+	if len(p.round) == 0 {
+		p.round = living
+		rand.Shuffle(len(p.round), func(i, j int) { p.round[i], p.round[j] = p.round[j], p.round[i] })
+	}
+	rand.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
+	silent = silent[:min(len(silent), max(silentTargets, beatTargets-len(living)))]
+	count := min(len(p.round), beatTargets-min(len(silent), silentTargets))
+	targets = append(silent, p.round[:count]...)
+	p.round = p.round[count:]
+	return targets
+}
+
+// silent tells whether the peer was heard once and is not any more; mu is held.
+func (p *Peers) silent(ip string) bool {
+	f := p.fellows[ip]
+	return f != nil && !f.alive
+}
+
+func (p *Peers) send(conn net.PacketConn) {
+	message, targets := p.compose()
 	content, err := datagram.Encode(message)
 	if err != nil {
 		level.Error(p.logger).Log("msg", "message to peers not sent", "error", err)
@@ -259,17 +305,29 @@
 	if b.Revision > f.last.Revision {
 		signal(p.News)
 	}
-	f.last, f.heard, f.alive = b, now, true
+	f.last, f.heard, f.told, f.alive = b, now, now, true
 	p.targets[b.IP] = now
-	for _, ip := range b.Known {
-		if _, known := p.targets[ip]; !known && ip != p.ip {
-			p.targets[ip] = now
-		}
+	for _, k := range b.Known {
+		p.relayed(now, k)
 	}
 	p.board.Hear(b.IP, b.Flights)
 	p.most = max(p.most, p.alive()+1)
 }
 
+// relayed takes in a sign of life that another peer passes on.
+func (p *Peers) relayed(now clock.Time, k sign) {
+	if k.IP == p.ip {
+		return
+	}
+	if _, known := p.targets[k.IP]; !known {
+		p.targets[k.IP] = now
+	}
+	if f := p.fellows[k.IP]; f != nil && f.alive {
+		f.heard = max(f.heard, now.Add(-k.Age))
+		p.targets[k.IP] = max(p.targets[k.IP], f.heard)
+	}
+}
+
 func (p *Peers) alive() int {
 	count := 0
 	for _, f := range p.fellows {
--- a/internal/direct/turn.go
+++ b/internal/direct/turn.go
@@ -114,7 +114,7 @@
 
 // turn waits until the request may be sent, or says why it may not.
 func (e *Entry) turn(ctx context.Context, c *call) *refusal {
-	servers := e.belief.View().Services[c.service.Name]
+	servers := e.board.Serving(e.belief.View().Services[c.service.Name])
 	now := e.clock.Now()
 	e.turns.mu.Lock()
 	q := e.turns.of(c.service)
@@ -193,7 +193,7 @@
 		for _, w := range q.line.Expired(now) {
 			w.Value <- &refusal{http.StatusServiceUnavailable, "no place became free in time", returnAfter}
 		}
-		servers := view.Services[name]
+		servers := e.board.Serving(view.Services[name])
 		for q.line.Len() > 0 && e.room(name, q, servers, now) >= 1 && !e.board.Closed(servers, true) {
 			w, _ := q.line.Pop(now)
 			q.line.Start(now)
@@ -210,7 +210,7 @@
 	e.turns.mu.Lock()
 	defer e.turns.mu.Unlock()
 	for name, q := range e.turns.services {
-		servers := view.Services[name]
+		servers := e.board.Serving(view.Services[name])
 		if q.events < leastEvents || len(servers) == 0 {
 			continue
 		}
