See three more decisions red: the time that is left, leaving, and maps passed on

TestEntryTellsTheTimeThatIsLeft, TestEntryServesOnWhileItLeaves and TestRelayOnward, each red with its decision taken out. Green without it: that silent peers are taken out of a round that has begun.

--- a/internal/direct/entry_test.go
+++ b/internal/direct/entry_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -62,6 +64,45 @@
 	assert.Equal(t, 1, b.count())
 }
 
+func TestEntryTellsTheTimeThatIsLeft(t *testing.T) {
+	const lost = 150 // ms that the first attempt takes
+	b := newBackend(t, once(func(conn net.Conn, _ *http.Request) {
+		time.Sleep(lost * time.Millisecond)
+		_ = conn.Close()
+	}, plainOK))
+	other := newBackend(t, plainOK)
+	_, url := newTestEntry(t, b, other)
+	for b.count() == 0 {
+		response, err := ask(t, t.Context(), http.MethodGet, url+"/safe/", "")
+		require.NoError(t, err)
+		assert.Equal(t, 200, response.status)
+	}
+	require.Len(t, other.requests, other.count())
+	left, err := strconv.Atoi(other.requests[len(other.requests)-1].Header.Get("Budget"))
+	require.NoError(t, err)
+	assert.LessOrEqual(t, left, 600-lost, "of the route's 600 ms")
+	assert.Positive(t, left)
+}
+
+func TestEntryServesOnWhileItLeaves(t *testing.T) {
+	e, _ := newTestEntry(t, newBackend(t, plainOK))
+	server := httptest.NewServer(e)
+	defer server.Close()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		e.leave([]*http.Server{server.Config})
+	}()
+	time.Sleep(100 * time.Millisecond)
+	response, err := ask(t, t.Context(), http.MethodGet, server.URL+"/safe/", "")
+	require.NoError(t, err, "callers may still hold its address")
+	assert.Equal(t, 200, response.status)
+	assert.False(t, e.ready(), "no new callers are sent here")
+	<-left
+	_, err = ask(t, t.Context(), http.MethodGet, server.URL+"/safe/", "")
+	assert.Error(t, err)
+}
+
 // TestEntryKeepsToOpenGroups replays a group of ranks that never forms beside one that serves.
 func TestEntryKeepsToOpenGroups(t *testing.T) {
 	open := newBackend(t, plainOK)
--- a/internal/engine/desk_test.go
+++ b/internal/engine/desk_test.go
@@ -302,3 +302,48 @@
 		assert.Equal(t, expert.None, r.Held)
 	}
 }
+
+// TestRelayOnward sends one map to a process that passes it on to another; both tell the director.
+func TestRelayOnward(t *testing.T) {
+	director, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { assert.NoError(t, director.Close()) }()
+	port := director.LocalAddr().(*net.UDPAddr).Port
+	g := &fakeGroup{ranks: make([]Report, 3), maps: map[int64]expert.Map{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var ended []chan error
+	for rank := 1; rank < 3; rank++ {
+		a := New(Settings{IP: "127.0.0." + strconv.Itoa(rank+1), Port: port, Engine: "127.0.0.9:" + strconv.Itoa(rank)},
+			Dialect{Report: g.report, Counts: g.counts, Lists: g.held, Order: g.order}, clock.New(), log.NewNopLogger())
+		done := make(chan error, 1)
+		ended = append(ended, done)
+		go func() { done <- a.Run(ctx) }()
+	}
+	content, err := datagram.Encode(message{Order: &relay{
+		Command:  expert.Command{ID: 7, Rank: 1, Op: expert.OpPrepare, Version: 5},
+		Director: "127.0.0.1",
+		Onward:   []onward{{ID: 8, Rank: 2, IP: "127.0.0.3"}},
+	}})
+	require.NoError(t, err)
+	done := map[uint64]bool{}
+	buffer := make([]byte, datagram.Most)
+	assert.Eventually(t, func() bool {
+		_, _ = director.WriteTo(content, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2), Port: port}) // until the process listens
+		require.NoError(t, director.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		for {
+			n, _, err := director.ReadFrom(buffer)
+			if err != nil {
+				return done[7] && done[8]
+			}
+			var m message
+			if datagram.Decode(buffer[:n], &m) == nil && m.Reply != nil && m.Reply.Reply == expert.ReplyDone {
+				done[m.Reply.ID] = true
+			}
+		}
+	}, 10*time.Second, 10*time.Millisecond)
+	cancel()
+	for _, e := range ended {
+		assert.NoError(t, <-e)
+	}
+	assert.Equal(t, int64(5), g.ranks[2].Prepared)
+}
