Tell an asker nothing where the number of experts has changed

Cause: counts are told as a difference to the last ones; after a configuration with another number of experts in a set the process beside a rank would have ended with an index out of range. Found by reading; TestCountsSince panicked before.

--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -308,6 +308,9 @@
 		return nil
 	}
 	for set, line := range c.Sets {
+		if len(before.counts[set]) != len(line) {
+			return nil // the configuration has another number of experts now
+		}
 		grown := make([]int64, len(line))
 		for e, count := range line {
 			grown[e] = max(count-before.counts[set][e], 0)
--- a/internal/engine/desk_test.go
+++ b/internal/engine/desk_test.go
@@ -177,6 +177,7 @@
 	assert.Equal(t, [][]int64{{1, 0}}, a.since(0, 1, Counts{Sets: [][]int64{{6, 7}}}))
 	assert.Nil(t, a.since(1, 1, Counts{Sets: [][]int64{{6, 7}}}), "each asker has a count of its own")
 	assert.Nil(t, a.since(0, 2, Counts{Sets: [][]int64{{1, 1}}}), "an engine that started again counts from zero")
+	assert.Nil(t, a.since(0, 2, Counts{Sets: [][]int64{{1, 1, 1}}}), "other experts than before")
 	assert.Nil(t, a.since(directors, 2, Counts{}), "only processes that may direct are told")
 }
 
