--- a/internal/telemetry/trail.go
+++ b/internal/telemetry/trail.go
@@ -47,7 +47,7 @@
 		content := scanner.Bytes()
 		var fields map[string]any
 		start := bytes.IndexByte(content, '{')
-		if start < 0 || json.Unmarshal(content[start:], &fields) != nil {
+		if start < 0 || unmarshal(content[start:], &fields) != nil {
 			other++
 			continue
 		}
@@ -61,6 +61,23 @@
 	return lines, other, errors.Wrap(scanner.Err(), "read log")
 }
 
+// unmarshal keeps numbers as they were written: versions are longer than a float shows.
+func unmarshal(content []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.UseNumber()
+	return decoder.Decode(into)
+}
+
+// number returns the value of a field that holds a number.
+func number(v any) (value float64, ok bool) {
+	n, ok := v.(json.Number)
+	if !ok {
+		return 0, false
+	}
+	value, err := n.Float64()
+	return value, err == nil
+}
+
 func text(v any) string {
 	s, ok := v.(string)
 	if !ok {
@@ -85,7 +102,7 @@
 	first, last := own[0].Time.Add(-offsets[own[0].Process]), own[0].Time
 	for _, l := range own {
 		moment := l.Time.Add(-offsets[l.Process])
-		if took, ok := l.Fields["took"].(float64); ok {
+		if took, ok := number(l.Fields["took"]); ok {
 			moment = moment.Add(-time.Duration(took) * time.Millisecond)
 		}
 		if moment.Before(first) {
@@ -122,7 +139,7 @@
 	}
 	seen := make(map[change]map[string]time.Time)
 	for _, l := range lines {
-		revision, ok := l.Fields["revision"].(float64)
+		revision, ok := number(l.Fields["revision"])
 		if !ok || (l.Message != "configuration in force" && l.Message != "backend server" && l.Message != "evacuation") {
 			continue
 		}
--- a/internal/telemetry/trail_test.go
+++ b/internal/telemetry/trail_test.go
@@ -14,7 +14,7 @@
 {"msg":"evacuation","name":"front-2","zone":"z1","revision":6,"ts":"2026-01-01T00:01:02.200Z"}
 {"msg":"evacuation","name":"front-1","zone":"z1","revision":6,"ts":"2026-01-01T00:00:02.400Z"}
 no log line
-{"msg":"attempt failed","name":"front-1","id":"k","server":"a","reason":"dial","ts":"2026-01-01T00:00:02.300Z"}
+{"msg":"attempt failed","name":"front-1","id":"k","server":"a","reason":"dial","version":1814173151113216,"ts":"2026-01-01T00:00:02.300Z"}
 {"msg":"load","name":"front-1","service":"s","limit":4,"ts":"2026-01-01T00:00:02.350Z"}
 {"msg":"load","name":"front-2","service":"s","limit":4,"ts":"2026-01-01T00:00:02.350Z"}
 {"msg":"request","name":"front-1","id":"k","service":"s","outcome":"refused","took":200,"ts":"2026-01-01T00:00:02.500Z"}
@@ -39,6 +39,7 @@
 	require.NoError(t, WriteTrail(&out, trail))
 	assert.Contains(t, out.String(), "*       0.0 front-1")
 	assert.Contains(t, out.String(), "reason=dial")
+	assert.Contains(t, out.String(), "version=1814173151113216")
 	assert.Nil(t, Trail(lines, "absent"))
 }
 
