Log the content of requests and the crashes under them

The lines 'request' and 'attempt failed' now carry the fingerprint of team, path and body, and an attempt whose connection broke tells whether the address refuses a new connection. No decision uses it yet.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -124,11 +124,16 @@
 		e.releaseConn(c, s, x, clean)
 	}
 	e.loads.End(s.ID, signal)
+	crashed := e.serverCrashed(c, s, x)
+	if crashed {
+		e.metrics.Crashes.Get("refused").Inc()
+	}
 	e.updateServerState(s, x)
 	e.dispatch()
 	if x.outcome != outcomeAnswered {
 		e.limitedLogger.Log("attempt", "msg", "attempt failed", "id", c.ID, "server", s.ID, "address", s.Address, "reason", x.reason,
-			"error", x.err, "attempt", c.attempts, "notrun", x.outcome == outcomeNotExecuted, "took", e.clock.Since(c.start))
+			"error", x.err, "attempt", c.attempts, "notrun", x.outcome == outcomeNotExecuted, "crashed", crashed,
+			"content", formatFingerprint(c.content), "took", e.clock.Since(c.start))
 	}
 }
 
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -48,6 +48,7 @@
 	request       *http.Request
 	path          string
 	body          []byte
+	content       uint64 // fingerprint of the request
 	start         clock.Time
 	route         *routing.Route
 	team          routing.Team
@@ -128,7 +129,7 @@
 		}
 		return &rejection{http.StatusBadRequest, "the body can't be read: " + err.Error(), 0}
 	}
-	c.body = content
+	c.body, c.content = content, fingerprint(c.team.Name, c.request.RequestURI, content)
 	c.deadline = c.start.Add(c.timeout())
 	return nil
 }
@@ -253,7 +254,7 @@
 		"team", c.team.Name, "attempts", c.attempts, "servers", strings.Join(c.tried, " "), "revision", view.Revision,
 	}
 	if c.route != nil {
-		line = append(line, "route", c.route.Name, "service", c.service.Name)
+		line = append(line, "route", c.route.Name, "service", c.service.Name, "content", formatFingerprint(c.content))
 		e.metrics.Latency.Get(c.service.Name).Update(float64(e.clock.Since(c.start)))
 	}
 	if view.Config != nil {
