Keep the latest crashes in a full suspect tracker

A full tracker dropped its oldest crash for a report of an even older one. Two processes that exchange reports would replace each other's crashes for as long as they are kept. Such a report is now ignored. The new case of TestSuspects failed before.

--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -25,7 +25,7 @@
 }
 
 const (
-	// maxCrashes is the maximum number of recorded crashes; the oldest is dropped first.
+	// maxCrashes is the maximum number of recorded crashes; the latest are kept.
 	maxCrashes = 256
 	// maxContents is the maximum number of recorded contents per crash.
 	maxContents = 1024
@@ -62,8 +62,8 @@
 func (s *SuspectTracker) AddCrash(c Crash) (isNew bool) {
 	i := slices.IndexFunc(s.crashes, func(r recordedCrash) bool { return r.id == c.ID })
 	if i < 0 {
-		if len(s.crashes) >= maxCrashes {
-			s.dropOldestCrash()
+		if len(s.crashes) >= maxCrashes && !s.dropCrashBefore(c.At) {
+			return false
 		}
 		i, isNew = len(s.crashes), true
 		s.crashes = append(s.crashes, recordedCrash{id: c.ID, isolated: c.Isolated, at: c.At, contents: make(map[uint64]int)})
@@ -266,12 +266,17 @@
 	}
 }
 
-func (s *SuspectTracker) dropOldestCrash() {
+// dropCrashBefore drops the oldest crash if it is older than at, and reports whether it was.
+func (s *SuspectTracker) dropCrashBefore(at clock.Time) bool {
 	oldest := 0
 	for i := range s.crashes {
 		if s.crashes[i].at < s.crashes[oldest].at {
 			oldest = i
 		}
 	}
+	if s.crashes[oldest].at >= at {
+		return false
+	}
 	s.crashes = slices.Delete(s.crashes, oldest, oldest+1)
+	return true
 }
--- a/internal/balance/suspect_test.go
+++ b/internal/balance/suspect_test.go
@@ -120,6 +120,15 @@
 		assert.True(t, s.AddCrash(Crash{ID: "a.1", Contents: []uint64{2, 3}, At: 1001}))
 		assert.Equal(t, []Crash{{ID: "a.1", Contents: []uint64{1, 2, 3}, Unlikely: []uint64{1}, At: 1000}}, s.Crashes(1000))
 	})
+	t.Run("a full tracker keeps the latest crashes in any order of the reports", func(t *testing.T) {
+		s := NewSuspectTracker(retention)
+		for i := range maxCrashes {
+			s.AddCrash(Crash{ID: fmt.Sprint(i), Contents: []uint64{1}, At: 1000})
+		}
+		assert.False(t, s.AddCrash(Crash{ID: "older", Contents: []uint64{2}, At: 999}))
+		assert.False(t, s.Suspected(1000, 2))
+		assert.True(t, s.AddCrash(Crash{ID: "newer", Contents: []uint64{3}, At: 1001}))
+	})
 	t.Run("crashes expire", func(t *testing.T) {
 		s := NewSuspectTracker(retention)
 		s.AddCrash(first)
