Merge completed runs that follow each other closely

An entry skipped the completion of a content that another entry reported if it was less than a second later than the one it knew. Where a crash lay between the two, the entries judged the content differently and pulled each other's evidence twice a second. A completion is now always recorded, and relayed if it clears a crash.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -21,9 +21,6 @@
 	maxReports          = 16                      // crash reports in one heartbeat
 	maxReportedContents = 512                     // contents in flight in the reports of one heartbeat, but for its first report
 	evidenceInterval    = 500 * clock.Millisecond // between two comparisons of digests; shorter, news under way would be pulled too
-	// completionTolerance is how much later a completion must be than the recorded one to be news; the ages that entries
-	// send are some ms apart.
-	completionTolerance = clock.Second
 )
 
 // crashReport is a crash of a backend server in the messages between entries.
@@ -115,18 +112,24 @@
 		}
 	}
 	for _, done := range v.Completed {
-		at := now.Add(-done.Age)
-		if old, known := s.tracker.CompletedAt(done.Content); known && at <= old.Add(completionTolerance) {
-			continue
-		}
-		for _, id := range s.tracker.CrashesWith(now, done.Content) {
-			s.announced[id] = max(s.announced[id], relayedReportRounds)
-		}
-		s.tracker.RecordCompleted(at, done.Content)
+		s.addCompletion(now, done)
 	}
 	return news
 }
 
+// addCompletion records a completion that another entry reported, and relays it if it speaks for the content; mu is held.
+func (s *suspectSet) addCompletion(now clock.Time, done completion) {
+	_, known := s.tracker.CompletedAt(done.Content)
+	before := s.tracker.CrashesWith(now, done.Content)
+	s.tracker.RecordCompleted(now.Add(-done.Age), done.Content)
+	if known && len(s.tracker.CrashesWith(now, done.Content)) == len(before) {
+		return
+	}
+	for _, id := range before {
+		s.announced[id] = max(s.announced[id], relayedReportRounds)
+	}
+}
+
 // all returns all evidence.
 func (s *suspectSet) all() evidence {
 	now := s.clock.Now()
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -46,7 +46,7 @@
 					rapid.SampledFrom(all).Draw(t, "receiver").merge(news)
 				}
 			case "time":
-				now = now.Add(completionTolerance + 1)
+				now = now.Add(clock.Span(rapid.IntRange(1, 2000).Draw(t, "ms")))
 			}
 		}
 		for range all { // pulls
