Pull evidence of crashes less often from peers that can't agree

Entries that hold different sets of crashes for good, because more than the tracker keeps happened at once, would pull each other's evidence twice a second until the crashes expire. After a pull without news the pause now doubles, up to 32 s; a change of either digest ends it.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -392,17 +392,19 @@
 	return control, ok
 }
 
-// WithOtherEvidence returns the control address of a live peer whose digest of the evidence of crashes differs; ok is
-// false if there is none.
-func (p *PeerSet) WithOtherEvidence(digest uint64) (control string, ok bool) {
+// WithOtherEvidence returns the control address and the digest of the first live peer, by IP address, whose digest of the
+// evidence of crashes differs from own; other is 0 if there is none.
+func (p *PeerSet) WithOtherEvidence(own uint64) (control string, other uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, peer := range p.peers {
-		if peer.alive && peer.lastMessage.Evidence != 0 && peer.lastMessage.Evidence != digest {
-			return peer.lastMessage.Control, true
+	first := ""
+	for ip, peer := range p.peers {
+		differs := peer.alive && peer.lastMessage.Evidence != 0 && peer.lastMessage.Evidence != own
+		if differs && (other == 0 || ip < first) {
+			first, control, other = ip, peer.lastMessage.Control, peer.lastMessage.Evidence
 		}
 	}
-	return "", false
+	return control, other
 }
 
 // Share returns the fraction of a limit over all entries that this entry may use without coordination; it never grows
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -236,27 +236,60 @@
 	}
 }
 
-// evidenceLoop pulls the evidence of a peer whose digest differs at two checks in a row.
+// evidenceLoop pulls the evidence of peers whose digest differs.
 func (e *Entry) evidenceLoop(ctx context.Context) error {
 	ticker := time.NewTicker(evidenceInterval.Duration())
 	defer ticker.Stop()
-	differed := false
+	var pacer pullPacer
 	for {
+		urgent := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-e.suspects.pullNow:
-			differed = true
+			urgent = true
 		case <-ticker.C:
 		}
-		control, differs := e.peers.WithOtherEvidence(e.suspects.digest())
-		if !differs || !differed {
-			differed = differs
+		own := e.suspects.digest()
+		control, other := e.peers.WithOtherEvidence(own)
+		due := pacer.due(own, other)
+		if other == 0 || (!due && !urgent) {
 			continue
 		}
 		if err := e.pullEvidence(ctx, control); err != nil {
 			level.Warn(e.limitedLogger.Logger).Log("msg", "evidence of crashes not pulled from a peer, trying again", "error", err)
+			continue
 		}
+		pacer.pulled(own != e.suspects.digest())
+	}
+}
+
+// maxPullPause is the maximum number of checks between two pulls that tell nothing new.
+const maxPullPause = 64
+
+// pullPacer spaces out the pulls of evidence. Digests that differ only for one check are left to the heartbeats, and
+// entries that can't agree, because one of them holds no more crashes, pull less and less often until either has news.
+type pullPacer struct {
+	own, other uint64 // digests at the last check
+	pause      int    // checks between two pulls, 0 for the first
+	wait       int    // checks until the next pull
+}
+
+// due reports whether to pull now; other is a peer's digest, 0 if none differs from own.
+func (p *pullPacer) due(own, other uint64) bool {
+	if other == 0 || own != p.own || other != p.other {
+		*p = pullPacer{own: own, other: other}
+		return false
+	}
+	p.wait--
+	return p.wait < 0
+}
+
+// pulled records whether a pull told anything new.
+func (p *pullPacer) pulled(news bool) {
+	if !news {
+		p.pause = min(max(2*p.pause, 1), maxPullPause)
+		p.wait = p.pause
 	}
 }
 
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -125,10 +125,38 @@
 	e := &Entry{suspects: newTestSuspects(&now), limitedLogger: &telemetry.RateLimitedLogger{Logger: log.NewNopLogger(), Clock: clock.Manual(&now)}}
 	e.peers = newTestPeerSets(&now, 1, nil, nil)[0]
 	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Control: strings.TrimPrefix(server.URL, "http://"), Evidence: peer.suspects.digest()})
-	control, differs := e.peers.WithOtherEvidence(e.suspects.digest())
-	require.True(t, differs)
+	control, other := e.peers.WithOtherEvidence(e.suspects.digest())
+	require.NotZero(t, other)
 	require.NoError(t, e.pullEvidence(t.Context(), control))
 	assert.True(t, isQuarantined(e.suspects, 7))
-	_, differs = e.peers.WithOtherEvidence(e.suspects.digest())
-	assert.False(t, differs)
+	_, other = e.peers.WithOtherEvidence(e.suspects.digest())
+	assert.Zero(t, other)
+}
+
+// TestEntriesThatDisagreePullRarely guards against entries that pull each other's evidence all the time because one of
+// them can't hold all of it.
+func TestEntriesThatDisagreePullRarely(t *testing.T) {
+	const checks = 1000
+	var p pullPacer
+	pulls := 0
+	check := func(own, other uint64) bool {
+		due := p.due(own, other)
+		if due {
+			pulls++
+			p.pulled(false)
+		}
+		return due
+	}
+	for range checks {
+		check(1, 2)
+	}
+	assert.Less(t, pulls, checks/maxPullPause+10)
+	t.Run("news are pulled at the second check", func(t *testing.T) {
+		assert.False(t, check(1, 3))
+		assert.True(t, check(1, 3))
+	})
+	t.Run("nothing is pulled from peers that agree", func(t *testing.T) {
+		assert.False(t, check(1, 0))
+		assert.False(t, check(1, 0))
+	})
 }
