--- a/internal/gateway/entry_test.go
+++ b/internal/gateway/entry_test.go
@@ -166,6 +166,11 @@
 			respond(conn, r, "200 OK\nId: $ID\nSeal: s\nContent-Length: 9\n\nhell")
 			resetConn(conn, r)
 		}, 502, 1},
+		{"not idempotent, response without a length and reset", "/unsafe/", func(conn net.Conn, r *http.Request) {
+			respond(conn, r, "200 OK\nId: $ID\nSeal: s\nConnection: close\n\nhell")
+			time.Sleep(20 * time.Millisecond) // else the reset discards what was sent
+			resetConn(conn, r)
+		}, 502, 1},
 		{"not idempotent, rejected", "/unsafe/", respondRejected, 200, 2},
 		{"not idempotent, address of another backend server", "/unsafe/", func(conn net.Conn, r *http.Request) {
 			respond(conn, r, "421 Moved\nServer: i9\nContent-Length: 0\n\n")
@@ -208,6 +213,24 @@
 	}
 }
 
+func TestEntrySendsAtMostMaxAttempts(t *testing.T) {
+	for _, path := range []string{"/safe/", "/stream/"} {
+		var backends []*fakeBackend
+		for range 4 {
+			backends = append(backends, newFakeBackend(t, resetConn))
+		}
+		_, url := newTestEntry(t, backends...)
+		response, err := doRequest(t, t.Context(), http.MethodPost, url+path, "x")
+		require.NoError(t, err)
+		assert.Equal(t, 502, response.status)
+		sends := 0
+		for _, b := range backends {
+			sends += b.count()
+		}
+		assert.Equal(t, 2, sends, "max-attempts of %s", path)
+	}
+}
+
 func TestEntryFinalStatus(t *testing.T) {
 	t.Run("rejected by all backend servers", func(t *testing.T) {
 		_, url := newTestEntry(t, newFakeBackend(t, respondRejected), newFakeBackend(t, respondRejected))
