Locate starting entries last until they serve

Callers saw calls rejected for want of a configuration, or had to send them again, after an entry had restarted. The instance list shows an entry as live when its process starts; the other entries located it at once, while it did not listen yet or had no configuration. Beside load the start takes longer, so that TestRollingRestartInterruptsNoCalls was red there.

An entry that turns live in the list is now located last until it answers that it is ready; the other entries ask it with their refresh, five times a second. The directory of the users' platform has no such fault: it lists entries by their own heartbeats.

--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -7,7 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
+	"github.com/valyala/fasthttp"
 
 	"carawaypick/internal/balance"
 	"carawaypick/internal/config"
@@ -29,6 +31,7 @@
 	defaultRetryAfter = 500 * clock.Millisecond // retry delay if no backend server can take the call
 	refreshInterval   = 200 * clock.Millisecond // time between two refreshes; a refresh updates the list of agents and polls those whose report is due
 	pollTimeout       = 1 * clock.Second        // timeout for the poll of one report
+	servingTimeout    = 300 * clock.Millisecond // timeout for the check of a starting entry, which holds up the polls after it
 	agentIdleFactor   = 2                       // agentIdleTimeout as a multiple of the agent's stall timeout
 )
 
@@ -40,6 +43,7 @@
 	member      *gossip.Member
 	pool        *peer.Pool
 	tracker     *AgentTracker
+	entries     entryTracker
 	picker      balance.Picker
 	retryBudget *retryBudget
 	ring        *operator.DecisionRing
@@ -167,13 +171,17 @@
 		return
 	}
 	e.tracker.Update(e.agentSubset())
+	e.entries.update(e.member.List())
 	var polls []<-chan error
+	for _, i := range e.entries.startingEntries() {
+		polls = append(polls, lifecycle.Start(ctx, func(context.Context) error { return e.checkServing(i) }))
+	}
 	for _, t := range e.tracker.DuePolls() {
 		polls = append(polls, lifecycle.Start(ctx, func(ctx context.Context) error { return e.poll(ctx, t) }))
 	}
 	for _, poll := range polls {
 		if err := <-poll; err != nil {
-			level.Debug(e.telemetry.Logger).Log("msg", "load report of an agent failed, polling it again", "err", err)
+			level.Debug(e.telemetry.Logger).Log("msg", "poll of an agent or a starting entry failed, polling it again", "err", err)
 		}
 	}
 }
@@ -205,6 +213,18 @@
 	return chosen
 }
 
+// checkServing asks a starting entry whether it serves, and records if it does.
+func (e *Entry) checkServing(i platform.Instance) error {
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+i.Caller+operator.PathReady, servingTimeout.Duration())
+	if err != nil {
+		return errors.Wrapf(err, "ask entry %s whether it serves", i.Name)
+	}
+	if status == fasthttp.StatusOK {
+		e.entries.setServing(i)
+	}
+	return nil
+}
+
 func (e *Entry) poll(ctx context.Context, t Target) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
 	defer cancel()
--- a/internal/caller/locate.go
+++ b/internal/caller/locate.go
@@ -40,10 +40,11 @@
 	return c.JSON(location)
 }
 
-// addresses returns the entries in order of preference for a caller in zone. It includes this entry even if the
-// instance list doesn't, unless it is leaving.
+// addresses returns the entries in order of preference for a caller in zone, with those that are starting last. It
+// includes this entry even if the instance list doesn't, unless it is leaving.
 func (e *Entry) addresses(zone string, callerHash uint64) []string {
-	var entries []balance.Entry
+	var serving, starting []balance.Entry
+	e.entries.update(e.member.List())
 	known := false
 	for _, i := range e.member.List().Instances {
 		if i.Role != platform.EntryRole || i.Caller == "" {
@@ -54,12 +55,18 @@
 			known = true
 			leaving = leaving || e.leaving.Load()
 		}
-		entries = append(entries, balance.Entry{Name: i.Name, Zone: i.Zone, Address: i.Caller, Draining: leaving})
+		entry := balance.Entry{Name: i.Name, Zone: i.Zone, Address: i.Caller, Draining: leaving}
+		if i.Name != e.settings.Name && e.entries.isStarting(i.Name) {
+			starting = append(starting, entry)
+		} else {
+			serving = append(serving, entry)
+		}
 	}
 	if !known && !e.leaving.Load() {
-		entries = append(entries, balance.Entry{Name: e.settings.Name, Zone: e.settings.Zone, Address: e.settings.Listen})
+		serving = append(serving, balance.Entry{Name: e.settings.Name, Zone: e.settings.Zone, Address: e.settings.Listen})
 	}
-	return balance.OrderEntries(zone, entries, e.zonesOut(), callerHash)
+	out := e.zonesOut()
+	return append(balance.OrderEntries(zone, serving, out, callerHash), balance.OrderEntries(zone, starting, out, callerHash)...)
 }
 
 func (e *Entry) zonesOut() (out []string) {
