Close the connections that a restarted stand-in has not accepted

TestColdRestartKeepsSlowStart was red once beside load: 3 ms after a restart more requests than a cold engine bears had reached it. The stand-in kept its listener over a restart and closed only the connections that it had accepted. One that waited in the backlog, or was accepted meanwhile, went to the new incarnation with a request that was meant for the old one; the end of a real process resets it. Agents rely on that: they connect, check the monitor connection and only then write.

The stand-in now listens anew, and drops what was accepted before.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -166,7 +166,7 @@
 	e.cache.clear()
 	e.downUntil = e.clock.Now().Add(fault.Downtime)
 	e.recordLoad()
-	e.listener.closeConns(except)
+	e.listener.restart(except)
 }
 
 // endStream removes a stream from the running ones and records its outcome; the caller holds the mutex.
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -109,7 +109,7 @@
 	p.incarnation = newIncarnation()
 	p.running = 0
 	p.mutex.Unlock()
-	p.listener.closeConns(conn)
+	p.listener.restart(conn)
 }
 
 func (p *Plain) load() LoadReport {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -53,6 +53,7 @@
 		return err
 	}
 	s.listener = &trackingListener{Listener: listener, conns: map[net.Conn]bool{}}
+	s.listener.relisten = func() (net.Listener, error) { return s.listenAgain(listener.Addr().String()) }
 	s.Address = listener.Addr().String()
 	s.tasks.Go(func() { _ = s.app.Listener(s.listener) })
 	return nil
@@ -63,6 +64,7 @@
 	s.cancel()
 	s.listener.closeConns(nil)
 	_ = s.app.Shutdown()
+	_ = s.listener.Close() // closed by Shutdown unless the process restarted meanwhile
 	s.tasks.Wait()
 }
 
@@ -85,27 +87,85 @@
 	return Sleep(s.context, span)
 }
 
+// relistenInterval is the time between two attempts to listen again, as the port may be in use for a moment.
+const relistenInterval = clock.Millisecond
+
+// listenAgain listens on address, repeatedly until it succeeds or the server stops.
+func (s *Server) listenAgain(address string) (listener net.Listener, err error) {
+	for {
+		listener, err = net.Listen("tcp", address)
+		if err == nil || !s.sleep(relistenInterval) {
+			return listener, err
+		}
+	}
+}
+
 // trackingListener keeps track of its open connections so that a fault can close them all.
 type trackingListener struct {
-	net.Listener
-	mutex sync.Mutex
-	conns map[net.Conn]bool
+	net.Listener // replaced by each restart
+	relisten     func() (net.Listener, error)
+
+	mutex    sync.Mutex
+	restarts int
+	conns    map[net.Conn]bool
 }
 
 // Accept waits for the next connection and tracks it.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		l.mutex.Lock()
+		listener, restarts := l.Listener, l.restarts
+		l.mutex.Unlock()
+		conn, err := listener.Accept()
+		tracked, stale := l.track(conn, restarts)
+		if stale {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		return tracked, nil
 	}
-	tracked := &trackedConn{Conn: conn, owner: l}
+}
+
+// track keeps track of a connection that was accepted after the given number of restarts, or closes it and returns true
+// if the process has restarted since. The connection is nil if there was an error.
+func (l *trackingListener) track(conn net.Conn, restarts int) (tracked *trackedConn, stale bool) {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if conn == nil {
+		return nil, restarts != l.restarts
+	}
+	if restarts != l.restarts {
+		_ = conn.Close()
+		return nil, true
+	}
+	tracked = &trackedConn{Conn: conn, owner: l}
 	l.conns[tracked] = true
+	return tracked, false
+}
+
+// Close stops listening.
+func (l *trackingListener) Close() error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.Listener.Close()
+}
+
+// restart closes all connections except the given one (nil for all), as the end of the process does: also those that it
+// has not accepted yet, which a new process never sees.
+func (l *trackingListener) restart(except net.Conn) {
+	l.mutex.Lock()
+	l.restarts++
+	_ = l.Listener.Close() // resets the connections that are not accepted yet
+	if listener, err := l.relisten(); err == nil {
+		l.Listener = listener // else the server stops
+	}
 	l.mutex.Unlock()
-	return tracked, nil
+	l.closeConns(except)
 }
 
-// closeConns closes all open connections except the given one (nil for all).
+// closeConns closes all accepted connections except the given one (nil for all).
 func (l *trackingListener) closeConns(except net.Conn) {
 	l.mutex.Lock()
 	conns := make([]net.Conn, 0, len(l.conns))
