--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -1,8 +1,11 @@
 package balance
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
+
+	"carawaypick/pkg/clock"
 )
 
 func BenchmarkPick(b *testing.B) {
@@ -16,3 +19,33 @@
 		})
 	}
 }
+
+// BenchmarkQuarantined measures the check of each request against a full tracker: of a content that was in no crash, and
+// of one that is quarantined, after another crash was recorded.
+func BenchmarkQuarantined(b *testing.B) {
+	const contentsPerCrash = 12 // concurrent requests of an engine
+	s := NewSuspectTracker(clock.Hour)
+	for i := range uint64(maxCrashes) {
+		contents := make([]uint64, contentsPerCrash)
+		for n := range contents {
+			contents[n] = 1000 + i*contentsPerCrash + uint64(n)
+		}
+		s.AddCrash(Crash{ID: fmt.Sprint(i), Contents: append(contents, 1), At: 1})
+	}
+	b.Run("other content", func(b *testing.B) {
+		for b.Loop() {
+			s.Quarantined(2, 2)
+		}
+	})
+	b.Run("quarantined content", func(b *testing.B) {
+		for b.Loop() {
+			s.Quarantined(2, 1)
+		}
+	})
+	b.Run("quarantined content after news", func(b *testing.B) {
+		for b.Loop() {
+			s.verdicts = nil
+			s.Quarantined(2, 1)
+		}
+	})
+}
