Quarantine content that completed before and crashes servers now

It is now quarantined after crashes at three moments a second apart or more since its last completed run. A loss of many servers is one moment, and content that many callers send completes between two.

--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -38,6 +38,11 @@
 	unlikelyWeight   = 2
 	explainedWeight  = 1
 	quarantineWeight = 6
+	// crashMoments is the number of separate moments of crashes since its last completed run that quarantine a content that
+	// completed recently, and momentGap the least time between two of them. An outage ends many servers at one moment, and
+	// content that many callers send completes between two outages.
+	crashMoments = 3
+	momentGap    = clock.Second
 	// sharedCrashDivisor divides the quarantine time of a content that never crashed a server in isolation.
 	sharedCrashDivisor = 4
 )
@@ -97,7 +102,7 @@
 // may be the cause. Of several contents the one with the most crashes is quarantined first, and crashes that it explains
 // hardly count against the others: so content that only happened to be in flight is released once the cause has crashed
 // another server. Content that completed within the retention time is quarantined only if it ran in isolation at one of
-// the crashes.
+// the crashes, or if these happened at crashMoments separate moments since.
 func (s *SuspectTracker) Quarantined(now clock.Time, content uint64) (remaining clock.Span, quarantined bool) {
 	if s.history(now, content).weight < quarantineWeight {
 		return 0, false
@@ -160,6 +165,7 @@
 // crashHistory summarizes the crashes that count against one content.
 type crashHistory struct {
 	ids               []string
+	times             []clock.Time
 	weight            int
 	isolated          bool
 	lastCrash         clock.Time
@@ -182,7 +188,7 @@
 	if !inFlight || now.Sub(c.at) >= s.retention || (known && c.at <= completedAt) {
 		return
 	}
-	h.ids = append(h.ids, c.id)
+	h.ids, h.times = append(h.ids, c.id), append(h.times, c.at)
 	h.weight += weight
 	h.isolated = h.isolated || c.isolated
 	h.lastCrash = max(h.lastCrash, c.at)
@@ -213,7 +219,23 @@
 	}
 }
 
-// histories returns the crashes that count against each content, but for contents that completed recently.
+// protected reports whether the content completed so recently that the crashes may be coincidences.
+func (h *crashHistory) protected() bool {
+	return h.completedRecently && !h.isolated && h.moments() < crashMoments
+}
+
+// moments returns the number of crashes that are at least momentGap after the one counted before.
+func (h *crashHistory) moments() (count int) {
+	var last clock.Time
+	for _, at := range slices.Sorted(slices.Values(h.times)) {
+		if count == 0 || at.Sub(last) >= momentGap {
+			count, last = count+1, at
+		}
+	}
+	return count
+}
+
+// histories returns the crashes that count against each content, but for those that are protected.
 func (s *SuspectTracker) histories(now clock.Time) map[uint64]crashHistory {
 	all := make(map[uint64]crashHistory)
 	for i := range s.crashes {
@@ -223,7 +245,7 @@
 			all[content] = h
 		}
 	}
-	maps.DeleteFunc(all, func(_ uint64, h crashHistory) bool { return h.completedRecently && !h.isolated })
+	maps.DeleteFunc(all, func(_ uint64, h crashHistory) bool { return h.protected() })
 	return all
 }
 
--- a/internal/balance/suspect_test.go
+++ b/internal/balance/suspect_test.go
@@ -120,6 +120,20 @@
 		assert.True(t, s.AddCrash(Crash{ID: "a.1", Contents: []uint64{2, 3}, At: 1001}))
 		assert.Equal(t, []Crash{{ID: "a.1", Contents: []uint64{1, 2, 3}, Unlikely: []uint64{1}, At: 1000}}, s.Crashes(1000))
 	})
+	t.Run("content that completed before is quarantined if it crashes servers one after the other", func(t *testing.T) {
+		s := NewSuspectTracker(retention)
+		s.RecordCompleted(900, 1)
+		for i := range clock.Time(crashMoments) {
+			requireQuarantined(t, s, 1000, 1, 0)
+			at := 1000 + i*clock.Time(momentGap)
+			s.AddCrash(Crash{ID: fmt.Sprint("a", i), Contents: []uint64{1}, At: at})
+			s.AddCrash(Crash{ID: fmt.Sprint("b", i), Contents: []uint64{1}, At: at + 1})
+		}
+		_, quarantined := s.Quarantined(4000, 1)
+		assert.True(t, quarantined)
+		s.RecordCompleted(4001, 1)
+		requireQuarantined(t, s, 4001, 1, 0)
+	})
 	t.Run("a full tracker keeps the latest crashes in any order of the reports", func(t *testing.T) {
 		s := NewSuspectTracker(retention)
 		for i := range maxCrashes {
