--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,8 +28,6 @@
 	maxRelayAge             = 600 * clock.Millisecond  // longest age at which a heartbeat is relayed: about two heartbeat intervals at maxTargets targets
 	peerTimeout             = 1500 * clock.Millisecond // time without a heartbeat after which a peer isn't listed to callers and its requests don't count
 	peerExpiry              = time.Minute              // time without a heartbeat after which a peer is removed from the peer set
-	maxDatagram             = 60 << 10                 // bytes; unused: datagram.MaxSize limits a heartbeat
-	maxFlights              = 2000                     // unused: the number of backend servers in one heartbeat is not limited
 	reservedShares          = 1.0                      // shares of a limit kept for entries not yet discovered
 	maxStoreReaders         = 3                        // entries that read the store, so that two of them may fail without an effect
 	minEntries              = 3                        // least number of entries among which a limit is divided
@@ -392,21 +390,6 @@
 	return control, ok
 }
 
-// WithOtherEvidence returns the control address and the digest of the first live peer, by IP address, whose digest of the
-// evidence of crashes differs from own; other is 0 if there is none.
-func (p *PeerSet) WithOtherEvidence(own uint64) (control string, other uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	first := ""
-	for ip, peer := range p.peers {
-		differs := peer.alive && peer.lastMessage.Evidence != 0 && peer.lastMessage.Evidence != own
-		if differs && (other == 0 || ip < first) {
-			first, control, other = ip, peer.lastMessage.Control, peer.lastMessage.Evidence
-		}
-	}
-	return control, other
-}
-
 // Share returns the fraction of a limit over all entries that this entry may use without coordination; it never grows
 // when peers time out.
 func (p *PeerSet) Share() float64 {
