Limit the check for a crash to 150 ms

After a broken connection a request's retry or final answer waited up to 400 ms for the connection attempt that tells a crash from a reset, where packets to the backend server are lost. An ended process refuses within a round trip, and a check without an answer proves nothing.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -13,8 +13,13 @@
 	"github.com/cockroachdb/errors"
 
 	"carawaypick/internal/routing"
+	"carawaypick/pkg/clock"
 )
 
+// crashProbeTimeout limits the connection attempt that tells a crash from a broken connection; the request's retry or
+// final answer waits for it.
+const crashProbeTimeout = 150 * clock.Millisecond
+
 // fingerprint identifies the content of a request: its team, path and body. A request that a caller sends again has the
 // same fingerprint, whatever its id and the entry that receives it.
 func fingerprint(team, uri string, body []byte) uint64 {
@@ -87,7 +92,9 @@
 	if current == nil || current.Draining || current.ExpiresAt != 0 {
 		return false
 	}
-	conn, err := e.conns.dial(context.Background(), s.Address)
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout.Duration())
+	defer cancel()
+	conn, err := e.conns.dial(ctx, s.Address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
