Pull evidence from another peer after a failed pull

An entry that hears a peer but can't connect to it, as with packets that pass one way only, asked that peer again and again, since it chose the first whose digest differs. The peer that failed now comes last. The new case of TestEvidenceReachesNewEntry covers the choice.

--- a/internal/gateway/evidencesync.go
+++ b/internal/gateway/evidencesync.go
@@ -31,6 +31,7 @@
 	ticker := time.NewTicker(evidenceInterval.Duration())
 	defer ticker.Stop()
 	var pacer pullPacer
+	unreachable := "" // control address of the peer that the last pull failed at
 	for {
 		urgent := false
 		select {
@@ -41,12 +42,14 @@
 		case <-ticker.C:
 		}
 		own := e.suspects.digest()
-		control, other := e.peers.WithOtherEvidence(own)
+		control, other := e.peers.WithOtherEvidence(own, unreachable)
 		due := pacer.due(own, other)
 		if other == 0 || (!due && !urgent) {
 			continue
 		}
+		unreachable = ""
 		if err := e.pullEvidence(ctx, control); err != nil {
+			unreachable = control
 			level.Warn(e.limitedLogger.Logger).Log("msg", "evidence of crashes not pulled from a peer, trying again", "error", err)
 			continue
 		}
@@ -99,14 +102,17 @@
 }
 
 // WithOtherEvidence returns the control address and the digest of the first live peer, by IP address, whose digest of the
-// evidence of crashes differs from own; other is 0 if there is none.
-func (p *PeerSet) WithOtherEvidence(own uint64) (control string, other uint64) {
+// evidence of crashes differs from own; other is 0 if there is none. The peer with the control address avoid comes last.
+func (p *PeerSet) WithOtherEvidence(own uint64, avoid string) (control string, other uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	first := ""
 	for ip, peer := range p.peers {
 		differs := peer.alive && peer.lastMessage.Evidence != 0 && peer.lastMessage.Evidence != own
-		if differs && (other == 0 || ip < first) {
+		if !differs || (other != 0 && peer.lastMessage.Control == avoid) {
+			continue
+		}
+		if other == 0 || ip < first || control == avoid {
 			first, control, other = ip, peer.lastMessage.Control, peer.lastMessage.Evidence
 		}
 	}
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -125,11 +125,25 @@
 	e := &Entry{suspects: newTestSuspects(&now), limitedLogger: &telemetry.RateLimitedLogger{Logger: log.NewNopLogger(), Clock: clock.Manual(&now)}}
 	e.peers = newTestPeerSets(&now, 1, nil, nil)[0]
 	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Control: strings.TrimPrefix(server.URL, "http://"), Evidence: peer.suspects.digest()})
-	control, other := e.peers.WithOtherEvidence(e.suspects.digest())
+	control, other := e.peers.WithOtherEvidence(e.suspects.digest(), "")
 	require.NotZero(t, other)
+	t.Run("another peer is asked if the first does not answer", func(t *testing.T) {
+		for _, ip := range []string{"10.0.0.1", "10.0.0.99"} {
+			e.peers.handleHeartbeat(heartbeat{IP: ip, Number: 1, Control: ip, Evidence: 1})
+		}
+		first, _ := e.peers.WithOtherEvidence(e.suspects.digest(), "")
+		assert.Equal(t, "10.0.0.1", first)
+		second, _ := e.peers.WithOtherEvidence(e.suspects.digest(), first)
+		assert.Equal(t, control, second)
+		for _, ip := range []string{"10.0.0.1", "10.0.0.99"} {
+			e.peers.handleHeartbeat(heartbeat{IP: ip, Number: 2, Control: ip})
+		}
+		only, _ := e.peers.WithOtherEvidence(e.suspects.digest(), control)
+		assert.Equal(t, control, only, "the only one is asked again")
+	})
 	require.NoError(t, e.pullEvidence(t.Context(), control))
 	assert.True(t, isQuarantined(e.suspects, 7))
-	_, other = e.peers.WithOtherEvidence(e.suspects.digest())
+	_, other = e.peers.WithOtherEvidence(e.suspects.digest(), "")
 	assert.Zero(t, other)
 }
 
