--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -125,6 +125,8 @@
 	changed := false
 	for _, c := range changes {
 		if old, known := cs.records[c.Key]; c.Revision <= cs.revision || (known && c.Revision <= old.Revision) {
+			level.Info(cs.logger).Log("msg", "change is not newer than the state, dropping it", "key", c.Key, "revision", c.Revision,
+				"known", cs.revision, "source", source)
 			continue
 		}
 		cs.applyChange(next, c, source)
@@ -142,6 +144,8 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if revision < cs.revision {
+		level.Warn(cs.logger).Log("msg", "records are older than the state, dropping them", "items", len(items), "revision", revision,
+			"known", cs.revision, "source", source)
 		return
 	}
 	next := cs.copyView()
--- a/internal/gateway/clusterstate_test.go
+++ b/internal/gateway/clusterstate_test.go
@@ -138,13 +138,13 @@
 			Notify:     func() {},
 		},
 		Protocol: Protocol{
-			Range: func(context.Context, string) ([]Change, int64, error) {
+			Range: func(context.Context, string) (StoreAnswer, error) {
 				ranges++
-				return []Change{putChange("server/a", "ready", 1)}, 3, next()
+				return StoreAnswer{Changes: []Change{putChange("server/a", "ready", 1)}, Revision: 3}, next()
 			},
-			Watch: func(_ context.Context, _ string, after int64, _ clock.Span) ([]Change, int64, error) {
+			Watch: func(_ context.Context, _ string, after int64, _ clock.Span) (StoreAnswer, error) {
 				watches++
-				return []Change{putChange("server/b", "ready", after+1)}, after + 1, next()
+				return StoreAnswer{Changes: []Change{putChange("server/b", "ready", after+1)}, Revision: after + 1}, next()
 			},
 		},
 	}
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -82,10 +82,10 @@
 			Notify:     func() {},
 		},
 		Protocol: Protocol{
-			Range: func(context.Context, string) ([]Change, int64, error) { storeCalls++; return nil, 1, nil },
-			Watch: func(context.Context, string, int64, clock.Span) ([]Change, int64, error) {
+			Range: func(context.Context, string) (StoreAnswer, error) { storeCalls++; return StoreAnswer{Revision: 1}, nil },
+			Watch: func(context.Context, string, int64, clock.Span) (StoreAnswer, error) {
 				storeCalls++
-				return nil, 1, nil
+				return StoreAnswer{Revision: 1}, nil
 			},
 		},
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -23,6 +23,13 @@
 	Fault    error // error from decoding Value
 }
 
+// StoreAnswer is the store's answer to a range or a watch.
+type StoreAnswer struct {
+	Changes  []Change
+	Era      int64 // number of times that the store came back from a copy; 0 if it does not say
+	Revision int64 // revision that the changes reach
+}
+
 // Update is a decoded change: a configuration, a backend server's registration or removal, or the evacuation of a zone.
 type Update struct {
 	Config          *routing.Config
@@ -79,8 +86,7 @@
 	DirectoryPath string
 
 	// Range returns all records and a revision from which Watch misses no later change.
-	Range func(ctx context.Context, prefix string) ([]Change, int64, error)
-	// Watch waits up to wait ms for changes after a revision and returns them with the revision that they reach, or
-	// ErrCompacted.
-	Watch func(ctx context.Context, prefix string, after int64, wait clock.Span) ([]Change, int64, error)
+	Range func(ctx context.Context, prefix string) (StoreAnswer, error)
+	// Watch waits up to wait ms for changes after a revision and returns them, or ErrCompacted.
+	Watch func(ctx context.Context, prefix string, after int64, wait clock.Span) (StoreAnswer, error)
 }
--- a/internal/gateway/storereader.go
+++ b/internal/gateway/storereader.go
@@ -33,6 +33,7 @@
 	lastSuccess clock.Time // last successful store call or pull from a peer
 	lastFailure clock.Time // last failed store call
 	lost        atomic.Bool
+	lastEra     int64 // era of the store's last answer
 	loaded      bool // State reflects a range call, so that watch calls can continue from it
 }
 
@@ -55,7 +56,8 @@
 			continue
 		}
 		if errors.Is(err, ErrCompacted) {
-			level.Info(r.Logger).Log("msg", "store no longer has the changes since this revision, reading all records", "revision", r.State.Revision())
+			level.Info(r.Logger).Log("msg", "store no longer has the changes since this revision, reading all records",
+				"revision", r.State.Revision(), "era", r.lastEra, "error", err)
 			r.loaded = false
 			continue
 		}
@@ -88,29 +90,39 @@
 	if !r.loaded {
 		ctx, cancel := context.WithTimeout(ctx, rangeTimeout.Duration())
 		defer cancel()
-		items, revision, err := r.Protocol.Range(ctx, "")
+		answer, err := r.Protocol.Range(ctx, "")
 		if err != nil {
 			return err
 		}
 		r.recordSuccess()
-		r.State.Replace(items, revision, "store")
+		r.recordEra(answer)
+		r.State.Replace(answer.Changes, answer.Revision, "store")
 		r.loaded = true
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, (watchWait + watchMargin).Duration())
 	defer cancel()
-	changes, revision, err := r.Protocol.Watch(ctx, "", r.State.Revision(), watchWait)
+	answer, err := r.Protocol.Watch(ctx, "", r.State.Revision(), watchWait)
 	if err != nil {
 		return err
 	}
 	r.recordSuccess()
-	r.State.Apply(changes, revision, "store")
-	if len(changes) > 0 {
+	r.recordEra(answer)
+	r.State.Apply(answer.Changes, answer.Revision, "store")
+	if len(answer.Changes) > 0 {
 		r.Notify()
 	}
 	return nil
 }
 
+// recordEra logs that the store came back from a copy.
+func (r *StoreReader) recordEra(a StoreAnswer) {
+	if a.Era != r.lastEra {
+		level.Warn(r.Logger).Log("msg", "store era", "era", a.Era, "before", r.lastEra, "revision", a.Revision, "known", r.State.Revision())
+		r.lastEra = a.Era
+	}
+}
+
 // recordSuccess records a response of the store; it must be called before the response is applied, because registrations
 // may have expired during an outage.
 func (r *StoreReader) recordSuccess() {
