--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -11,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"carawaypick/internal/routing"
+	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
 
@@ -28,7 +28,8 @@
 
 // ClusterState is a process's local copy of the configuration and the registered backend servers.
 //
-// It applies changes in the order of store revisions and never replaces a configuration by an older version.
+// It applies changes in the order of their positions in the store and never replaces a configuration by an older version.
+// Records that a restored store lost stay in force for a while, see retained.
 type ClusterState struct {
 	decode   func(Change) (Update, error)
 	clock    clock.Clock
@@ -36,18 +37,23 @@
 	onUpdate func(*routing.View)
 
 	mu              sync.Mutex
-	records         map[string]Change
-	removed         map[string]int64 // revision at which each removed record was removed, by key
-	historyStart    int64            // removals up to this revision may be missing from removed
-	revision        int64
-	changedRevision int64      // revision of the last update that changed the state
-	graceUntil      clock.Time // servers whose registrations disappear before this time without a drain notice stay in use until then
+	records         map[string]Change         // what the store holds, by key
+	retained        map[string]retention      // records in force that the store does not hold, by key
+	removed         map[string]store.Position // position at which each removed record was removed, by key
+	historyStart    store.Position            // removals up to this position may be missing from removed
+	position        store.Position            // up to which changes have been applied
+	changedPosition store.Position            // of the last update that changed the state
+	configRecord    Change                    // record of the configuration in force
+	graceUntil      clock.Time                // servers whose registrations disappear before this time without a drain notice stay in use until then
 	view            atomic.Pointer[routing.View]
 }
 
 // NewClusterState returns an empty cluster state that calls onUpdate with each new view.
 func NewClusterState(decode func(Change) (Update, error), c clock.Clock, logger log.Logger, onUpdate func(*routing.View)) *ClusterState {
-	cs := &ClusterState{decode: decode, clock: c, logger: logger, onUpdate: onUpdate, records: make(map[string]Change), removed: make(map[string]int64)}
+	cs := &ClusterState{
+		decode: decode, clock: c, logger: logger, onUpdate: onUpdate,
+		records: make(map[string]Change), retained: make(map[string]retention), removed: make(map[string]store.Position),
+	}
 	cs.view.Store(&routing.View{})
 	return cs
 }
@@ -57,45 +63,48 @@
 	return cs.view.Load()
 }
 
-// Revision returns the store revision up to which changes have been applied.
-func (cs *ClusterState) Revision() int64 {
+// Position returns the position in the store up to which changes have been applied.
+func (cs *ClusterState) Position() store.Position {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return cs.revision
+	return cs.position
 }
 
-// ChangedRevision returns the revision that another process must have reached to have the same state.
-func (cs *ClusterState) ChangedRevision() int64 {
+// ChangedPosition returns the position that another process must have reached to have the same state.
+func (cs *ClusterState) ChangedPosition() store.Position {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return cs.changedRevision
+	return cs.changedPosition
 }
 
-// ChangesSince returns the changes after revision, oldest first, or all records if the changes are no longer kept.
-func (cs *ClusterState) ChangesSince(revision int64) (d Delta) {
+// ChangesSince returns the changes after a position, oldest first, or all records if the changes are no longer kept or
+// the position is of another era.
+func (cs *ClusterState) ChangesSince(after store.Position) (d Delta) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	d = Delta{Revision: cs.revision, Whole: revision < cs.historyStart, Lapse: max(cs.graceUntil.Sub(cs.clock.Now()), 0)}
+	whole := !after.SameEra(cs.position) || cs.historyStart.After(after)
+	d = Delta{Position: cs.position, Whole: whole, Lapse: max(cs.graceUntil.Sub(cs.clock.Now()), 0), Retained: cs.retainedRecords()}
 	for _, c := range cs.records {
-		if d.Whole || c.Revision > revision {
+		if d.Whole || c.Position.After(after) {
 			d.Changes = append(d.Changes, c)
 		}
 	}
 	for key, removedAt := range cs.removed {
-		if !d.Whole && removedAt > revision {
-			d.Changes = append(d.Changes, Change{Key: key, Revision: removedAt, Removed: true})
+		if !d.Whole && removedAt.After(after) {
+			d.Changes = append(d.Changes, Change{Key: key, Position: removedAt, Removed: true})
 		}
 	}
-	slices.SortFunc(d.Changes, func(x, y Change) int { return cmp.Compare(x.Revision, y.Revision) })
+	slices.SortFunc(d.Changes, func(x, y Change) int { return x.Position.Compare(y.Position) })
 	return d
 }
 
-// Delta is the part of another process's cluster state that is newer than a given revision.
+// Delta is the part of another process's cluster state that is newer than a given position.
 type Delta struct {
-	Revision int64
+	Position store.Position
 	Whole    bool       // Changes contains all records and replaces the receiver's state
 	Lapse    clock.Span // ms left until the sender's graceUntil, 0 if it has passed
 	Changes  []Change
+	Retained []RetainedRecord // what the sender retains
 }
 
 // ApplyDelta applies the newer state of another process; source names it in log lines.
@@ -104,10 +113,13 @@
 	cs.graceUntil = max(cs.graceUntil, cs.clock.Now().Add(d.Lapse))
 	cs.mu.Unlock()
 	if d.Whole {
-		cs.Replace(d.Changes, d.Revision, source)
-		return
+		cs.Replace(d.Changes, d.Position, source)
+	} else {
+		cs.Apply(d.Changes, d.Position, source)
 	}
-	cs.Apply(d.Changes, d.Revision, source)
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.adoptRetained(d.Retained, source)
 }
 
 // StartOutageGrace starts the longer grace for missing registrations; call it when the store answers after an outage.
@@ -117,53 +129,82 @@
 	cs.graceUntil = cs.clock.Now().Add(outageGrace)
 }
 
-// Apply applies the changes up to revision.
-func (cs *ClusterState) Apply(changes []Change, revision int64, source string) {
+// Apply applies the changes up to position. It drops changes of another era and reports whether they were of this one.
+func (cs *ClusterState) Apply(changes []Change, position store.Position, source string) (applied bool) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	if !position.SameEra(cs.position) {
+		cs.logDropped("changes are of another era than the state, dropping them", len(changes), position, source)
+		return false
+	}
 	next := cs.copyView()
 	changed := false
 	for _, c := range changes {
-		if old, known := cs.records[c.Key]; c.Revision <= cs.revision || (known && c.Revision <= old.Revision) {
-			level.Info(cs.logger).Log("msg", "change is not newer than the state, dropping it", "key", c.Key, "revision", c.Revision,
-				"known", cs.revision, "source", source)
+		if old, known := cs.records[c.Key]; !c.Position.After(cs.position) || (known && !c.Position.After(old.Position)) {
+			cs.logDropped("change is not newer than the state, dropping it", 1, c.Position, source, "key", c.Key)
 			continue
 		}
 		cs.applyChange(next, c, source)
 		changed = true
 	}
-	cs.revision = max(cs.revision, revision)
+	if position.After(cs.position) {
+		cs.position = position
+	}
 	if changed {
-		cs.changedRevision = cs.revision
+		cs.changedPosition = cs.position
 		cs.publish(next)
 	}
+	return true
 }
 
-// Replace replaces the state by all records as of revision; records that are missing from items count as removed.
-func (cs *ClusterState) Replace(items []Change, revision int64, source string) {
+// Replace replaces the state by all records as of position; records that are missing from items count as removed. It drops
+// records that are older than the state and reports whether it applied them.
+func (cs *ClusterState) Replace(items []Change, position store.Position, source string) (applied bool) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if revision < cs.revision {
-		level.Warn(cs.logger).Log("msg", "records are older than the state, dropping them", "items", len(items), "revision", revision,
-			"known", cs.revision, "source", source)
-		return
+	if cs.position.After(position) {
+		cs.logDropped("records are older than the state, dropping them", len(items), position, source)
+		return false
 	}
 	next := cs.copyView()
+	if position.SameEra(cs.position) || cs.position.IsZero() {
+		cs.replaceRecords(next, items, position, source)
+	} else {
+		cs.restoreRecords(next, items, position, source)
+	}
+	cs.position, cs.changedPosition, cs.historyStart = position, position, position
+	cs.publish(next)
+	return true
+}
+
+// replaceRecords replaces the records by those of a later position in the same era; mu is held.
+func (cs *ClusterState) replaceRecords(next *routing.View, items []Change, position store.Position, source string) {
 	present := make(map[string]bool, len(items))
 	for _, c := range items {
 		present[c.Key] = true
-		if old, known := cs.records[c.Key]; known && c.Revision <= old.Revision {
+		if old, known := cs.records[c.Key]; known && !c.Position.After(old.Position) {
 			continue
 		}
 		cs.applyChange(next, c, source)
 	}
 	for key, old := range cs.records {
-		if !present[key] && old.Revision <= revision {
-			cs.applyChange(next, Change{Key: key, Revision: revision, Removed: true}, source)
+		if !present[key] && !old.Position.After(position) {
+			cs.applyChange(next, Change{Key: key, Position: position, Removed: true}, source)
 		}
 	}
-	cs.revision, cs.changedRevision, cs.historyStart = revision, revision, revision
-	cs.publish(next)
+}
+
+// logDropped logs that changes up to position are dropped; mu is held.
+func (cs *ClusterState) logDropped(message string, count int, position store.Position, source string, more ...any) {
+	knownEra, knownRevision := cs.position.Numbers()
+	line := []any{"msg", message, "changes", count, "knownEra", knownEra, "known", knownRevision, "source", source}
+	level.Warn(logAt(cs.logger, position)).Log(append(line, more...)...)
+}
+
+// logAt returns a logger whose lines tell the position.
+func logAt(logger log.Logger, p store.Position) log.Logger {
+	era, revision := p.Numbers()
+	return log.With(logger, "era", era, "revision", revision)
 }
 
 // MarkReplaced takes s out of use until its registration changes, because another backend server answers at its address.
@@ -172,28 +213,29 @@
 	defer cs.mu.Unlock()
 	next := cs.copyView()
 	current := next.Servers[s.ID]
-	if current == nil || current.Revision != s.Revision || current.ExpiresAt != 0 {
+	if current == nil || current.Position != s.Position || current.ExpiresAt != 0 {
 		return
 	}
 	removed := *current
 	removed.ExpiresAt = cs.clock.Now()
 	next.Servers[s.ID] = &removed
-	level.Info(cs.logger).Log("msg", "backend server replaced", "server", s.ID, "address", s.Address, "by", replacement, "revision", s.Revision)
+	level.Info(logAt(cs.logger, s.Position)).Log("msg", "backend server replaced", "server", s.ID, "address", s.Address, "by", replacement)
 	cs.publish(next)
 }
 
-// RemoveExpired removes the backend servers whose grace has ended and publishes a new view if there are any.
+// RemoveExpired removes the backend servers whose grace has ended, follows the store where a record was retained long
+// enough, and publishes a new view if there are any.
 func (cs *ClusterState) RemoveExpired() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	now := cs.clock.Now()
 	next := cs.copyView()
-	changed := false
+	changed := cs.endRetentions(next, now)
 	for id, s := range next.Servers {
 		if s.ExpiresAt != 0 && now >= s.ExpiresAt {
 			delete(next.Servers, id)
 			changed = true
-			level.Info(cs.logger).Log("msg", "backend server forgotten", "server", id, "revision", cs.revision)
+			level.Info(logAt(cs.logger, cs.position)).Log("msg", "backend server forgotten", "server", id)
 		}
 	}
 	if changed {
@@ -218,7 +260,7 @@
 }
 
 func (cs *ClusterState) publish(next *routing.View) {
-	next.Revision = cs.revision
+	next.Position = cs.position
 	next.IndexServers(cs.clock.Now())
 	cs.view.Store(next)
 	if cs.onUpdate != nil {
@@ -226,8 +268,9 @@
 	}
 }
 
-// applyChange applies one change to next; mu is held.
+// applyChange applies one change of the store to the records and to next; mu is held.
 func (cs *ClusterState) applyChange(next *routing.View, c Change, source string) {
+	delete(cs.retained, c.Key)
 	if c.Removed {
 		delete(cs.records, c.Key)
 		cs.recordRemoval(c)
@@ -235,9 +278,14 @@
 		cs.records[c.Key] = c
 		delete(cs.removed, c.Key)
 	}
+	cs.applyUpdate(next, c, source)
+}
+
+// applyUpdate applies the content of a change to next; mu is held.
+func (cs *ClusterState) applyUpdate(next *routing.View, c Change, source string) {
 	update, err := cs.decode(c)
 	if err != nil {
-		level.Warn(cs.logger).Log("msg", "store record cannot be decoded, skipping it", "key", c.Key, "revision", c.Revision, "source", source, "error", err)
+		level.Warn(logAt(cs.logger, c.Position)).Log("msg", "store record cannot be decoded, skipping it", "key", c.Key, "source", source, "error", err)
 	}
 	switch {
 	case update.Config != nil:
@@ -247,7 +295,7 @@
 	case update.RemovedServer != "":
 		cs.markRemoved(next, update.RemovedServer, c, source)
 	case update.Zone != "":
-		level.Info(cs.logger).Log("msg", "evacuation", "zone", update.Zone, "ends", update.EvacuationEnded, "revision", c.Revision, "source", source)
+		level.Info(logAt(cs.logger, c.Position)).Log("msg", "evacuation", "zone", update.Zone, "ends", update.EvacuationEnded, "source", source)
 		if update.EvacuationEnded {
 			delete(next.EvacuatedZones, update.Zone)
 		} else {
@@ -260,29 +308,36 @@
 func (cs *ClusterState) recordRemoval(c Change) {
 	if len(cs.removed) >= maxRemovals {
 		clear(cs.removed)
-		cs.historyStart = c.Revision
+		cs.historyStart = c.Position
 	}
-	cs.removed[c.Key] = c.Revision
+	cs.removed[c.Key] = c.Position
 }
 
+// setConfig puts a configuration in force unless a later version is; mu is held.
 func (cs *ClusterState) setConfig(next *routing.View, config *routing.Config, c Change, source string) {
-	if next.Config != nil && config.Version <= next.Config.Version {
-		level.Warn(cs.logger).Log("msg", "configuration is not newer than the current one, ignoring it", "version", config.Version, "known", next.Config.Version, "source", source)
+	if next.Config != nil && config.Version < next.Config.Version {
+		level.Warn(logAt(cs.logger, c.Position)).Log("msg", "configuration is not newer than the current one, ignoring it",
+			"version", config.Version, "known", next.Config.Version, "source", source)
+		cs.retain(cs.configRecord, c.Position, 0)
+		return
+	}
+	if next.Config != nil && config.Version == next.Config.Version {
+		level.Info(logAt(cs.logger, c.Position)).Log("msg", "configuration was written again", "version", config.Version, "source", source)
 		return
 	}
-	next.Config = config
-	level.Info(cs.logger).Log("msg", "configuration in force", "version", config.Version, "revision", c.Revision, "source", source,
+	next.Config, cs.configRecord = config, c
+	level.Info(logAt(cs.logger, c.Position)).Log("msg", "configuration in force", "version", config.Version, "source", source,
 		"routes", len(config.Routes), "services", len(config.Services), "keys", len(config.TeamsByKey))
 }
 
 func (cs *ClusterState) setServer(next *routing.View, s *routing.Server, c Change, source string) {
-	s.Revision = c.Revision
+	s.Position = c.Position
 	if s.ColdUntil > 0 {
 		s.ColdUntil = cs.clock.Now().Add(clock.Span(s.ColdUntil)) // decoded as the remaining ms
 	}
 	next.Servers[s.ID] = s
-	level.Info(cs.logger).Log("msg", "backend server", "server", s.ID, "service", s.Service, "zone", s.Zone, "address", s.Address,
-		"leaving", s.Draining, "slots", s.Slots, "cold", s.ColdUntil > 0, "revision", c.Revision, "source", source)
+	level.Info(logAt(cs.logger, c.Position)).Log("msg", "backend server", "server", s.ID, "service", s.Service, "zone", s.Zone, "address", s.Address,
+		"leaving", s.Draining, "slots", s.Slots, "cold", s.ColdUntil > 0, "source", source)
 }
 
 func (cs *ClusterState) markRemoved(next *routing.View, id string, c Change, source string) {
@@ -301,6 +356,6 @@
 		removed.ExpiresAt = now.Add(removalGrace)
 	}
 	next.Servers[id] = &removed
-	level.Info(cs.logger).Log("msg", "backend server's entry is gone", "server", id, "leaving", s.Draining,
-		"grace", removed.ExpiresAt.Sub(now), "revision", c.Revision, "source", source)
+	level.Info(logAt(cs.logger, c.Position)).Log("msg", "backend server's entry is gone", "server", id, "leaving", s.Draining,
+		"grace", removed.ExpiresAt.Sub(now), "source", source)
 }
--- a/internal/gateway/clusterstate_test.go
+++ b/internal/gateway/clusterstate_test.go
@@ -12,12 +12,15 @@
 
 	"carawaypick/internal/engine"
 	"carawaypick/internal/routing"
+	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
 
 // decodeTestChange decodes keys "config", "server/ID" with a value of "ready" or "leaving", and "out/ZONE".
 func decodeTestChange(c Change) (Update, error) {
 	switch {
+	case c.Key == "config" && c.Removed:
+		return Update{}, errors.New("removed")
 	case c.Key == "config":
 		return Update{Config: &routing.Config{Version: int64(c.Value[0])}}, nil
 	case strings.HasPrefix(c.Key, "server/"):
@@ -37,7 +40,7 @@
 }
 
 func putChange(key, value string, revision int64) Change {
-	return Change{Key: key, Value: []byte(value), Revision: revision}
+	return Change{Key: key, Value: []byte(value), Position: store.At(0, revision)}
 }
 
 func usableServers(cs *ClusterState) (ids []string) {
@@ -51,42 +54,42 @@
 	now := clock.Time(1)
 	t.Run("a configuration is not replaced by an older version", func(t *testing.T) {
 		cs := newTestState(&now)
-		cs.Apply([]Change{putChange("config", "\x05", 5)}, 5, "store")
-		cs.Apply([]Change{putChange("config", "\x04", 6)}, 6, "store")
-		cs.Replace([]Change{putChange("config", "\x03", 4)}, 4, "peer")
+		cs.Apply([]Change{putChange("config", "\x05", 5)}, store.At(0, 5), "store")
+		cs.Apply([]Change{putChange("config", "\x04", 6)}, store.At(0, 6), "store")
+		cs.Replace([]Change{putChange("config", "\x03", 4)}, store.At(0, 4), "peer")
 		assert.Equal(t, int64(5), cs.View().Config.Version)
 	})
 	t.Run("older state of a peer is ignored", func(t *testing.T) {
 		cs := newTestState(&now)
-		cs.Apply([]Change{putChange("server/a", "leaving", 9)}, 9, "store")
-		cs.Replace([]Change{putChange("server/a", "ready", 3)}, 8, "peer")
-		cs.Apply([]Change{putChange("server/a", "ready", 3)}, 9, "store")
+		cs.Apply([]Change{putChange("server/a", "leaving", 9)}, store.At(0, 9), "store")
+		cs.Replace([]Change{putChange("server/a", "ready", 3)}, store.At(0, 8), "peer")
+		cs.Apply([]Change{putChange("server/a", "ready", 3)}, store.At(0, 9), "store")
 		assert.Empty(t, usableServers(cs))
 	})
 	t.Run("a draining or undecodable registration is not used", func(t *testing.T) {
 		cs := newTestState(&now)
-		cs.Apply([]Change{putChange("server/a", "ready", 1), putChange("server/b", "ready", 2), putChange("server/c", "ready", 3)}, 3, "store")
-		cs.Apply([]Change{putChange("server/a", "leaving", 4), putChange("server/b", "bad", 5)}, 5, "store")
+		cs.Apply([]Change{putChange("server/a", "ready", 1), putChange("server/b", "ready", 2), putChange("server/c", "ready", 3)}, store.At(0, 3), "store")
+		cs.Apply([]Change{putChange("server/a", "leaving", 4), putChange("server/b", "bad", 5)}, store.At(0, 5), "store")
 		assert.Equal(t, []string{"c"}, usableServers(cs))
 	})
 	t.Run("an evacuated zone is not used until the evacuation ends", func(t *testing.T) {
 		cs := newTestState(&now)
-		cs.Apply([]Change{putChange("server/a", "ready", 1), putChange("out/z", "", 2)}, 2, "store")
+		cs.Apply([]Change{putChange("server/a", "ready", 1), putChange("out/z", "", 2)}, store.At(0, 2), "store")
 		assert.Empty(t, usableServers(cs))
-		cs.Apply([]Change{{Key: "out/z", Revision: 3, Removed: true}}, 3, "store")
+		cs.Apply([]Change{{Key: "out/z", Position: store.At(0, 3), Removed: true}}, store.At(0, 3), "store")
 		assert.Equal(t, []string{"a"}, usableServers(cs))
 	})
 	t.Run("a removed registration is used during a grace period, which is longer after a store outage", func(t *testing.T) {
 		for _, outage := range []bool{false, true} {
 			now := clock.Time(1)
 			cs := newTestState(&now)
-			cs.Apply([]Change{putChange("server/a", "ready", 1)}, 1, "store")
+			cs.Apply([]Change{putChange("server/a", "ready", 1)}, store.At(0, 1), "store")
 			grace := removalGrace
 			if outage {
 				cs.StartOutageGrace()
 				grace = outageGrace
 			}
-			cs.Replace(nil, 2, "store")
+			cs.Replace(nil, store.At(0, 2), "store")
 			now = now.Add(grace - 1)
 			cs.RemoveExpired()
 			assert.Equal(t, []string{"a"}, usableServers(cs))
@@ -97,17 +100,17 @@
 	})
 	t.Run("a registration that returns within its grace period no longer expires", func(t *testing.T) {
 		cs := newTestState(&now)
-		cs.Apply([]Change{putChange("server/a", "ready", 1)}, 1, "store")
-		cs.Apply([]Change{{Key: "server/a", Revision: 2, Removed: true}}, 2, "store")
-		cs.Apply([]Change{putChange("server/a", "ready", 3)}, 3, "store")
+		cs.Apply([]Change{putChange("server/a", "ready", 1)}, store.At(0, 1), "store")
+		cs.Apply([]Change{{Key: "server/a", Position: store.At(0, 2), Removed: true}}, store.At(0, 2), "store")
+		cs.Apply([]Change{putChange("server/a", "ready", 3)}, store.At(0, 3), "store")
 		assert.Zero(t, cs.View().Servers["a"].ExpiresAt)
 	})
 	t.Run("a replaced registration is used again only after it changes", func(t *testing.T) {
 		cs := newTestState(&now)
-		cs.Apply([]Change{putChange("server/a", "ready", 1)}, 1, "store")
+		cs.Apply([]Change{putChange("server/a", "ready", 1)}, store.At(0, 1), "store")
 		cs.MarkReplaced(cs.View().Servers["a"], "b")
 		assert.Empty(t, usableServers(cs))
-		cs.Apply([]Change{putChange("server/a", "ready", 2)}, 2, "store")
+		cs.Apply([]Change{putChange("server/a", "ready", 2)}, store.At(0, 2), "store")
 		assert.Equal(t, []string{"a"}, usableServers(cs))
 	})
 }
@@ -140,11 +143,12 @@
 		Protocol: Protocol{
 			Range: func(context.Context, string) (StoreAnswer, error) {
 				ranges++
-				return StoreAnswer{Changes: []Change{putChange("server/a", "ready", 1)}, Revision: 3}, next()
+				return StoreAnswer{Changes: []Change{putChange("server/a", "ready", 1)}, Position: store.At(0, 3)}, next()
 			},
-			Watch: func(_ context.Context, _ string, after int64, _ clock.Span) (StoreAnswer, error) {
+			Watch: func(_ context.Context, _ string, after store.Position, _ clock.Span) (StoreAnswer, error) {
 				watches++
-				return StoreAnswer{Changes: []Change{putChange("server/b", "ready", after+1)}, Revision: after + 1}, next()
+				_, revision := after.Numbers()
+				return StoreAnswer{Changes: []Change{putChange("server/b", "ready", revision+1)}, Position: store.At(0, revision+1)}, next()
 			},
 		},
 	}
@@ -188,10 +192,10 @@
 		assert.NotContains(t, p.targets, "10.0.0.1")
 	})
 	t.Run("the peer with a higher revision is returned", func(t *testing.T) {
-		control, ok := p.Ahead(6)
+		control, ok := p.Ahead(store.At(0, 6))
 		assert.True(t, ok)
 		assert.Equal(t, "c", control)
-		_, ok = p.Ahead(7)
+		_, ok = p.Ahead(store.At(0, 7))
 		assert.False(t, ok)
 	})
 	t.Run("the share of a limit does not grow when peers time out", func(t *testing.T) {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -258,9 +258,10 @@
 // logOutcome writes the request's log line and updates its metrics.
 func (e *Entry) logOutcome(c *call, outcome string, more ...any) {
 	view := e.state.View()
+	era, revision := view.Position.Numbers()
 	line := []any{
 		"msg", "request", "id", c.ID, "outcome", outcome, "took", e.clock.Since(c.start),
-		"team", c.team.Name, "attempts", c.attempts, "servers", strings.Join(c.tried, " "), "revision", view.Revision,
+		"team", c.team.Name, "attempts", c.attempts, "servers", strings.Join(c.tried, " "), "era", era, "revision", revision,
 	}
 	if c.route != nil {
 		line = append(line, "route", c.route.Name, "service", c.service.Name, "content", formatFingerprint(c.content))
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
 
 	"github.com/go-kit/log/level"
 
@@ -21,12 +20,12 @@
 func (e *Entry) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		after, err := parsePosition(r.URL.Query())
 		if err != nil {
-			http.Error(w, "after is not a revision", http.StatusBadRequest)
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		if err := json.NewEncoder(w).Encode(e.state.ChangesSince(after)); err != nil {
+		if err := json.NewEncoder(w).Encode(newStateMessage(e.state.ChangesSince(after))); err != nil {
 			level.Warn(e.limitedLogger.Logger).Log("msg", "cluster state not sent to a peer", "error", err)
 		}
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,7 @@
 	"carawaypick/internal/datagram"
 	"carawaypick/internal/engine"
 	"carawaypick/internal/lifecycle"
+	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
 
@@ -44,6 +45,7 @@
 	Number   uint64
 	Ready    bool
 	Lost     bool               // the sender's last store call failed
+	Era      int64              // of Revision; 0 if unknown
 	Revision int64              // store revision that a receiver must have reached to have the sender's state
 	Flights  map[string]int     // the sender's requests in flight by backend server
 	Costs    map[string]float64 // ms that a request adds to a pass, by service
@@ -56,6 +58,11 @@
 	Ask string // address of the engine whose group an agent asks for
 }
 
+// position returns the position that a receiver must have reached to have the sender's state.
+func (hb heartbeat) position() store.Position {
+	return store.At(hb.Era, hb.Revision)
+}
+
 // peerAge is the time since a peer's last heartbeat, as relayed by another peer.
 type peerAge struct {
 	IP  string
@@ -81,7 +88,7 @@
 	memberList func(engine string) engine.MemberList // returns the group of the engine at an address
 	sendNow    chan struct{}                         // requests a heartbeat before the interval ends
 
-	Updates    chan struct{}   // signals that a peer has reached a higher revision
+	Updates    chan struct{}   // signals that a peer has reached a later position
 	OnEvidence func(heartbeat) // receives each heartbeat for its evidence of crashes; nil for none
 
 	mu       sync.Mutex
@@ -151,9 +158,10 @@
 }
 
 // ShouldReadStore reports whether this entry is among the maxStoreReaders entries that read the store for all; lost
-// says that its own last store call failed. All entries rank the live ones in the same order, by a hash of the IP
-// address, with those that can't reach the store last.
-func (p *PeerSet) ShouldReadStore(lost bool) bool {
+// says that its own last store call failed, position what it has read. All entries rank the live ones in the same order,
+// by a hash of the IP address, with those that can't reach the store last. Peers of an earlier release don't count for
+// an entry that knows the store's era, because it can't follow them.
+func (p *PeerSet) ShouldReadStore(lost bool, position store.Position) bool {
 	own := xxhash.Sum64String(p.ip)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -163,7 +171,9 @@
 		if peer.lastMessage.Lost != lost {
 			precedes = lost
 		}
-		if peer.alive && precedes {
+		theirs := peer.lastMessage.position()
+		followable := theirs.HasEra() || theirs.IsZero() || !position.HasEra()
+		if peer.alive && precedes && followable {
 			before++
 		}
 	}
@@ -306,9 +316,9 @@
 		return
 	}
 	if !peer.alive || hb.Ready != peer.lastMessage.Ready || hb.Born != peer.lastMessage.Born {
-		level.Info(p.logger).Log("msg", "peer heard", "peer", hb.Name, "ip", hb.IP, "ready", hb.Ready, "born", hb.Born, "revision", hb.Revision)
+		level.Info(logAt(p.logger, hb.position())).Log("msg", "peer heard", "peer", hb.Name, "ip", hb.IP, "ready", hb.Ready, "born", hb.Born)
 	}
-	if hb.Revision > peer.lastMessage.Revision {
+	if hb.position().After(peer.lastMessage.position()) {
 		wake(p.Updates)
 	}
 	peer.lastMessage, peer.lastSeen, peer.lastDirect, peer.alive = hb, now, now, true
@@ -378,13 +388,13 @@
 	return addresses
 }
 
-// Ahead returns the control address of the live peer with the highest revision; ok is false if none is above revision.
-func (p *PeerSet) Ahead(revision int64) (control string, ok bool) {
+// Ahead returns the control address of the live peer with the latest position; ok is false if none is after position.
+func (p *PeerSet) Ahead(position store.Position) (control string, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, peer := range p.peers {
-		if peer.alive && peer.lastMessage.Revision > revision {
-			revision, control, ok = peer.lastMessage.Revision, peer.lastMessage.Control, true
+		if theirs := peer.lastMessage.position(); peer.alive && theirs.After(position) {
+			position, control, ok = theirs, peer.lastMessage.Control, true
 		}
 	}
 	return control, ok
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,22 +18,22 @@
 	maxStateSize = 64 << 20                // maximum bytes of a peer's response
 )
 
-// pullState applies the newer state of the peer with the highest revision, if any is ahead of this entry.
+// pullState applies the newer state of the peer with the latest position, if any is ahead of this entry.
 func (e *Entry) pullState(ctx context.Context) (err error) {
-	revision := e.state.Revision()
-	control, ok := e.peers.Ahead(revision)
+	position := e.state.Position()
+	control, ok := e.peers.Ahead(position)
 	if !ok {
 		return nil
 	}
 	defer func() { err = errors.Wrapf(err, "pull state from peer %s", control) }()
-	query := url.Values{"after": {strconv.FormatInt(revision, 10)}}
-	var d Delta
-	if err := getFromPeer(ctx, control, statePath+"?"+query.Encode(), &d); err != nil {
+	var m stateMessage
+	if err := getFromPeer(ctx, control, statePath+"?"+positionQuery(position).Encode(), &m); err != nil {
 		return err
 	}
+	d := m.delta()
 	e.state.ApplyDelta(d, "peer "+control)
 	if d.Whole {
-		level.Info(e.limitedLogger.Logger).Log("msg", "belief taken from a peer", "peer", control, "revision", d.Revision, "items", len(d.Changes))
+		level.Info(logAt(e.limitedLogger.Logger, d.Position)).Log("msg", "belief taken from a peer", "peer", control, "items", len(d.Changes))
 	}
 	return nil
 }
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -17,6 +17,7 @@
 
 	"carawaypick/internal/datagram"
 	"carawaypick/internal/engine"
+	"carawaypick/internal/store"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
@@ -43,7 +44,7 @@
 	storeReaders := func(lost, dead []int) (indices []int) {
 		now := clock.Time(1)
 		for i, p := range newTestPeerSets(&now, 9, lost, dead) {
-			if !slices.Contains(dead, i) && p.ShouldReadStore(slices.Contains(lost, i)) {
+			if !slices.Contains(dead, i) && p.ShouldReadStore(slices.Contains(lost, i), store.Position{}) {
 				indices = append(indices, i)
 			}
 		}
@@ -66,7 +67,7 @@
 	})
 	t.Run("a single entry reads the store", func(t *testing.T) {
 		now := clock.Time(1)
-		assert.True(t, newTestPeerSets(&now, 1, nil, nil)[0].ShouldReadStore(true))
+		assert.True(t, newTestPeerSets(&now, 1, nil, nil)[0].ShouldReadStore(true, store.Position{}))
 	})
 }
 
@@ -82,10 +83,13 @@
 			Notify:     func() {},
 		},
 		Protocol: Protocol{
-			Range: func(context.Context, string) (StoreAnswer, error) { storeCalls++; return StoreAnswer{Revision: 1}, nil },
-			Watch: func(context.Context, string, int64, clock.Span) (StoreAnswer, error) {
+			Range: func(context.Context, string) (StoreAnswer, error) {
 				storeCalls++
-				return StoreAnswer{Revision: 1}, nil
+				return StoreAnswer{Position: store.At(0, 1)}, nil
+			},
+			Watch: func(context.Context, string, store.Position, clock.Span) (StoreAnswer, error) {
+				storeCalls++
+				return StoreAnswer{Position: store.At(0, 1)}, nil
 			},
 		},
 	}
@@ -110,11 +114,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := clock.Time(1)
 		reader, follower := newTestState(&now), newTestState(&now)
-		store := map[string]Change{}
+		records := map[string]Change{}
 		var history []Change
 		revision := int64(0)
 		content := func() (items []Change) {
-			for _, c := range store {
+			for _, c := range records {
 				items = append(items, c)
 			}
 			return items
@@ -122,40 +126,40 @@
 		watch := func(cs *ClusterState) {
 			var changes []Change
 			for _, c := range history {
-				if c.Revision > cs.Revision() {
+				if c.Position.After(cs.Position()) {
 					changes = append(changes, c)
 				}
 			}
-			cs.Apply(changes, revision, "store")
+			cs.Apply(changes, store.At(0, revision), "store")
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			key := "server/" + rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
 			switch rapid.SampledFrom([]string{"put", "remove", "watch", "range", "follower watch", "pull"}).Draw(t, "step") {
 			case "put":
 				revision++
-				store[key] = putChange(key, "ready", revision)
-				history = append(history, store[key])
+				records[key] = putChange(key, "ready", revision)
+				history = append(history, records[key])
 			case "remove":
-				if _, known := store[key]; known {
+				if _, known := records[key]; known {
 					revision++
-					delete(store, key)
-					history = append(history, Change{Key: key, Revision: revision, Removed: true})
+					delete(records, key)
+					history = append(history, Change{Key: key, Position: store.At(0, revision), Removed: true})
 				}
 			case "watch":
 				watch(reader)
 			case "range":
-				reader.Replace(content(), revision, "store")
+				reader.Replace(content(), store.At(0, revision), "store")
 			case "follower watch":
 				watch(follower)
 			case "pull":
-				follower.ApplyDelta(reader.ChangesSince(follower.Revision()), "peer")
+				follower.ApplyDelta(reader.ChangesSince(follower.Position()), "peer")
 			}
 		}
 		watch(reader)
-		if reader.ChangedRevision() > follower.Revision() {
-			follower.ApplyDelta(reader.ChangesSince(follower.Revision()), "peer")
+		if reader.ChangedPosition().After(follower.Position()) {
+			follower.ApplyDelta(reader.ChangesSince(follower.Position()), "peer")
 		}
-		want, got := reader.ChangesSince(-1), follower.ChangesSince(-1)
+		want, got := reader.ChangesSince(store.At(0, -1)), follower.ChangesSince(store.At(0, -1))
 		assert.ElementsMatch(t, want.Changes, got.Changes)
 	})
 }
@@ -163,8 +167,8 @@
 func TestPullState(t *testing.T) {
 	now := clock.Time(1)
 	state := newTestState(&now)
-	state.Apply([]Change{putChange("server/a", "ready", 4)}, 4, "store")
-	state.Apply([]Change{putChange("server/b", "ready", 5), {Key: "server/a", Revision: 6, Removed: true}}, 6, "store")
+	state.Apply([]Change{putChange("server/a", "ready", 4)}, store.At(0, 4), "store")
+	state.Apply([]Change{putChange("server/b", "ready", 5), {Key: "server/a", Position: store.At(0, 6), Removed: true}}, store.At(0, 6), "store")
 	peer := &Entry{state: state}
 	server := httptest.NewServer(peer.peerHandler())
 	defer server.Close()
@@ -172,13 +176,13 @@
 	e.peers = newTestPeerSets(&now, 1, nil, nil)[0]
 	t.Run("nothing is pulled while no peer is ahead", func(t *testing.T) {
 		require.NoError(t, e.pullState(t.Context()))
-		assert.Zero(t, e.state.Revision())
+		assert.Zero(t, e.state.Position())
 	})
-	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Control: strings.TrimPrefix(server.URL, "http://"), Revision: state.ChangedRevision()})
+	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Control: strings.TrimPrefix(server.URL, "http://"), Revision: 6})
 	t.Run("newer state of a peer is applied", func(t *testing.T) {
 		require.NoError(t, e.pullState(t.Context()))
 		assert.Equal(t, []string{"b"}, usableServers(e.state))
-		assert.Equal(t, int64(6), e.state.Revision())
+		assert.Equal(t, store.At(0, 6), e.state.Position())
 	})
 	t.Run("an unreachable peer is an error", func(t *testing.T) {
 		e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 2, Control: "127.0.0.1:1", Revision: 9})
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -8,17 +8,18 @@
 	"github.com/cockroachdb/errors"
 
 	"carawaypick/internal/routing"
+	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
 
-// ErrCompacted is returned by Watch if the store no longer has all changes after the requested revision.
-var ErrCompacted = errors.New("the store no longer has all changes after the revision")
+// ErrCompacted is returned by Watch if the store does not have all changes after the requested position.
+var ErrCompacted = errors.New("the store does not have all changes after the position")
 
 // Change is a record of the store that was written or removed.
 type Change struct {
 	Key      string
 	Value    []byte
-	Revision int64
+	Position store.Position
 	Removed  bool
 	Fault    error // error from decoding Value
 }
@@ -26,8 +27,7 @@
 // StoreAnswer is the store's answer to a range or a watch.
 type StoreAnswer struct {
 	Changes  []Change
-	Era      int64 // number of times that the store came back from a copy; 0 if it does not say
-	Revision int64 // revision that the changes reach
+	Position store.Position // that the changes reach, in an unknown era if the store does not tell it
 }
 
 // Update is a decoded change: a configuration, a backend server's registration or removal, or the evacuation of a zone.
@@ -85,8 +85,8 @@
 	ReadyPath     string
 	DirectoryPath string
 
-	// Range returns all records and a revision from which Watch misses no later change.
+	// Range returns all records and a position from which Watch misses no later change.
 	Range func(ctx context.Context, prefix string) (StoreAnswer, error)
-	// Watch waits up to wait ms for changes after a revision and returns them, or ErrCompacted.
-	Watch func(ctx context.Context, prefix string, after int64, wait clock.Span) (StoreAnswer, error)
+	// Watch waits up to wait ms for changes after a position and returns them, or ErrCompacted.
+	Watch func(ctx context.Context, prefix string, after store.Position, wait clock.Span) (StoreAnswer, error)
 }
--- /dev/null
+++ b/internal/gateway/restore_test.go
@@ -0,0 +1,351 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"carawaypick/internal/store"
+	"carawaypick/pkg/clock"
+)
+
+// at returns the change at another era.
+func (c Change) at(era int64) Change {
+	c.Position = c.Position.WithEraOf(store.At(era, 0))
+	return c
+}
+
+// newRestoredState returns the state of an entry that knew the items at revision 80 of era 1 and then read the restored
+// ones at revision 70 of era 2.
+func newRestoredState(now *clock.Time, known, restored []Change) *ClusterState {
+	cs := newTestState(now)
+	for i := range known {
+		known[i] = known[i].at(1)
+	}
+	for i := range restored {
+		restored[i] = restored[i].at(2)
+	}
+	cs.Replace(nil, store.At(1, 1), "store")
+	cs.Apply(known, store.At(1, 80), "store")
+	cs.Replace(restored, store.At(2, 70), "store")
+	return cs
+}
+
+func version(cs *ClusterState) int64 {
+	if config := cs.View().Config; config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+// settle lets the time pass in which an entry relies on a rewrite after a restore.
+func settle(now *clock.Time, states ...*ClusterState) {
+	for range 20 {
+		*now = now.Add(clock.Second)
+		for _, cs := range states {
+			cs.RemoveExpired()
+		}
+	}
+}
+
+func TestRestoredConfig(t *testing.T) {
+	now := clock.Time(1)
+	known, restored := []Change{putChange("config", "\x05", 71)}, []Change{putChange("config", "\x03", 60)}
+	t.Run("the newer version stays in force for good", func(t *testing.T) {
+		cs := newRestoredState(&now, known, restored)
+		settle(&now, cs)
+		assert.EqualValues(t, 5, version(cs))
+	})
+	t.Run("a version at a revision that was given out before is applied", func(t *testing.T) {
+		cs := newRestoredState(&now, known, restored)
+		cs.Apply([]Change{putChange("config", "\x07", 71).at(2)}, store.At(2, 71), "store")
+		assert.EqualValues(t, 7, version(cs))
+		assert.Empty(t, cs.ChangesSince(store.At(2, 70)).Retained)
+	})
+	t.Run("peers get the newer version", func(t *testing.T) {
+		cs, peer := newRestoredState(&now, known, restored), newTestState(&now)
+		peer.Replace(restored, store.At(2, 70), "store")
+		assert.EqualValues(t, 3, version(peer))
+		peer.ApplyDelta(newStateMessage(cs.ChangesSince(peer.Position())).delta(), "peer")
+		assert.EqualValues(t, 5, version(peer))
+	})
+	t.Run("a copy without any configuration changes nothing", func(t *testing.T) {
+		assert.EqualValues(t, 5, version(newRestoredState(&now, known, nil)))
+	})
+	t.Run("two restores in a row", func(t *testing.T) {
+		cs := newRestoredState(&now, known, restored)
+		cs.Replace([]Change{putChange("config", "\x03", 60).at(3)}, store.At(3, 65), "store")
+		cs.Apply([]Change{putChange("config", "\x06", 66).at(3)}, store.At(3, 66), "store")
+		assert.EqualValues(t, 6, version(cs))
+	})
+}
+
+func TestRestoredServers(t *testing.T) {
+	now := clock.Time(1)
+	removal := Change{Key: "server/a", Position: store.At(1, 75), Removed: true}
+	ready, leaving := putChange("server/a", "ready", 60), putChange("server/a", "leaving", 75)
+	t.Run("one that drains is not used until the time to write again has passed", func(t *testing.T) {
+		cs := newRestoredState(&now, []Change{ready, leaving}, []Change{ready})
+		assert.Empty(t, usableServers(cs))
+		now = now.Add(registrationHold - 1)
+		cs.RemoveExpired()
+		assert.Empty(t, usableServers(cs))
+		now = now.Add(1)
+		cs.RemoveExpired()
+		assert.Equal(t, []string{"a"}, usableServers(cs))
+	})
+	t.Run("one that drains in the copy only is not used", func(t *testing.T) {
+		assert.Empty(t, usableServers(newRestoredState(&now, []Change{putChange("server/a", "ready", 75)}, []Change{putChange("server/a", "leaving", 60)})))
+	})
+	t.Run("one that ended is not used until it registers again", func(t *testing.T) {
+		cs := newRestoredState(&now, []Change{ready, removal}, []Change{ready})
+		now = now.Add(removalGrace)
+		cs.RemoveExpired()
+		assert.Empty(t, usableServers(cs))
+		cs.Apply([]Change{putChange("server/a", "ready", 71).at(2)}, store.At(2, 71), "store")
+		assert.Equal(t, []string{"a"}, usableServers(cs))
+	})
+	t.Run("one that the copy lacks is used for the time in which it registers again", func(t *testing.T) {
+		cs := newRestoredState(&now, []Change{ready}, nil)
+		now = now.Add(outageGrace - 1)
+		cs.RemoveExpired()
+		assert.Equal(t, []string{"a"}, usableServers(cs))
+		now = now.Add(1)
+		cs.RemoveExpired()
+		assert.Empty(t, usableServers(cs))
+	})
+	t.Run("the same registration stays as it is", func(t *testing.T) {
+		cs := newRestoredState(&now, []Change{ready}, nil)
+		cs.Apply([]Change{putChange("server/a", "ready", 71).at(2)}, store.At(2, 71), "store")
+		cs.MarkReplaced(cs.View().Servers["a"], "b")
+		cs.Replace([]Change{putChange("server/a", "ready", 71).at(3)}, store.At(3, 71), "store")
+		assert.Empty(t, usableServers(cs), "another server answered at its address")
+	})
+	t.Run("peers that missed the drain learn it", func(t *testing.T) {
+		cs, peer := newRestoredState(&now, []Change{ready, leaving}, []Change{ready}), newRestoredState(&now, []Change{ready}, []Change{ready})
+		assert.Equal(t, []string{"a"}, usableServers(peer))
+		peer.ApplyDelta(newStateMessage(cs.ChangesSince(peer.Position())).delta(), "peer")
+		assert.Empty(t, usableServers(peer))
+		settle(&now, cs, peer)
+		assert.Equal(t, []string{"a"}, usableServers(peer))
+	})
+}
+
+func TestRestoredEvacuations(t *testing.T) {
+	now := clock.Time(1)
+	server, evacuation := putChange("server/a", "ready", 50), putChange("out/z", "", 75)
+	t.Run("a lost one stays in force until the time to write again has passed", func(t *testing.T) {
+		cs := newRestoredState(&now, []Change{server, evacuation}, []Change{server})
+		assert.Empty(t, usableServers(cs))
+		now = now.Add(evacuationHold)
+		cs.RemoveExpired()
+		assert.Equal(t, []string{"a"}, usableServers(cs))
+	})
+	t.Run("one that is written again lasts until it ends", func(t *testing.T) {
+		cs := newRestoredState(&now, []Change{server, evacuation}, []Change{server})
+		cs.Apply([]Change{putChange("out/z", "", 71).at(2)}, store.At(2, 71), "store")
+		settle(&now, cs)
+		assert.Empty(t, usableServers(cs))
+		cs.Apply([]Change{{Key: "out/z", Position: store.At(2, 72), Removed: true}}, store.At(2, 72), "store")
+		assert.Equal(t, []string{"a"}, usableServers(cs))
+	})
+	t.Run("one that the copy brings back holds until it is taken back", func(t *testing.T) {
+		ended := Change{Key: "out/z", Position: store.At(1, 76), Removed: true}
+		cs := newRestoredState(&now, []Change{server, evacuation, ended}, []Change{server, putChange("out/z", "", 60)})
+		assert.Empty(t, usableServers(cs))
+		cs.Apply([]Change{{Key: "out/z", Position: store.At(2, 71), Removed: true}}, store.At(2, 71), "store")
+		assert.Equal(t, []string{"a"}, usableServers(cs))
+	})
+}
+
+// TestLateAnswersOfEarlierEra guards against answers of the store or of a peer that were under way during a restore.
+func TestLateAnswersOfEarlierEra(t *testing.T) {
+	now := clock.Time(1)
+	cs := newRestoredState(&now, nil, []Change{putChange("server/a", "ready", 60)})
+	assert.False(t, cs.Apply([]Change{putChange("server/b", "ready", 81).at(1)}, store.At(1, 81), "store"))
+	assert.False(t, cs.Replace([]Change{putChange("server/b", "ready", 81).at(1)}, store.At(1, 90), "store"))
+	cs.ApplyDelta(Delta{Position: store.At(0, 99), Whole: true, Changes: []Change{putChange("server/b", "ready", 99)}}, "peer of an earlier release")
+	assert.False(t, cs.Apply([]Change{putChange("server/b", "ready", 5).at(3)}, store.At(3, 5), "store"), "a watch of a later era skips the records of the copy")
+	assert.Equal(t, []string{"a"}, usableServers(cs))
+	assert.Equal(t, store.At(2, 70), cs.Position())
+}
+
+// modelStore is a store that comes back from copies.
+type modelStore struct {
+	era, revision int64
+	items         map[string]Change
+	history       []Change
+	backup        *modelStore
+}
+
+func (m *modelStore) copied() *modelStore {
+	return &modelStore{era: m.era, revision: m.revision, items: maps.Clone(m.items), history: slices.Clone(m.history)}
+}
+
+// restore goes back to the backup, whose records are of the next era.
+func (m *modelStore) restore() {
+	b := m.backup.copied()
+	m.era, m.revision, m.items, m.history = m.era+1, b.revision, b.items, b.history
+	for key, c := range m.items {
+		m.items[key] = c.at(m.era)
+	}
+	for i, c := range m.history {
+		m.history[i] = c.at(m.era)
+	}
+}
+
+func (m *modelStore) write(c Change) {
+	m.revision++
+	c.Position = m.position()
+	if c.Removed {
+		delete(m.items, c.Key)
+	} else {
+		m.items[c.Key] = c
+	}
+	m.history = append(m.history, c)
+}
+
+func (m *modelStore) position() store.Position {
+	return store.At(m.era, m.revision)
+}
+
+// rangeInto returns a function that gives a state the records as of now.
+func (m *modelStore) rangeInto() func(*ClusterState) {
+	items, position := slices.Collect(maps.Values(m.items)), m.position()
+	return func(cs *ClusterState) { cs.Replace(items, position, "store") }
+}
+
+// watchInto returns a function that gives a state the answer to a watch from after, or to a range after a 410.
+func (m *modelStore) watchInto(after store.Position) func(*ClusterState) {
+	_, revision := after.Numbers()
+	if revision > m.revision || after.IsZero() {
+		return m.rangeInto()
+	}
+	var changes []Change
+	for _, c := range m.history {
+		if c.Position.NumberedAbove(after) {
+			changes = append(changes, c)
+		}
+	}
+	position, all := m.position(), m.rangeInto()
+	return func(cs *ClusterState) {
+		if !cs.Apply(changes, position, "store") {
+			all(cs)
+		}
+	}
+}
+
+// TestEntriesAgreeAfterRestores guards against entries that differ from the store, or go back to an older configuration,
+// whatever the order of changes, restores, late and lost answers, and pulls from peers of this and the earlier release.
+func TestEntriesAgreeAfterRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const earlierRelease = 3 // index of the entry that knows no eras
+		now := clock.Time(1)
+		m := &modelStore{era: 1, revision: 1, items: make(map[string]Change)}
+		m.backup = m.copied()
+		var states []*ClusterState
+		for range earlierRelease + 1 {
+			states = append(states, newTestState(&now))
+		}
+		versions, written := make([]int64, len(states)), int64(0)
+		type answer struct {
+			state *ClusterState
+			apply func(*ClusterState)
+		}
+		var late []answer
+		pull := func(to, from *ClusterState) func(*ClusterState) {
+			message := newStateMessage(from.ChangesSince(to.Position()))
+			if from == states[earlierRelease] {
+				message.Era, message.Retained = 0, nil
+			}
+			return func(cs *ClusterState) {
+				if d := message.delta(); d.Position.After(cs.Position()) || len(d.Retained) > 0 {
+					cs.ApplyDelta(d, "peer")
+				}
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			key := rapid.SampledFrom([]string{"server/a", "server/b", "out/z"}).Draw(t, "key")
+			i := rapid.IntRange(0, earlierRelease-1).Draw(t, "entry")
+			step := rapid.SampledFrom([]string{"put", "drain", "remove", "configure", "backup", "restore", "range", "watch", "pull", "late", "lose", "time", "earlier release"}).Draw(t, "step")
+			delayed := rapid.Bool().Draw(t, "delayed")
+			deliver := func(apply func(*ClusterState)) {
+				if delayed {
+					late = append(late, answer{states[i], apply})
+				} else {
+					apply(states[i])
+				}
+			}
+			switch step {
+			case "put":
+				m.write(putChange(key, "ready", 0))
+			case "drain":
+				m.write(putChange("server/a", "leaving", 0))
+			case "remove":
+				if _, known := m.items[key]; known {
+					m.write(Change{Key: key, Removed: true})
+				}
+			case "configure":
+				written++
+				m.write(putChange("config", string([]byte{byte(written)}), 0))
+			case "backup":
+				m.backup = m.copied()
+			case "restore":
+				m.restore()
+			case "range":
+				deliver(m.rangeInto())
+			case "watch":
+				deliver(m.watchInto(states[i].Position()))
+			case "pull":
+				from := states[rapid.IntRange(0, earlierRelease).Draw(t, "from")]
+				if from != states[i] {
+					deliver(pull(states[i], from))
+				}
+			case "late":
+				if len(late) > 0 {
+					late[0].apply(late[0].state)
+					late = late[1:]
+				}
+			case "lose":
+				late = late[min(len(late), 1):]
+			case "time":
+				now = now.Add(clock.Span(rapid.IntRange(1, 8000).Draw(t, "ms")))
+				for _, cs := range states {
+					cs.RemoveExpired()
+				}
+			case "earlier release": // it reads positions without their era
+				var items []Change
+				for _, c := range m.items {
+					items = append(items, c.at(0))
+				}
+				states[earlierRelease].Replace(items, store.At(0, m.revision), "store")
+			}
+			for j, cs := range states {
+				if version(cs) < versions[j] {
+					t.Fatalf("entry %d went back from version %d to %d", j, versions[j], version(cs))
+				}
+				versions[j] = version(cs)
+			}
+		}
+		var want []string
+		if _, evacuated := m.items["out/z"]; !evacuated {
+			for _, id := range []string{"a", "b"} {
+				if string(m.items["server/"+id].Value) == "ready" {
+					want = append(want, id)
+				}
+			}
+		}
+		for i, cs := range states[:earlierRelease] {
+			m.watchInto(cs.Position())(cs)
+			assert.Equal(t, m.position(), cs.Position())
+			settle(&now, cs)
+			assert.Equal(t, want, usableServers(cs), "servers of entry %d", i)
+			if c, known := m.items["config"]; known {
+				assert.GreaterOrEqual(t, version(cs), int64(c.Value[0]), "version of entry %d", i)
+			}
+		}
+	})
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -73,15 +73,16 @@
 	born := clock.Wall()
 	e.peers = NewPeerSet(s, c, logger, e.loads, func() heartbeat {
 		news := e.suspects.nextNews()
+		era, revision := e.state.ChangedPosition().Numbers()
 		return heartbeat{
 			Crashes: news.Crashes, Completed: news.Completed, Evidence: e.suspects.digest(),
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
-			Ready: e.ready(), Lost: e.reader.Lost(), Revision: e.state.ChangedRevision(), Flights: e.loads.InFlight(), Costs: e.ownCosts(),
+			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Flights: e.loads.InFlight(), Costs: e.ownCosts(),
 		}
 	}, func(address string) engine.MemberList { return memberList(e.state.View(), address) })
 	e.peers.OnEvidence = e.receiveEvidence
 	e.reader = &StoreReader{Protocol: protocol, State: e.state, Clock: c, Logger: logger, PeerSync: PeerSync{
-		ShouldRead: e.peers.ShouldReadStore, Pull: e.pullState, Updates: e.peers.Updates, Notify: e.peers.Notify,
+		ShouldRead: func(lost bool) bool { return e.peers.ShouldReadStore(lost, e.state.Position()) }, Pull: e.pullState, Updates: e.peers.Updates, Notify: e.peers.Notify,
 	}}
 	e.retries = newRetryBudget(s, e.peers.Share)
 	return e
--- a/internal/gateway/storereader.go
+++ b/internal/gateway/storereader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
 
@@ -33,7 +35,6 @@
 	lastSuccess clock.Time // last successful store call or pull from a peer
 	lastFailure clock.Time // last failed store call
 	lost        atomic.Bool
-	lastEra     int64 // era of the store's last answer
 	loaded      bool // State reflects a range call, so that watch calls can continue from it
 }
 
@@ -56,8 +57,7 @@
 			continue
 		}
 		if errors.Is(err, ErrCompacted) {
-			level.Info(r.Logger).Log("msg", "store no longer has the changes since this revision, reading all records",
-				"revision", r.State.Revision(), "era", r.lastEra, "error", err)
+			level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "store does not have the changes since this position, reading all records", "error", err)
 			r.loaded = false
 			continue
 		}
@@ -85,7 +85,7 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		level.Info(r.Logger).Log("msg", "peer does not answer, reading the store", "error", err, "revision", r.State.Revision())
+		level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "peer does not answer, reading the store", "error", err)
 	}
 	if !r.loaded {
 		ctx, cancel := context.WithTimeout(ctx, rangeTimeout.Duration())
@@ -95,32 +95,44 @@
 			return err
 		}
 		r.recordSuccess()
-		r.recordEra(answer)
-		r.State.Replace(answer.Changes, answer.Revision, "store")
+		answer = answer.withKnownEra(r.State.Position())
+		if !r.State.Replace(answer.Changes, answer.Position, "store") && !answer.Position.SameEra(r.State.Position()) {
+			return errOlderAnswer
+		}
 		r.loaded = true
 		return nil
 	}
+	position := r.State.Position()
 	ctx, cancel := context.WithTimeout(ctx, (watchWait + watchMargin).Duration())
 	defer cancel()
-	answer, err := r.Protocol.Watch(ctx, "", r.State.Revision(), watchWait)
+	answer, err := r.Protocol.Watch(ctx, "", position, watchWait)
 	if err != nil {
 		return err
 	}
 	r.recordSuccess()
-	r.recordEra(answer)
-	r.State.Apply(answer.Changes, answer.Revision, "store")
+	answer = answer.withKnownEra(position)
+	if !r.State.Apply(answer.Changes, answer.Position, "store") {
+		return errors.Wrap(ErrCompacted, "answer is of another era")
+	}
 	if len(answer.Changes) > 0 {
 		r.Notify()
 	}
 	return nil
 }
 
-// recordEra logs that the store came back from a copy.
-func (r *StoreReader) recordEra(a StoreAnswer) {
-	if a.Era != r.lastEra {
-		level.Warn(r.Logger).Log("msg", "store era", "era", a.Era, "before", r.lastEra, "revision", a.Revision, "known", r.State.Revision())
-		r.lastEra = a.Era
+// errOlderAnswer means that the store answered with records of an earlier era than those that are known from peers.
+var errOlderAnswer = errors.New("answer of the store is of an earlier era than the state")
+
+// withKnownEra returns the answer with the era of p if the store does not tell its own, as one of an earlier release.
+func (a StoreAnswer) withKnownEra(p store.Position) StoreAnswer {
+	if a.Position.HasEra() {
+		return a
+	}
+	changes := slices.Clone(a.Changes)
+	for i := range changes {
+		changes[i].Position = changes[i].Position.WithEraOf(p)
 	}
+	return StoreAnswer{Changes: changes, Position: a.Position.WithEraOf(p)}
 }
 
 // recordSuccess records a response of the store; it must be called before the response is applied, because registrations
@@ -131,7 +143,7 @@
 		r.State.StartOutageGrace()
 	}
 	if r.lost.Swap(false) {
-		level.Info(r.Logger).Log("msg", "store reached again", "silent", elapsed, "revision", r.State.Revision())
+		level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "store reached again", "silent", elapsed)
 	}
 	r.lastSuccess = r.Clock.Now()
 }
@@ -139,7 +151,7 @@
 func (r *StoreReader) handleFailure(ctx context.Context, err error) {
 	r.lastFailure = r.Clock.Now()
 	if !r.lost.Swap(true) {
-		level.Warn(r.Logger).Log("msg", "store lost", "error", err, "silent", r.Clock.Since(r.lastSuccess), "revision", r.State.Revision())
+		level.Warn(logAt(r.Logger, r.State.Position())).Log("msg", "store lost", "error", err, "silent", r.Clock.Since(r.lastSuccess))
 	}
 	if err := r.Pull(ctx); err != nil {
 		level.Warn(r.Logger).Log("msg", "peer did not answer, keeping the current state", "error", err)
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"carawaypick/internal/store"
 )
 
 func newConfig(routes ...Route) *Config {
@@ -64,7 +66,7 @@
 			"d": {ID: "d", Service: "s", Address: "3", Zone: "z", Draining: true},
 			"e": {ID: "e", Service: "s", Address: "4", Zone: "z", ExpiresAt: 50},
 			"f": {ID: "f", Service: "other", Address: "5", Zone: "z"},
-			"g": {ID: "g", Service: "s", Address: "5", Zone: "z", Revision: 9},
+			"g": {ID: "g", Service: "s", Address: "5", Zone: "z", Position: store.At(0, 9)},
 		},
 		EvacuatedZones: map[string]bool{"out": true},
 	}
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
 
@@ -14,18 +15,18 @@
 	Zone      string
 	Slots     int // concurrent requests that the server runs
 	Draining  bool
-	Group     string     // lock-step group of ranks; empty for none
-	Rank      int        // rank in the group
-	ColdUntil clock.Time // time until which the server is cold; directly after decoding, the ms that remain until then
-	StartedAt int64      // Unix time in ms at which the server started; 0 if unknown
-	Revision  int64      // store revision of the registration
-	ExpiresAt clock.Time // time from which the registration counts as expired; 0 while it is in the store
+	Group     string         // lock-step group of ranks; empty for none
+	Rank      int            // rank in the group
+	ColdUntil clock.Time     // time until which the server is cold; directly after decoding, the ms that remain until then
+	StartedAt int64          // Unix time in ms at which the server started; 0 if unknown
+	Position  store.Position // position in the store of the registration
+	ExpiresAt clock.Time     // time from which the registration counts as expired; 0 while it is in the store
 }
 
 // View is an immutable snapshot of the configuration and the backend servers as known to one process.
 type View struct {
-	Config         *Config // nil until a configuration is received
-	Revision       int64
+	Config         *Config              // nil until a configuration is received
+	Position       store.Position       // position in the store up to which changes are applied
 	Servers        map[string]*Server   // by id
 	Services       map[string][]*Server // usable backend servers by service, ordered by id
 	EvacuatedZones map[string]bool      // availability zones that accept no requests
@@ -60,7 +61,7 @@
 	if s.StartedAt != o.StartedAt {
 		return s.StartedAt < o.StartedAt
 	}
-	return s.Revision < o.Revision
+	return o.Position.After(s.Position)
 }
 
 // Usable reports whether new requests may be sent to s.
--- a/internal/telemetry/requestlog.go
+++ b/internal/telemetry/requestlog.go
@@ -28,7 +28,10 @@
 	"configuration in force": true, "evacuation": true, "backend server": true, "backend server's entry is gone": true,
 	"backend server replaced": true, "backend server forgotten": true, "store lost": true, "store reached again": true,
 	"peer silent": true, "peer heard": true, "belief taken from a peer": true, "map proposed": true, "map switch ended": true,
-	"this process directs the group": true, "lines left out": true,
+	"this process directs the group": true, "lines left out": true, "store came back from a copy": true,
+	"store has an older record than the one in force, keeping the newer": true, "record was not written again, following the store": true,
+	"records are older than the state, dropping them": true, "changes are of another era than the state, dropping them": true,
+	"configuration is not newer than the current one, ignoring it": true, "configuration was written again": true,
 }
 
 // LogLine is one log line of a process.
@@ -88,8 +91,8 @@
 }
 
 // RequestLog returns the lines of the request, those on crashes of backend servers with its content in flight, and the
-// context lines logged around it, in order of time. It corrects the times by the clock offsets between processes, estimated from changes that several processes logged with the same
-// revision.
+// context lines logged around it, in order of time. It corrects the times by the clock offsets between processes,
+// estimated from changes that several processes logged with the same era and revision.
 func RequestLog(lines []LogLine, id string) (selected []LogLine) {
 	var own []LogLine
 	for _, l := range lines {
@@ -147,7 +150,7 @@
 func clockOffsets(lines []LogLine, process string) map[string]time.Duration {
 	type change struct {
 		message, server string
-		revision        float64
+		era, revision   float64
 	}
 	seen := make(map[change]map[string]time.Time)
 	for _, l := range lines {
@@ -155,7 +158,8 @@
 		if !ok || (l.Message != "configuration in force" && l.Message != "backend server" && l.Message != "evacuation") {
 			continue
 		}
-		c := change{l.Message, stringValue(l.Fields["server"]), revision}
+		era, _ := floatValue(l.Fields["era"]) // lines of an earlier release have none
+		c := change{l.Message, stringValue(l.Fields["server"]), era, revision}
 		if seen[c] == nil {
 			seen[c] = make(map[string]time.Time)
 		}
--- a/internal/telemetry/requestlog_test.go
+++ b/internal/telemetry/requestlog_test.go
@@ -67,3 +67,18 @@
 	assert.Equal(t, "i-1/5", selected[0].Fields["crash"])
 	assert.True(t, selected[1].Own)
 }
+
+// TestRequestLogAlignsErasApart guards against clocks that are aligned by changes that a store numbered alike before and
+// after it came back from a copy.
+func TestRequestLogAlignsErasApart(t *testing.T) {
+	lines, _, err := ReadLog(strings.NewReader(`
+{"ts":"2026-12-04T10:00:00.000Z","name":"front-1","msg":"configuration in force","era":1,"revision":80}
+{"ts":"2026-12-04T10:01:00.000Z","name":"front-2","msg":"configuration in force","era":2,"revision":80}
+{"ts":"2026-12-04T10:01:00.000Z","name":"front-1","msg":"request","id":"r"}
+`))
+	require.NoError(t, err)
+	selected := RequestLog(lines, "r")
+	require.Len(t, selected, 2)
+	assert.Equal(t, "front-2", selected[0].Process)
+	assert.Equal(t, selected[1].Time, selected[0].Time, "the clock of front-2 is not moved")
+}
