Let a starting entry learn the newest configuration before it serves

What callers saw: a key that was revoked is accepted by an entry that starts after the store came back from a copy, until the operators have written again, though all its peers reject it.

Cause: an entry that starts took its configuration from the store alone and was ready with it. That versions never go back held for the life of a process, not for the fleet's. Peers could not help: heartbeats name no version, and a peer at the same position has no changes to hand on.

Why the fix works: heartbeats carry the version in force. An entry that starts waits with its requests and is not ready until its version is the latest among its live peers and one that serves, or all seeds, have told theirs; it pulls the state of a peer with a later version. Peers that hear it start answer at once. Without an answer it serves after 1 s. Later too, a version that a peer has and the store lacks is pulled. An entry of the earlier release tells no version and counts as knowing none.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -70,6 +70,14 @@
 	return cs.position
 }
 
+// ConfigVersion returns the version of the configuration in force, 0 if none is known.
+func (cs *ClusterState) ConfigVersion() int64 {
+	if config := cs.View().Config; config != nil {
+		return config.Version
+	}
+	return 0
+}
+
 // ChangedPosition returns the position that another process must have reached to have the same state.
 func (cs *ClusterState) ChangedPosition() store.Position {
 	cs.mu.Lock()
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -39,6 +39,7 @@
 	retries       *retryBudget
 	suspects      *suspectSet
 	admission     *admission
+	joined        chan struct{} // closed when this entry knows what its peers know of the configuration
 	draining      atomic.Bool
 	active        atomic.Int64
 }
@@ -105,6 +106,10 @@
 
 // validate authorizes the request, checks its size limits, reads its body and sets its deadline.
 func (e *Entry) validate(w http.ResponseWriter, c *call) *rejection {
+	select {
+	case <-e.joined: // takes a heartbeat of a peer, at most joinTimeout
+	case <-c.request.Context().Done():
+	}
 	view := e.state.View()
 	if view.Config == nil {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "no configuration is known", retryAfter: noConfigRetryAfter}
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -81,5 +81,5 @@
 
 // ready reports whether this entry accepts new callers.
 func (e *Entry) ready() bool {
-	return !e.draining.Load() && e.state.View().Config != nil
+	return !e.draining.Load() && e.hasJoined() && e.state.View().Config != nil
 }
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -156,6 +156,7 @@
 	}
 	view.IndexServers(0)
 	e.state.view.Store(view)
+	close(e.joined)
 	for range 100 { // fills the retry budget
 		e.retries.recordRequest(&call{service: routing.Service{Name: "s"}}, 0)
 	}
--- /dev/null
+++ b/internal/gateway/join.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"carawaypick/internal/store"
+	"carawaypick/pkg/clock"
+)
+
+const (
+	joinTimeout       = clock.Second            // for a starting entry to learn the newest configuration of its peers
+	configRetryPause  = 100 * clock.Millisecond // after a failed pull of a newer configuration
+	joinReplyInterval = 50 * clock.Millisecond  // least interval between two heartbeats sent early because a peer starts
+)
+
+// catchUpLoop takes over configurations that peers know and the store does not hold, as after a restore from a copy. It
+// ends the start of this entry once it knows what they know.
+func (e *Entry) catchUpLoop(ctx context.Context) error {
+	start := e.clock.Now()
+	timeout := time.NewTimer(joinTimeout.Duration())
+	defer timeout.Stop()
+	var retry <-chan time.Time
+	joining, timedOut := true, false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timeout.C:
+			timedOut = true
+		case <-retry:
+		case <-e.peers.Heard:
+		}
+		retry = nil
+		if err := e.pullNewerConfig(ctx, joining); err != nil {
+			level.Warn(e.limitedLogger.Logger).Log("msg", "newer configuration not pulled from a peer, trying again", "error", err)
+			retry = time.After(configRetryPause.Duration())
+		}
+		version := e.state.ConfigVersion()
+		if joining && (timedOut || e.peers.CaughtUp(version)) {
+			joining = false
+			close(e.joined)
+			level.Info(logAt(e.limitedLogger.Logger, e.state.Position())).Log("msg", "joined", "version", version, "waited", e.clock.Since(start), "timeout", timedOut)
+		}
+	}
+}
+
+// pullNewerConfig applies the state of a peer with a newer configuration, if there is any. Unless this entry is joining it
+// leaves out peers that are ahead, since their changes are on the way from the store or from a peer.
+func (e *Entry) pullNewerConfig(ctx context.Context, joining bool) error {
+	position := e.state.Position()
+	limit := position
+	if joining {
+		limit = store.Latest
+	}
+	control, ok := e.peers.WithNewerConfig(e.state.ConfigVersion(), limit)
+	if !ok {
+		return nil
+	}
+	return e.pullFrom(ctx, control, position)
+}
+
+// hasJoined reports whether the entry has learned from its peers what it must know to serve.
+func (e *Entry) hasJoined() bool {
+	select {
+	case <-e.joined:
+		return true
+	default:
+		return false
+	}
+}
+
+// WithNewerConfig returns the control address of the live peer with the latest version of the configuration among those
+// whose position is not after limit; ok is false if none is above version.
+func (p *PeerSet) WithNewerConfig(version int64, limit store.Position) (control string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.peers {
+		if m := peer.lastMessage; peer.alive && m.Version > version && !m.position().After(limit) {
+			version, control, ok = m.Version, m.Control, true
+		}
+	}
+	return control, ok
+}
+
+// CaughtUp reports whether version is the latest that any live peer knows, and enough peers told theirs: one that serves,
+// or all seeds, since none may be ready while all start.
+func (p *PeerSet) CaughtUp(version int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	served := false
+	for _, peer := range p.peers {
+		if peer.alive && peer.lastMessage.Version > version {
+			return false
+		}
+		served = served || (peer.alive && peer.lastMessage.Ready)
+	}
+	for _, ip := range p.seeds {
+		if peer := p.peers[ip]; !served && (peer == nil || !peer.alive || peer.lastMessage.Version == 0) {
+			return false
+		}
+	}
+	return version > 0
+}
+
+// greet sends the next heartbeat early, to a peer that starts first of all; mu is held.
+func (p *PeerSet) greet(ip string, now clock.Time) {
+	if now.Sub(p.lastGreeting) < joinReplyInterval {
+		return
+	}
+	p.lastGreeting = now
+	p.pending = append([]string{ip}, p.pending...)
+	wake(p.sendNow)
+}
--- /dev/null
+++ b/internal/gateway/join_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"carawaypick/internal/store"
+	"carawaypick/pkg/clock"
+)
+
+func TestCaughtUp(t *testing.T) {
+	now := clock.Time(1)
+	newPeers := func(seeds ...string) *PeerSet {
+		p := newTestPeerSets(&now, 1, nil, nil)[0]
+		p.seeds = seeds
+		return p
+	}
+	t.Run("not before a configuration is known", func(t *testing.T) {
+		assert.False(t, newPeers().CaughtUp(0))
+		assert.True(t, newPeers().CaughtUp(5), "an entry that is its only seed")
+	})
+	t.Run("not before a peer that serves or all seeds told theirs", func(t *testing.T) {
+		p := newPeers("10.0.0.8", "10.0.0.9")
+		assert.False(t, p.CaughtUp(5))
+		p.handleHeartbeat(heartbeat{IP: "10.0.0.8", Number: 1, Version: 5})
+		assert.False(t, p.CaughtUp(5))
+		p.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Version: 4})
+		assert.True(t, p.CaughtUp(5))
+		p = newPeers("10.0.0.8", "10.0.0.9")
+		p.handleHeartbeat(heartbeat{IP: "10.0.0.7", Number: 1, Ready: true})
+		assert.True(t, p.CaughtUp(5), "a peer of an earlier release that serves")
+	})
+	t.Run("not while a peer knows a newer version", func(t *testing.T) {
+		p := newPeers()
+		p.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Ready: true, Control: "c", Era: 2, Revision: 70, Version: 6})
+		assert.False(t, p.CaughtUp(5))
+		control, ok := p.WithNewerConfig(5, store.At(2, 70))
+		assert.True(t, ok)
+		assert.Equal(t, "c", control)
+		_, ok = p.WithNewerConfig(5, store.At(2, 69))
+		assert.False(t, ok, "the change is on its way")
+		_, ok = p.WithNewerConfig(6, store.Latest)
+		assert.False(t, ok)
+	})
+}
+
+// TestStartingEntryAnswersBeforeItJoined guards against requests that are handled by a configuration which peers know to
+// be outdated.
+func TestStartingEntryAnswersBeforeItJoined(t *testing.T) {
+	b := newFakeBackend(t, respondOK)
+	e, url := newTestEntry(t, b)
+	e.joined = make(chan struct{})
+	assert.False(t, e.ready())
+	done := make(chan error, 1)
+	go func() {
+		_, err := doRequest(t, t.Context(), http.MethodPost, url+"/safe/", "")
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	assert.Zero(t, b.count())
+	close(e.joined)
+	require.NoError(t, <-done)
+	assert.Equal(t, 1, b.count())
+	assert.True(t, e.ready())
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,6 +47,7 @@
 	Lost     bool               // the sender's last store call failed
 	Era      int64              // of Revision; 0 if unknown
 	Revision int64              // store revision that a receiver must have reached to have the sender's state
+	Version  int64              // of the configuration in force; 0 if none is known, and from an entry of an earlier release
 	Flights  map[string]int     // the sender's requests in flight by backend server
 	Costs    map[string]float64 // ms that a request adds to a pass, by service
 	Known    []peerAge          // peers from which the sender received a heartbeat within maxRelayAge
@@ -89,6 +90,7 @@
 	sendNow    chan struct{}                         // requests a heartbeat before the interval ends
 
 	Updates    chan struct{}   // signals that a peer has reached a later position
+	Heard      chan struct{}   // signals that a peer has started, become ready or taken another configuration
 	OnEvidence func(heartbeat) // receives each heartbeat for its evidence of crashes; nil for none
 
 	mu       sync.Mutex
@@ -96,14 +98,17 @@
 	peers    map[string]*peerState // by IP address
 	targets  map[string]clock.Time // IP addresses to send to, with the time of the last heartbeat or discovery
 	pending  []string              // live targets that were not yet sent a heartbeat in the current round
+	seeds    []string              // IP addresses of the seeds but for this entry
 	maxAlive int                   // highest number of entries alive at one time, including this one
+
+	lastGreeting clock.Time // last heartbeat sent early because a peer starts
 }
 
 // NewPeerSet returns a peer set whose only targets are the seeds of s.
 func NewPeerSet(s Settings, c clock.Clock, logger log.Logger, loads *LoadTracker, self func() heartbeat, memberList func(string) engine.MemberList) *PeerSet {
 	p := &PeerSet{
 		clock: c, logger: logger, loads: loads, ip: s.IP, port: s.InternalPorts[0], self: self, memberList: memberList,
-		sendNow: make(chan struct{}, 1), Updates: make(chan struct{}, 1),
+		sendNow: make(chan struct{}, 1), Updates: make(chan struct{}, 1), Heard: make(chan struct{}, 1),
 		peers: make(map[string]*peerState), targets: make(map[string]clock.Time), maxAlive: 1,
 	}
 	p.AddSeeds(s)
@@ -114,9 +119,11 @@
 func (p *PeerSet) AddSeeds(s Settings) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.seeds = nil
 	for _, host := range s.seedAddresses(p.logger) {
 		if host != s.IP {
 			p.targets[host] = p.clock.Now()
+			p.seeds = append(p.seeds, host)
 		}
 	}
 }
@@ -321,6 +328,12 @@
 	if hb.position().After(peer.lastMessage.position()) {
 		wake(p.Updates)
 	}
+	if !peer.alive || hb.Ready != peer.lastMessage.Ready || hb.Born != peer.lastMessage.Born || hb.Version != peer.lastMessage.Version {
+		wake(p.Heard)
+	}
+	if hb.Born != peer.lastMessage.Born && !hb.Ready {
+		p.greet(hb.IP, now)
+	}
 	peer.lastMessage, peer.lastSeen, peer.lastDirect, peer.alive = hb, now, now, true
 	p.targets[hb.IP] = now
 	for _, relay := range hb.Known {
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
 
@@ -19,12 +20,17 @@
 )
 
 // pullState applies the newer state of the peer with the latest position, if any is ahead of this entry.
-func (e *Entry) pullState(ctx context.Context) (err error) {
+func (e *Entry) pullState(ctx context.Context) error {
 	position := e.state.Position()
 	control, ok := e.peers.Ahead(position)
 	if !ok {
 		return nil
 	}
+	return e.pullFrom(ctx, control, position)
+}
+
+// pullFrom applies what the peer with the control address has after a position.
+func (e *Entry) pullFrom(ctx context.Context, control string, position store.Position) (err error) {
 	defer func() { err = errors.Wrapf(err, "pull state from peer %s", control) }()
 	var m stateMessage
 	if err := getFromPeer(ctx, control, statePath+"?"+positionQuery(position).Encode(), &m); err != nil {
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -124,7 +124,10 @@
 			Pull: func(context.Context) error { return nil },
 		},
 		Protocol: Protocol{
-			Range: func(context.Context, string) (StoreAnswer, error) { calls++; return StoreAnswer{Position: store.At(0, 3)}, nil },
+			Range: func(context.Context, string) (StoreAnswer, error) {
+				calls++
+				return StoreAnswer{Position: store.At(0, 3)}, nil
+			},
 			Watch: func(context.Context, string, store.Position, clock.Span) (StoreAnswer, error) {
 				calls++
 				return StoreAnswer{}, ErrCompacted
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -34,13 +34,6 @@
 	return cs
 }
 
-func version(cs *ClusterState) int64 {
-	if config := cs.View().Config; config != nil {
-		return config.Version
-	}
-	return 0
-}
-
 // settle lets the time pass in which an entry relies on a rewrite after a restore.
 func settle(now *clock.Time, states ...*ClusterState) {
 	for range 20 {
@@ -57,29 +50,29 @@
 	t.Run("the newer version stays in force for good", func(t *testing.T) {
 		cs := newRestoredState(&now, known, restored)
 		settle(&now, cs)
-		assert.EqualValues(t, 5, version(cs))
+		assert.EqualValues(t, 5, cs.ConfigVersion())
 	})
 	t.Run("a version at a revision that was given out before is applied", func(t *testing.T) {
 		cs := newRestoredState(&now, known, restored)
 		cs.Apply([]Change{putChange("config", "\x07", 71).at(2)}, store.At(2, 71), "store")
-		assert.EqualValues(t, 7, version(cs))
+		assert.EqualValues(t, 7, cs.ConfigVersion())
 		assert.Empty(t, cs.ChangesSince(store.At(2, 70)).Retained)
 	})
 	t.Run("peers get the newer version", func(t *testing.T) {
 		cs, peer := newRestoredState(&now, known, restored), newTestState(&now)
 		peer.Replace(restored, store.At(2, 70), "store")
-		assert.EqualValues(t, 3, version(peer))
+		assert.EqualValues(t, 3, peer.ConfigVersion())
 		peer.ApplyDelta(newStateMessage(cs.ChangesSince(peer.Position())).delta(), "peer")
-		assert.EqualValues(t, 5, version(peer))
+		assert.EqualValues(t, 5, peer.ConfigVersion())
 	})
 	t.Run("a copy without any configuration changes nothing", func(t *testing.T) {
-		assert.EqualValues(t, 5, version(newRestoredState(&now, known, nil)))
+		assert.EqualValues(t, 5, newRestoredState(&now, known, nil).ConfigVersion())
 	})
 	t.Run("two restores in a row", func(t *testing.T) {
 		cs := newRestoredState(&now, known, restored)
 		cs.Replace([]Change{putChange("config", "\x03", 60).at(3)}, store.At(3, 65), "store")
 		cs.Apply([]Change{putChange("config", "\x06", 66).at(3)}, store.At(3, 66), "store")
-		assert.EqualValues(t, 6, version(cs))
+		assert.EqualValues(t, 6, cs.ConfigVersion())
 	})
 }
 
@@ -324,10 +317,10 @@
 				states[earlierRelease].Replace(items, store.At(0, m.revision), "store")
 			}
 			for j, cs := range states {
-				if version(cs) < versions[j] {
-					t.Fatalf("entry %d went back from version %d to %d", j, versions[j], version(cs))
+				if cs.ConfigVersion() < versions[j] {
+					t.Fatalf("entry %d went back from version %d to %d", j, versions[j], cs.ConfigVersion())
 				}
-				versions[j] = version(cs)
+				versions[j] = cs.ConfigVersion()
 			}
 		}
 		var want []string
@@ -344,7 +337,7 @@
 			settle(&now, cs)
 			assert.Equal(t, want, usableServers(cs), "servers of entry %d", i)
 			if c, known := m.items["config"]; known {
-				assert.GreaterOrEqual(t, version(cs), int64(c.Value[0]), "version of entry %d", i)
+				assert.GreaterOrEqual(t, cs.ConfigVersion(), int64(c.Value[0]), "version of entry %d", i)
 			}
 		}
 	})
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -65,11 +65,17 @@
 		conns:     newConnPool(c),
 		metrics:   metrics,
 		admission: newAdmission(),
+		joined:    make(chan struct{}),
 	}
 	e.suspects = newSuspectSet(c)
 	e.settings.Store(&s)
 	e.limitedLogger = &telemetry.RateLimitedLogger{Logger: logger, Clock: c, RoutineKinds: map[string]bool{"whole": true}}
-	e.state = NewClusterState(protocol.DecodeChange, c, logger, func(v *routing.View) { e.loads.Prune(v) })
+	e.state = NewClusterState(protocol.DecodeChange, c, logger, func(v *routing.View) {
+		e.loads.Prune(v)
+		if !e.hasJoined() {
+			wake(e.peers.Heard)
+		}
+	})
 	born := clock.Wall()
 	e.peers = NewPeerSet(s, c, logger, e.loads, func() heartbeat {
 		news := e.suspects.nextNews()
@@ -77,7 +83,7 @@
 		return heartbeat{
 			Crashes: news.Crashes, Completed: news.Completed, Evidence: e.suspects.digest(),
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
-			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Flights: e.loads.InFlight(), Costs: e.ownCosts(),
+			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(),
 		}
 	}, func(address string) engine.MemberList { return memberList(e.state.View(), address) })
 	e.peers.OnEvidence = e.receiveEvidence
@@ -92,7 +98,7 @@
 // the entry.
 func (e *Entry) start(ctx context.Context) (work chan error, servers []*http.Server, err error) {
 	s := *e.settings.Load()
-	work = make(chan error, 8)
+	work = make(chan error, 16)
 	run := func(name string, loop func(context.Context) error) {
 		ended := lifecycle.Start(ctx, loop)
 		go func() { work <- errors.Wrap(<-ended, name) }()
@@ -124,6 +130,7 @@
 	run("peers", func(ctx context.Context) error { return e.peers.Run(ctx, s.IP) })
 	run("sweep", e.cleanupLoop)
 	run("evidence", e.evidenceLoop)
+	run("config", e.catchUpLoop)
 	run("turns", e.admissionLoop)
 	return work, servers, nil
 }
--- a/internal/store/position.go
+++ b/internal/store/position.go
@@ -1,6 +1,9 @@
 package store
 
-import "cmp"
+import (
+	"cmp"
+	"math"
+)
 
 // Position is a place in the history of the store.
 //
@@ -11,6 +14,9 @@
 	revision int64
 }
 
+// Latest is after all other positions.
+var Latest = Position{era: math.MaxInt64, revision: math.MaxInt64}
+
 // At returns the position of a revision in an era.
 func At(era, revision int64) Position {
 	return Position{era: era, revision: revision}
