Accept a peer that restarted with its clock behind

What callers saw: an entry that restarts on an instance whose clock is behind is not listed by its peers, its requests in flight count for nothing and its state is pulled by nobody, for as long as the clock is behind.

Cause: heartbeats of one address are ordered by the wall clock at the start of the process, and whatever does not rise was dropped in silence.

Evidence: TestPeerWithClockBehindIsIgnored, red before: of two incarnations the one with the earlier clock is never heard.

Why the fix works: a message that looks older is accepted once the present incarnation has sent nothing for 0.5 s, five heartbeats, and is logged with both start times. A late datagram of an earlier incarnation is younger than that, and is dropped as before.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -21,6 +21,7 @@
 )
 
 const (
+	restartSilence          = 500 * clock.Millisecond  // time without a heartbeat after which one that looks older is of the next incarnation, started with its clock behind
 	heartbeatInterval       = 100 * clock.Millisecond  // least interval between two heartbeats; Notify sends one earlier
 	intervalPerPeer         = 12 * clock.Millisecond   // least interval per target, which bounds the send rate in a large peer set
 	maxTargets              = 24                       // peers that one heartbeat is sent to; the next one goes to others
@@ -306,7 +307,8 @@
 	}
 }
 
-// handleHeartbeat updates the sender's state; it drops messages of an earlier incarnation and reordered ones.
+// handleHeartbeat updates the sender's state; it drops messages of an earlier incarnation and reordered ones. Incarnations
+// are ordered by wall clock, which may have been set back: one that sends while the other is silent is the present one.
 func (p *PeerSet) handleHeartbeat(hb heartbeat) {
 	if p.OnEvidence != nil && hb.Evidence != 0 {
 		p.OnEvidence(hb)
@@ -319,8 +321,13 @@
 		peer = &peerState{}
 		p.peers[hb.IP] = peer
 	}
-	if hb.Born < peer.lastMessage.Born || (hb.Born == peer.lastMessage.Born && hb.Number <= peer.lastMessage.Number) {
-		return
+	last := peer.lastMessage
+	if hb.Born < last.Born || (hb.Born == last.Born && hb.Number <= last.Number) {
+		if now.Sub(peer.lastDirect) < restartSilence {
+			return
+		}
+		level.Warn(p.logger).Log("msg", "peer restarted with its clock behind", "peer", hb.Name, "ip", hb.IP, "born", hb.Born, "before", last.Born,
+			"number", hb.Number, "silent", now.Sub(peer.lastDirect))
 	}
 	if !peer.alive || hb.Ready != peer.lastMessage.Ready || hb.Born != peer.lastMessage.Born {
 		level.Info(logAt(p.logger, hb.position())).Log("msg", "peer heard", "peer", hb.Name, "ip", hb.IP, "ready", hb.Ready, "born", hb.Born)
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -138,6 +138,27 @@
 	assert.LessOrEqual(t, calls, maxCalls)
 }
 
+// TestPeerWithClockBehindIsIgnored guards against a peer whose heartbeats count for nothing after it restarted on an
+// instance whose clock is behind that of its last start.
+func TestPeerWithClockBehindIsIgnored(t *testing.T) {
+	const born = int64(1_000_000)
+	now := clock.Time(1)
+	p := newTestPeerSets(&now, 1, nil, nil)[0]
+	heard := func(born int64, number uint64) bool {
+		p.handleHeartbeat(heartbeat{IP: "10.0.0.9", Born: born, Number: number})
+		last := p.peers["10.0.0.9"].lastMessage
+		return last.Born == born && last.Number == number
+	}
+	require.True(t, heard(born, 50))
+	now = now.Add(heartbeatInterval)
+	assert.False(t, heard(born-60_000, 9), "a late message of an earlier incarnation")
+	assert.False(t, heard(born, 49), "a reordered message")
+	now = now.Add(restartSilence)
+	assert.True(t, heard(born-60_000, 1), "the next incarnation")
+	assert.True(t, heard(born-60_000, 2))
+	assert.True(t, heard(born+1, 1), "one with a later clock again")
+}
+
 // TestPulledStateMatchesStoreReader guards against a follower that misses changes or removals, whatever the order of
 // changes, store calls and pulls.
 func TestPulledStateMatchesStoreReader(t *testing.T) {
