Show what an entry has read from the store in metrics and explain

Gauges now tell era, revision and version, the age of each and the number of records that are retained. explain shows the last line before a request, of each kind, on what the entry read from the store and what it dropped, however old. Clocks are compared by changes of one era and revision, since a store that came back from a copy gives revisions out again.

TestRequestLogNamesDroppedAnswers, TestRequestLogAlignsErasApart (red with the era left out) and TestMetricsTellStoreProgress check it.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -44,6 +44,9 @@
 	position        store.Position            // up to which changes have been applied
 	changedPosition store.Position            // of the last update that changed the state
 	configRecord    Change                    // record of the configuration in force
+	eraAt           clock.Time                // when the era of position last changed
+	positionAt      clock.Time                // when position last changed
+	configAt        clock.Time                // when the configuration in force last changed
 	graceUntil      clock.Time                // servers whose registrations disappear before this time without a drain notice stay in use until then
 	view            atomic.Pointer[routing.View]
 }
@@ -156,7 +159,7 @@
 		changed = true
 	}
 	if position.After(cs.position) {
-		cs.position = position
+		cs.setPosition(position)
 	}
 	if changed {
 		cs.changedPosition = cs.position
@@ -180,11 +183,43 @@
 	} else {
 		cs.restoreRecords(next, items, position, source)
 	}
-	cs.position, cs.changedPosition, cs.historyStart = position, position, position
+	cs.setPosition(position)
+	cs.changedPosition, cs.historyStart = position, position
 	cs.publish(next)
 	return true
 }
 
+// setPosition sets the position; mu is held.
+func (cs *ClusterState) setPosition(position store.Position) {
+	now := cs.clock.Now()
+	if !position.SameEra(cs.position) {
+		cs.eraAt = now
+	}
+	if position != cs.position {
+		cs.positionAt = now
+	}
+	cs.position = position
+}
+
+// Progress is what a process has applied, each with the ms since it last changed.
+type Progress struct {
+	Era, Revision, Version          int64
+	EraAge, RevisionAge, VersionAge clock.Span
+	Retained                        int // records in force that the store does not hold
+}
+
+// Progress returns what has been applied.
+func (cs *ClusterState) Progress() Progress {
+	now, version := cs.clock.Now(), cs.ConfigVersion()
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	era, revision := cs.position.Numbers()
+	return Progress{
+		Era: era, Revision: revision, Version: version, Retained: len(cs.retained),
+		EraAge: now.Sub(cs.eraAt), RevisionAge: now.Sub(cs.positionAt), VersionAge: now.Sub(cs.configAt),
+	}
+}
+
 // replaceRecords replaces the records by those of a later position in the same era; mu is held.
 func (cs *ClusterState) replaceRecords(next *routing.View, items []Change, position store.Position, source string) {
 	present := make(map[string]bool, len(items))
@@ -333,7 +368,7 @@
 		level.Info(logAt(cs.logger, c.Position)).Log("msg", "configuration was written again", "version", config.Version, "source", source)
 		return
 	}
-	next.Config, cs.configRecord = config, c
+	next.Config, cs.configRecord, cs.configAt = config, c, cs.clock.Now()
 	level.Info(logAt(cs.logger, c.Position)).Log("msg", "configuration in force", "version", config.Version, "source", source,
 		"routes", len(config.Routes), "services", len(config.Services), "keys", len(config.TeamsByKey))
 }
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"testing"
@@ -76,6 +77,22 @@
 	})
 }
 
+// TestMetricsTellStoreProgress guards against an incident in which metrics do not show whether an entry follows the store.
+func TestMetricsTellStoreProgress(t *testing.T) {
+	now := clock.Time(1)
+	e, _ := newTestEntry(t)
+	e.state = newRestoredState(&now, []Change{putChange("config", "\x05", 71)}, []Change{putChange("config", "\x03", 60)})
+	now = now.Add(clock.Second)
+	var text bytes.Buffer
+	e.metrics.Write(&text)
+	for _, line := range []string{
+		"store_era 2", "store_era_age_ms 1000", "store_revision 70", "store_revision_age_ms 1000", "config_version 5",
+		"config_version_age_ms 1000", "records_retained 1",
+	} {
+		assert.Contains(t, text.String(), "carawaypick_"+line+"\n")
+	}
+}
+
 func TestRestoredServers(t *testing.T) {
 	now := clock.Time(1)
 	removal := Change{Key: "server/a", Position: store.At(1, 75), Removed: true}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -99,6 +99,11 @@
 	return m.Set.NewGauge(metricPrefix+name, nil)
 }
 
+// RegisterGauge adds a gauge whose value is read when the metrics are.
+func (m *Metrics) RegisterGauge(name string, value func() float64) {
+	m.Set.NewGauge(metricPrefix+name, value)
+}
+
 func (m *Metrics) counters(name, label string) Counters {
 	return newFamily(metricPrefix+name, label, m.Set.NewCounter)
 }
--- a/internal/telemetry/requestlog.go
+++ b/internal/telemetry/requestlog.go
@@ -25,13 +25,21 @@
 // processes, and changes of configuration, backend servers, peers, the store and expert maps.
 var contextMessages = map[string]bool{
 	"started": true, "leaving": true, "stopped": true, "settings reloaded": true, "new settings refused, the old ones stay": true,
-	"configuration in force": true, "evacuation": true, "backend server": true, "backend server's entry is gone": true,
-	"backend server replaced": true, "backend server forgotten": true, "store lost": true, "store reached again": true,
+	"evacuation": true, "backend server": true, "backend server's entry is gone": true,
+	"backend server replaced": true, "backend server forgotten": true,
 	"peer silent": true, "peer heard": true, "belief taken from a peer": true, "map proposed": true, "map switch ended": true,
-	"this process directs the group": true, "lines left out": true, "store came back from a copy": true,
-	"store has an older record than the one in force, keeping the newer": true, "record was not written again, following the store": true,
+	"this process directs the group": true, "lines left out": true, "record was not written again, following the store": true,
+	"configuration was written again": true, "joined": true,
+}
+
+// progressMessages are the messages that tell what a process has read from the store, and what it dropped. RequestLog
+// includes the last of each before the request, however long ago: they explain an outdated configuration.
+var progressMessages = map[string]bool{
+	"configuration in force": true, "configuration is not newer than the current one, ignoring it": true,
+	"store came back from a copy": true, "store has an older record than the one in force, keeping the newer": true,
 	"records are older than the state, dropping them": true, "changes are of another era than the state, dropping them": true,
-	"configuration is not newer than the current one, ignoring it": true, "configuration was written again": true,
+	"change is not newer than the state, dropping it": true, "store does not have the changes since this position, reading all records": true,
+	"store lost": true, "store reached again": true,
 }
 
 // LogLine is one log line of a process.
@@ -117,11 +125,13 @@
 			last = end
 		}
 	}
-	for _, l := range lines {
+	progress := lastProgress(lines, own)
+	for i, l := range lines {
 		l.Own = stringValue(l.Fields["id"]) == id
 		l.Time = l.Time.Add(-offsets[l.Process])
 		near := l.Time.After(first.Add(-contextBefore)) && l.Time.Before(last.Add(contextAfter))
-		if l.Own || isRelatedCrash(l, own) || (near && (contextMessages[l.Message] || isRelatedLoad(l, own))) {
+		context := contextMessages[l.Message] || progressMessages[l.Message] || isRelatedLoad(l, own)
+		if l.Own || progress[i] || isRelatedCrash(l, own) || (near && context) {
 			selected = append(selected, l)
 		}
 	}
@@ -129,6 +139,34 @@
 	return selected
 }
 
+// lastProgress returns the indices of the last line of each of progressMessages that the processes of the request logged
+// before it ended.
+func lastProgress(lines, own []LogLine) (selected map[int]bool) {
+	type key struct{ process, message string }
+	ended := make(map[string]time.Time) // on the clock of the process
+	for _, o := range own {
+		if o.Time.After(ended[o.Process]) {
+			ended[o.Process] = o.Time
+		}
+	}
+	latest := make(map[key]int)
+	for i, l := range lines {
+		end, involved := ended[l.Process]
+		if !involved || !progressMessages[l.Message] || l.Time.After(end) {
+			continue
+		}
+		k := key{l.Process, l.Message}
+		if before, known := latest[k]; !known || !l.Time.Before(lines[before].Time) {
+			latest[k] = i
+		}
+	}
+	selected = make(map[int]bool, len(latest))
+	for _, i := range latest {
+		selected[i] = true
+	}
+	return selected
+}
+
 // isRelatedLoad reports whether l is a load line of a process and service that the request used.
 func isRelatedLoad(l LogLine, own []LogLine) bool {
 	return l.Message == "load" && slices.ContainsFunc(own, func(o LogLine) bool {
--- a/internal/telemetry/requestlog_test.go
+++ b/internal/telemetry/requestlog_test.go
@@ -72,8 +72,8 @@
 // after it came back from a copy.
 func TestRequestLogAlignsErasApart(t *testing.T) {
 	lines, _, err := ReadLog(strings.NewReader(`
-{"ts":"2026-12-04T10:00:00.000Z","name":"front-1","msg":"configuration in force","era":1,"revision":80}
-{"ts":"2026-12-04T10:01:00.000Z","name":"front-2","msg":"configuration in force","era":2,"revision":80}
+{"ts":"2026-12-04T10:00:00.000Z","name":"front-1","msg":"backend server","server":"a","era":1,"revision":80}
+{"ts":"2026-12-04T10:01:00.000Z","name":"front-2","msg":"backend server","server":"a","era":2,"revision":80}
 {"ts":"2026-12-04T10:01:00.000Z","name":"front-1","msg":"request","id":"r"}
 `))
 	require.NoError(t, err)
@@ -82,3 +82,21 @@
 	assert.Equal(t, "front-2", selected[0].Process)
 	assert.Equal(t, selected[1].Time, selected[0].Time, "the clock of front-2 is not moved")
 }
+
+// TestRequestLogNamesDroppedAnswers guards against a request that is refused by an outdated configuration while the
+// answers of the store that would have replaced it were dropped long before.
+func TestRequestLogNamesDroppedAnswers(t *testing.T) {
+	lines, _, err := ReadLog(strings.NewReader(`
+{"ts":"2026-12-04T09:00:00.000Z","name":"front-1","msg":"configuration in force","version":4,"era":1,"revision":70}
+{"ts":"2026-12-04T09:00:01.000Z","name":"front-1","msg":"configuration in force","version":5,"era":1,"revision":83}
+{"ts":"2026-12-04T09:10:00.000Z","name":"front-1","msg":"records are older than the state, dropping them","era":1,"revision":72,"knownEra":2,"known":83,"source":"store"}
+{"ts":"2026-12-04T09:10:00.000Z","name":"front-2","msg":"records are older than the state, dropping them","era":1,"revision":72,"knownEra":2,"known":83,"source":"store"}
+{"ts":"2026-12-04T10:00:01.000Z","name":"front-1","msg":"request","id":"r","outcome":"refused","reason":"no route matches","version":5,"era":1,"revision":83}
+{"ts":"2026-12-04T10:09:00.000Z","name":"front-1","msg":"configuration in force","version":6,"era":2,"revision":84}
+`))
+	require.NoError(t, err)
+	selected := RequestLog(lines, "r")
+	require.Len(t, selected, 3)
+	assert.EqualValues(t, "5", selected[0].Fields["version"])
+	assert.Equal(t, "records are older than the state, dropping them", selected[1].Message)
+}
