Let a coordinator whose clock is behind take over a group of ranks

What callers saw: the agent that coordinates a group's expert maps changes to an instance whose clock is behind. A step that its predecessor held stays held, so no stream of the group goes on, and no map is switched, for as long as the clock is behind.

Cause: fences and map versions come from the wall clock of the coordinator, and ranks refuse what is not above what they have seen.

Evidence: TestCoordinatorWithClockBehindIsFencedOff with a clock that is an hour behind, red before in each case: the group makes no pass in 40 s of simulated time, and no new map comes into use.

Why the fix works: a number is raised above every version that the ranks show and above all that this coordinator used. A rank that still refuses it has seen a higher one that no status shows; each such reply doubles how far the next number is ahead, from 1 s to 10 min, until a map is prepared. Fences still only rise for each coordinator, and an equal number needs more than 1,024 attempts of its predecessor in one switch.

--- a/internal/engine/controller.go
+++ b/internal/engine/controller.go
@@ -170,7 +170,7 @@
 }
 
 // plan passes the counts of one round to the planner and proposes its next map if the gain is large enough.
-func (c *mapController) plan(now clock.Time, fence int64) (proposed bool, gain float64) {
+func (c *mapController) plan(now clock.Time, number int64) (proposed bool, gain float64) {
 	if !c.syncPlanner() {
 		return false, 0
 	}
@@ -191,11 +191,11 @@
 		return false, 0
 	}
 	c.plannerVersion = expert.None // the planner adopts the map that the ranks use after the switch
-	return c.coordinator.Propose(now, expert.StripFreeSlots(p.Map, c.shape.Experts), fence, fence), p.Gain
+	return c.coordinator.Propose(now, expert.StripFreeSlots(p.Map, c.shape.Experts), number), p.Gain
 }
 
-// newFence returns a fence or map version that is above all earlier ones and that no other agent uses.
-func newFence(rank int) int64 {
+// newNumber returns a fence or map version that no other agent uses, above all earlier ones unless the clock is behind.
+func newNumber(rank int) int64 {
 	return clock.Wall()*expert.MaxCoordinators + int64(rank)
 }
 
@@ -246,7 +246,7 @@
 	if a.controller.coordinator.Busy() {
 		return
 	}
-	if proposed, gain := a.controller.plan(now, newFence(own.Rank)); proposed {
+	if proposed, gain := a.controller.plan(now, newNumber(own.Rank)); proposed {
 		level.Info(a.logger).Log("msg", "map proposed", "gain", gain, "step", own.Step, "version", own.Version, "planning", a.clock.Since(now))
 	}
 }
@@ -316,7 +316,7 @@
 	}
 	now := a.clock.Now()
 	wasWaiting := a.controller.coordinator.AwaitsStatus()
-	a.sendCommands(ctx, now, a.controller.coordinator.Tick(now, newFence(a.report.Rank)))
+	a.sendCommands(ctx, now, a.controller.coordinator.Tick(now, newNumber(a.report.Rank)))
 	if o := a.controller.coordinator.TakeOutcome(); o.Ended {
 		level.Info(a.logger).Log("msg", "map switch ended", "committed", o.Committed, "version", o.Version, "reason", o.Reason,
 			"copied", o.CopyTime, "armed", o.ArmTime)
--- a/pkg/expert/holdcoordinator.go
+++ b/pkg/expert/holdcoordinator.go
@@ -94,6 +94,12 @@
 	lossyPeriod           = 10 * clock.Second        // for which armLeadTimeLossy applies after an unanswered command
 )
 
+// Bounds of how far numbers are raised above the known ones; numbers are milliseconds times MaxCoordinators.
+const (
+	minLead = int64(clock.Second) * MaxCoordinators
+	maxLead = 10 * int64(clock.Minute) * MaxCoordinators
+)
+
 // HoldCoordinator switches a group to another map by holding a step: it arms all ranks for the held step, reads their status
 // back, and releases the step only if all are armed; otherwise it disarms them before the release.
 //
@@ -116,6 +122,7 @@
 	step             int64 // step to hold or held, None before it is chosen
 	epoch            int64
 	fence            int64
+	lead             int64 // how far numbers must be above the known ones, as a rank has seen higher ones
 	lastID           uint64
 	targetMap        Map
 	acknowledged     []bool             // by rank: its command of this phase is carried out
@@ -193,27 +200,37 @@
 	return true
 }
 
-// Propose starts the switch to m. It returns false during another switch or a cooldown, if the group is not settled, or
-// if version is not above all known versions. The fence must be above all fences that this coordinator has used.
-func (h *HoldCoordinator) Propose(now clock.Time, m Map, version, fence int64) bool {
+// Propose starts the switch to m with number, which comes from a clock, as version and fence, or a higher one if the clock
+// is behind that of an earlier coordinator. It returns false during another switch or a cooldown, or if the group is not
+// settled.
+func (h *HoldCoordinator) Propose(now clock.Time, m Map, number int64) bool {
 	if h.phase != phaseIdle || now < h.cooldownUntil || !h.settled() {
 		return false
 	}
-	for _, s := range h.ranks {
-		if version <= max(s.Version, s.Prepared, s.Armed) {
-			return false
-		}
-	}
-	h.version, h.targetMap, h.epoch = version, m, h.ranks[0].Epoch
+	h.fence = h.nextNumber(number)
+	h.version, h.targetMap, h.epoch = h.fence, m, h.ranks[0].Epoch
 	h.firstRank = h.localRank
 	h.holder = (h.localRank + (len(h.ranks)+1)/2) % len(h.ranks)
-	h.fence = max(h.fence+1, fence)
 	h.firstUnreachable = false
 	h.startedAt, h.preparedAt = now, 0
 	h.enterPhase(now, phasePrepare)
 	return true
 }
 
+// nextNumber returns a version or fence that is at least number and above all that this coordinator knows of.
+func (h *HoldCoordinator) nextNumber(number int64) int64 {
+	newest := h.fence
+	for _, s := range h.ranks {
+		newest = max(newest, s.Version, s.Prepared, s.Armed)
+	}
+	return max(number, (newest/MaxCoordinators+1)*MaxCoordinators+int64(h.localRank)+h.lead)
+}
+
+// raiseLead makes the next numbers higher, since a rank has seen higher ones that its status does not show.
+func (h *HoldCoordinator) raiseLead() {
+	h.lead = min(max(2*h.lead, minLead), maxLead)
+}
+
 // settled reports whether all ranks are open, use one map in one incarnation, and none is armed or holds a step.
 func (h *HoldCoordinator) settled() bool {
 	first := h.ranks[0]
@@ -274,6 +291,7 @@
 	h.finish(now, false, "another director gives orders")
 	h.cooldownUntil = now.Add(fencedCooldown)
 	h.foreignSince = 0
+	h.raiseLead()
 }
 
 func (h *HoldCoordinator) handleRefused(now clock.Time, c Command) {
@@ -281,6 +299,7 @@
 	case phasePrepare:
 		h.finish(now, false, "a rank refused the map")
 		h.cooldownUntil = now.Add(failureCooldown)
+		h.raiseLead()
 	case phaseHold:
 		h.step = None // the step has already begun: hold a later one
 		h.sentAt[h.holder] = -1
@@ -322,14 +341,14 @@
 	h.enterPhase(now, phaseIdle)
 }
 
-// Tick advances the switch and returns the commands that are due.
-func (h *HoldCoordinator) Tick(now clock.Time, fence int64) []Command {
+// Tick advances the switch and returns the commands that are due; number comes from a clock, as for Propose.
+func (h *HoldCoordinator) Tick(now clock.Time, number int64) []Command {
 	if h.phase != phaseIdle && h.groupRestarted() {
 		h.finish(now, false, "the group began a new life")
 	}
 	switch h.phase {
 	case phaseIdle:
-		h.detectForeignHold(now, fence)
+		h.detectForeignHold(now, number)
 	case phasePrepare:
 		h.awaitPrepared(now)
 	case phaseHold:
--- a/pkg/expert/holdcoordinator_test.go
+++ b/pkg/expert/holdcoordinator_test.go
@@ -143,7 +143,8 @@
 	commands     []pendingCommand
 	reports      []statusReport
 	fence        int64
-	paused       int // coordinator whose instance is paused together with its local rank, or -1
+	behind       [2]int64 // by coordinator: how far its fences are behind, since its clock is
+	paused       int      // coordinator whose instance is paused together with its local rank, or -1
 }
 
 func newHoldSimulation(ranks int) *holdSimulation {
@@ -159,19 +160,23 @@
 		return
 	}
 	s.fence += MaxCoordinators
-	for _, c := range s.coordinators[coordinator].Tick(s.group.now, s.fence+int64(coordinator)) {
+	for _, c := range s.coordinators[coordinator].Tick(s.group.now, s.newFence(coordinator)) {
 		s.commands = append(s.commands, pendingCommand{coordinator: coordinator, command: c})
 	}
 	s.coordinators[coordinator].TakeOutcome()
 }
 
+// newFence returns the next fence by the coordinator's clock.
+func (s *holdSimulation) newFence(coordinator int) int64 {
+	return s.fence + int64(coordinator) - s.behind[coordinator]
+}
+
 func (s *holdSimulation) propose(coordinator int) {
 	if coordinator == s.paused {
 		return
 	}
 	s.fence += MaxCoordinators
-	fence := s.fence + int64(coordinator)
-	s.coordinators[coordinator].Propose(s.group.now, Map{}, fence, fence)
+	s.coordinators[coordinator].Propose(s.group.now, Map{}, s.newFence(coordinator))
 }
 
 func (s *holdSimulation) readStatuses(coordinator int) {
@@ -285,6 +290,61 @@
 	}
 }
 
+// hourOfFences is how far fences are behind if they come from a clock that is an hour behind.
+const hourOfFences = int64(clock.Hour) * MaxCoordinators
+
+// TestCoordinatorWithClockBehindIsFencedOff guards against a group that stays held, or keeps its map, because the fences and
+// versions of its next coordinator come from a clock that is behind that of the last.
+func TestCoordinatorWithClockBehindIsFencedOff(t *testing.T) {
+	t.Run("it switches to another map", func(t *testing.T) {
+		s := newHoldSimulation(4)
+		s.fence, s.behind[1] = 2*hourOfFences, hourOfFences
+		s.runWithoutFaults(t, []int{0})
+		s.propose(0)
+		s.runWithoutFaults(t, []int{0})
+		before := s.group.ranks[0].version
+		require.Positive(t, before)
+		s.runWithoutFaults(t, []int{1})
+		s.propose(1)
+		s.runWithoutFaults(t, []int{1})
+		require.Greater(t, s.group.ranks[0].version, before)
+	})
+	t.Run("it releases a step that the last one held", func(t *testing.T) {
+		s := newHoldSimulation(4)
+		s.fence, s.behind[1] = 2*hourOfFences, hourOfFences
+		s.runWithoutFaults(t, []int{0})
+		s.propose(0)
+		for s.coordinators[0].phase != phaseArm {
+			s.group.now += 10
+			s.readStatuses(0)
+			for len(s.reports) > 0 {
+				s.deliverReport(0)
+			}
+			s.tick(0)
+			for len(s.commands) > 0 {
+				s.deliverCommand(t, 0)
+			}
+		}
+		s.runWithoutFaults(t, []int{1})
+		before := s.group.step
+		s.runWithoutFaults(t, []int{1})
+		require.Greater(t, s.group.step, before)
+	})
+	t.Run("it learns of a version that no rank shows", func(t *testing.T) {
+		s := newHoldSimulation(4)
+		s.fence = hourOfFences
+		s.runWithoutFaults(t, []int{1})
+		for i := range s.group.ranks {
+			s.group.ranks[i].maxVersion = 2 * hourOfFences // prepared by another coordinator, but not copied to the end
+		}
+		for range 20 { // each attempt is followed by a cooldown
+			s.propose(1)
+			s.runWithoutFaults(t, []int{1})
+		}
+		require.Greater(t, s.group.ranks[0].version, 2*hourOfFences)
+	})
+}
+
 // TestConcurrentHoldCoordinators guards against one coordinator completing a switch that it takes over while another one
 // rolls it back: the former reads all ranks as armed before the latter disarms one of them (rapid seed 195278237).
 func TestConcurrentHoldCoordinators(t *testing.T) {
@@ -336,6 +396,8 @@
 func TestDirectorKeepsOneMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newHoldSimulation(rapid.IntRange(2, 4).Draw(t, "ranks"))
+		s.fence = 2 * hourOfFences
+		s.behind[rapid.IntRange(0, 1).Draw(t, "clock behind")] = rapid.SampledFrom([]int64{0, 3 * MaxCoordinators, hourOfFences}).Draw(t, "behind")
 		s.runWithoutFaults(t, []int{0, 1})
 		for range rapid.IntRange(10, 250).Draw(t, "events") {
 			coordinator := rapid.IntRange(0, 1).Draw(t, "coordinator")
--- a/pkg/expert/holdphases.go
+++ b/pkg/expert/holdphases.go
@@ -11,7 +11,7 @@
 			return
 		}
 	}
-	h.preparedAt = now
+	h.preparedAt, h.lead = now, 0
 	h.enterPhase(now, phaseHold)
 	h.step = None
 }
--- a/pkg/expert/holdrecovery.go
+++ b/pkg/expert/holdrecovery.go
@@ -14,7 +14,7 @@
 }
 
 // detectForeignHold takes over a hold of another coordinator once it has been seen for foreignHoldDelay.
-func (h *HoldCoordinator) detectForeignHold(now clock.Time, fence int64) {
+func (h *HoldCoordinator) detectForeignHold(now clock.Time, number int64) {
 	holder, step := -1, None
 	for i, s := range h.ranks {
 		if s.Held != None {
@@ -37,7 +37,7 @@
 	for _, s := range h.ranks {
 		h.version = max(h.version, s.Armed)
 	}
-	h.fence = max(h.fence+1, fence)
+	h.fence = h.nextNumber(number)
 	h.firstUnreachable = false
 	h.enterPhase(now, phaseTakeOver)
 }
