Log an instance list that goes back to an older version

What the on-call saw: nothing. On the product's own path a platform whose instance list comes back older is ignored until its version passes the known one, and no line says so.

TestInstanceListGoesBackUnnoticed was red before (no line in 5 s). What remains: processes keep the newer list until the version passes it.

--- a/internal/gossip/read.go
+++ b/internal/gossip/read.go
@@ -191,6 +191,8 @@
 	}
 	if m.instances.replace(l) {
 		m.listChanged("")
+	} else if known := m.List().Version; l.Version > 0 && l.Version < known {
+		m.logError("instance list is older than the known one, ignoring it", errors.Newf("version %d, known %d", l.Version, known))
 	}
 	return m.jitter(listReadInterval)
 }
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -112,3 +116,47 @@
 		}
 	})
 }
+
+// TestInstanceListGoesBackUnnoticed guards against a platform whose instance list goes back to an older version, which is
+// ignored, without a log line.
+func TestInstanceListGoesBackUnnoticed(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	newer, older := clustersim.NewInstanceList(5, 1, 1), clustersim.NewInstanceList(3, 1, 1)
+	logged := make(chan string, 1)
+	reads := 0
+	m := gossip.New(gossip.Options{
+		Self: newer.Instances[0], Clock: clock.New(), Random: rand.Float64,
+		GossipInterval: 20, SettleDelay: 10, SealDelay: clock.Minute, EvidenceTTL: clock.Minute,
+		OnUpdate: func() {},
+		Log: log.LoggerFunc(func(fields ...any) error {
+			if line := fmt.Sprint(fields...); strings.Contains(line, "instance list is older") {
+				logged <- line
+			}
+			return nil
+		}),
+		Reader: &platform.Reader{
+			Tickets: func(ctx context.Context, _ uint64, _ clock.Span) ([][]byte, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			},
+			Snapshot: noSnapshot,
+			Instances: func(context.Context, uint64) (platform.List, []error, error) {
+				if reads++; reads == 1 {
+					return *newer, nil, nil
+				}
+				return *older, nil, nil
+			},
+		},
+	})
+	end := m.Start(ctx)
+	select {
+	case line := <-logged:
+		assert.Contains(t, line, "version 3, known 5")
+	case <-time.After(5 * time.Second):
+		t.Error("no line in 5 s")
+	}
+	assert.EqualValues(t, 5, m.List().Version)
+	cancel()
+	require.NoError(t, <-end)
+}
