Draw groups that are formed anew in the model of the map switch

In a first trial commands in flight outlived the restart of all engines and were carried out in the new group with the same epoch: a pass began with two maps (rapid).

--- a/pkg/expert/holdcoordinator_test.go
+++ b/pkg/expert/holdcoordinator_test.go
@@ -242,6 +242,16 @@
 	}
 }
 
+// restartAll ends the engines of all ranks, with the commands in flight to them. The group that they form counts epochs and
+// steps from the start.
+func (s *holdSimulation) restartAll() {
+	for i := range s.commands {
+		s.abandonCommand(i)
+	}
+	s.commands = nil
+	s.group.epoch, s.group.step = 0, 0
+}
+
 func TestHoldCoordinatorSwitches(t *testing.T) {
 	s := newHoldSimulation(4)
 	s.runWithoutFaults(t, []int{0})
@@ -424,6 +434,9 @@
 			case event < 40:
 				s.paused = rapid.IntRange(-1, 1).Draw(t, "paused")
 			case rapid.IntRange(0, 3).Draw(t, "crash") == 0:
+				if rapid.Bool().Draw(t, "all ranks") {
+					s.restartAll()
+				}
 				s.group.restart()
 			}
 		}
