Test entries of two releases and a store without an era

Taking decisions out one at a time showed four that no test covered: an answer without an era belongs to the era that is known, for a range and for a watch; an entry that knows the era does not wait for peers of the earlier release to read the store; the state for peers carries the era. TestStoreWithoutEraIsMisread and TestPeersOfEarlierReleaseAreMisread are red without each of them. No change of the programs.

--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"bytes"
+	"context"
+	"encoding/json"
 	"maps"
+	"net/url"
 	"slices"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"carawaypick/internal/store"
@@ -183,6 +189,89 @@
 	assert.Equal(t, store.At(2, 70), cs.Position())
 }
 
+// TestStoreWithoutEraIsMisread guards against answers without an era, as from a store of an earlier release, that are
+// dropped or taken for another era.
+func TestStoreWithoutEraIsMisread(t *testing.T) {
+	now := clock.Time(1)
+	cs := newRestoredState(&now, nil, []Change{putChange("server/a", "ready", 60)})
+	r := &StoreReader{
+		State: cs, Clock: clock.Manual(&now), Logger: log.NewNopLogger(),
+		PeerSync: PeerSync{ShouldRead: func(bool) bool { return true }, Notify: func() {}},
+		Protocol: Protocol{
+			Range: func(context.Context, string) (StoreAnswer, error) {
+				return StoreAnswer{Changes: []Change{putChange("server/b", "ready", 71)}, Position: store.At(0, 71)}, nil
+			},
+			Watch: func(context.Context, string, store.Position, clock.Span) (StoreAnswer, error) {
+				return StoreAnswer{Changes: []Change{putChange("server/c", "ready", 72)}, Position: store.At(0, 72)}, nil
+			},
+		},
+	}
+	require.NoError(t, r.step(t.Context()))
+	assert.Equal(t, store.At(2, 71), cs.Position())
+	require.NoError(t, r.step(t.Context()))
+	assert.Equal(t, store.At(2, 72), cs.Position())
+	now = now.Add(outageGrace)
+	cs.RemoveExpired()
+	assert.Equal(t, []string{"b", "c"}, usableServers(cs))
+}
+
+// TestPeersOfEarlierReleaseAreMisread guards against messages between entries of two releases that are read as of another
+// era.
+func TestPeersOfEarlierReleaseAreMisread(t *testing.T) {
+	d := Delta{
+		Position: store.At(2, 70), Whole: true, Lapse: 5,
+		Changes:  []Change{putChange("server/a", "ready", 60).at(2), {Key: "server/b", Position: store.At(2, 61), Fault: errors.New("no base64")}},
+		Retained: []RetainedRecord{{Change: putChange("config", "\x05", 71).at(1), Over: store.At(2, 70), Remaining: 9}},
+	}
+	encoded, err := json.Marshal(newStateMessage(d))
+	require.NoError(t, err)
+	t.Run("an entry of this release reads all", func(t *testing.T) {
+		var m stateMessage
+		require.NoError(t, json.Unmarshal(encoded, &m))
+		got := m.delta()
+		assert.EqualError(t, got.Changes[1].Fault, "no base64")
+		got.Changes[1].Fault = d.Changes[1].Fault
+		assert.Equal(t, d, got)
+	})
+	t.Run("one of the earlier release reads revisions", func(t *testing.T) {
+		var earlier struct {
+			Revision int64
+			Whole    bool
+			Lapse    clock.Span
+			Changes  []struct {
+				Key      string
+				Value    []byte
+				Revision int64
+				Removed  bool
+				Fault    error
+			}
+		}
+		require.NoError(t, json.Unmarshal(encoded, &earlier))
+		assert.EqualValues(t, 70, earlier.Revision)
+		assert.EqualValues(t, 60, earlier.Changes[0].Revision)
+	})
+	t.Run("its own messages are of an unknown era", func(t *testing.T) {
+		var m stateMessage
+		require.NoError(t, json.Unmarshal([]byte(`{"Revision":83,"Whole":true,"Lapse":0,"Changes":[{"Key":"server/a","Value":"cmVhZHk=","Revision":9,"Removed":false,"Fault":null}]}`), &m))
+		assert.Equal(t, Delta{Position: store.At(0, 83), Whole: true, Changes: []Change{putChange("server/a", "ready", 9)}}, m.delta())
+		position, err := parsePosition(url.Values{"after": {"83"}})
+		require.NoError(t, err)
+		assert.Equal(t, store.At(0, 83), position)
+	})
+	t.Run("an entry that knows the era does not wait for them to read the store", func(t *testing.T) {
+		now := clock.Time(1)
+		p := newTestPeerSets(&now, 1, nil, nil)[0]
+		for _, ip := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6", "10.0.0.7", "10.0.0.8", "10.0.0.9"} {
+			p.handleHeartbeat(heartbeat{IP: ip, Number: 1, Revision: 83})
+		}
+		p.ip = "10.0.9.9"
+		assert.False(t, p.ShouldReadStore(true, store.At(0, 83)))
+		assert.True(t, p.ShouldReadStore(true, store.At(2, 70)))
+		_, ahead := p.Ahead(store.At(2, 70))
+		assert.False(t, ahead)
+	})
+}
+
 // modelStore is a store that comes back from copies.
 type modelStore struct {
 	era, revision int64
