Keep a rank in its group while its registration may come back

Engines that registered in the last seconds are missing in the copy. Agents got a group without them, did not coordinate it, and left a step that they held unreleased until the registrations were back, up to 2 s in which no stream of the group goes on. The same for a registration that lapses in an outage of the store.

Cause: the list of a group's members left out each engine whose registration is missing, though entries go on using it for its grace; and it named both engines where one has crashed and the next has registered its rank.

Why the fix works: a rank stays a member during the grace of its registration; of two engines with one rank the registered one counts, or the one that started later.

Measured: TestGroupShrinksDuringGrace, red before with one of two ranks left.

--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"carawaypick/internal/routing"
 	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
@@ -448,3 +449,28 @@
 		}
 	})
 }
+
+// TestGroupShrinksDuringGrace guards against agents that stop coordinating their group, possibly while it is held, because
+// the registration of a rank is missing for a moment.
+func TestGroupShrinksDuringGrace(t *testing.T) {
+	now := clock.Time(1000)
+	rank := func(id string, rank int, expiresAt clock.Time) *routing.Server {
+		return &routing.Server{ID: id, Service: "s", Address: id + ":1", Group: "g", Rank: rank, ExpiresAt: expiresAt}
+	}
+	ranks := func(servers ...*routing.Server) (engines []string) {
+		v := &routing.View{Config: testConfig(), Servers: make(map[string]*routing.Server)}
+		for _, s := range servers {
+			v.Servers[s.ID] = s
+		}
+		for _, m := range memberList(v, "a:1", now).Members {
+			engines = append(engines, m.Engine)
+		}
+		return engines
+	}
+	assert.Equal(t, []string{"a:1", "b:1"}, ranks(rank("a", 0, 0), rank("b", 1, now+1)), "its registration may come back")
+	assert.Equal(t, []string{"a:1"}, ranks(rank("a", 0, 0), rank("b", 1, now)), "it is gone")
+	assert.Equal(t, []string{"a:1", "c:1"}, ranks(rank("a", 0, 0), rank("b", 1, now+1), rank("c", 1, 0)), "another engine has its rank")
+	later := rank("c", 1, 0)
+	later.StartedAt = 1
+	assert.Equal(t, []string{"a:1", "c:1"}, ranks(rank("a", 0, 0), rank("b", 1, 0), later), "the one before has crashed")
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -85,7 +87,7 @@
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(),
 		}
-	}, func(address string) engine.MemberList { return memberList(e.state.View(), address) })
+	}, func(address string) engine.MemberList { return memberList(e.state.View(), address, c.Now()) })
 	e.peers.OnEvidence = e.receiveEvidence
 	e.reader = &StoreReader{Protocol: protocol, State: e.state, Clock: c, Logger: logger, PeerSync: PeerSync{
 		ShouldRead: func(lost bool) bool { return e.peers.ShouldReadStore(lost, e.state.Position()) }, Pull: e.pullState, Updates: e.peers.Updates, Notify: e.peers.Notify,
@@ -234,8 +236,9 @@
 	}
 }
 
-// memberList returns the members and the shape of the engine's group, or an empty list if the view has no such group.
-func memberList(v *routing.View, address string) (r engine.MemberList) {
+// memberList returns the members and the shape of the engine's group, or an empty list if the view has no such group. A
+// rank whose registration is missing stays a member during its grace, unless another engine has its place.
+func memberList(v *routing.View, address string, now clock.Time) (r engine.MemberList) {
 	var own *routing.Server
 	for _, s := range v.Servers {
 		if s.Address == address && s.Group != "" {
@@ -250,11 +253,29 @@
 		Sets: config.LayerSets, Experts: config.ExpertsPerSet, SlotsPerRank: config.SlotsPerRank, MaxAdded: config.MaxAdded,
 		ExpertMB: config.ExpertMB, LinkMbps: config.LinkMbps,
 	}
+	members := make(map[int]*routing.Server) // by rank
 	for _, s := range v.Servers {
-		host, _, err := net.SplitHostPort(s.Address)
-		if err == nil && s.Group == own.Group && s.Service == own.Service && s.ExpiresAt == 0 {
+		if s.Group != own.Group || s.Service != own.Service || (s.ExpiresAt != 0 && now >= s.ExpiresAt) {
+			continue
+		}
+		if m := members[s.Rank]; m == nil || hasPlaceOf(s, m) {
+			members[s.Rank] = s
+		}
+	}
+	for _, rank := range slices.Sorted(maps.Keys(members)) {
+		s := members[rank]
+		if host, _, err := net.SplitHostPort(s.Address); err == nil {
 			r.Members = append(r.Members, engine.Member{Rank: s.Rank, IP: host, Engine: s.Address})
 		}
 	}
 	return r
 }
+
+// hasPlaceOf reports whether s rather than m has the rank of both: a registered engine rather than one in its grace, or the
+// one that started later.
+func hasPlaceOf(s, m *routing.Server) bool {
+	if (s.ExpiresAt == 0) != (m.ExpiresAt == 0) {
+		return s.ExpiresAt == 0
+	}
+	return s.StartedAt > m.StartedAt
+}
