Take how long lost records are retained from the settings

Cause: the times were constants for registrations that are written each 1.2 s and evacuations that take effect within 10 s. Other installations set both, and the platform names them in the settings of each process: three heartbeats that are missing end a registration, and 2 s are for registering again, so a backend server known to drain or to have ended stays out of use for 5.6 s instead of 5 s today; evacuations for 10 s as before. Changes for a peer need no comparison of eras of their own: a position of an earlier era is before the start of the history. A heartbeat that is dropped because it is of an earlier incarnation is logged with both start times.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -36,6 +36,8 @@
 	logger   log.Logger
 	onUpdate func(*routing.View)
 
+	retentionTimes retentionTimes
+
 	mu              sync.Mutex
 	records         map[string]Change         // what the store holds, by key
 	retained        map[string]retention      // records in force that the store does not hold, by key
@@ -52,9 +54,9 @@
 }
 
 // NewClusterState returns an empty cluster state that calls onUpdate with each new view.
-func NewClusterState(decode func(Change) (Update, error), c clock.Clock, logger log.Logger, onUpdate func(*routing.View)) *ClusterState {
+func NewClusterState(s Settings, decode func(Change) (Update, error), c clock.Clock, logger log.Logger, onUpdate func(*routing.View)) *ClusterState {
 	cs := &ClusterState{
-		decode: decode, clock: c, logger: logger, onUpdate: onUpdate,
+		decode: decode, clock: c, logger: logger, onUpdate: onUpdate, retentionTimes: newRetentionTimes(s),
 		records: make(map[string]Change), retained: make(map[string]retention), removed: make(map[string]store.Position),
 	}
 	cs.view.Store(&routing.View{})
@@ -89,11 +91,11 @@
 }
 
 // ChangesSince returns the changes after a position, oldest first, or all records if the changes are no longer kept or
-// the position is of another era.
+// the position is of an earlier era.
 func (cs *ClusterState) ChangesSince(after store.Position) (d Delta) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	whole := !after.SameEra(cs.position) || cs.historyStart.After(after)
+	whole := cs.historyStart.After(after) // so is each position of an earlier era
 	d = Delta{Position: cs.position, Whole: whole, Lapse: max(cs.graceUntil.Sub(cs.clock.Now()), 0), Retained: cs.retainedRecords()}
 	for _, c := range cs.records {
 		if d.Whole || c.Position.After(after) {
--- a/internal/gateway/clusterstate_test.go
+++ b/internal/gateway/clusterstate_test.go
@@ -36,7 +36,7 @@
 }
 
 func newTestState(now *clock.Time) *ClusterState {
-	return NewClusterState(decodeTestChange, clock.Manual(now), log.NewNopLogger(), nil)
+	return NewClusterState(Settings{}, decodeTestChange, clock.Manual(now), log.NewNopLogger(), nil)
 }
 
 func putChange(key, value string, revision int64) Change {
--- a/internal/gateway/entry_test.go
+++ b/internal/gateway/entry_test.go
@@ -55,7 +55,7 @@
 		})
 	}
 	t.Run("no configuration received", func(t *testing.T) {
-		e.state = NewClusterState(testProtocol().DecodeChange, e.clock, e.limitedLogger.Logger, nil)
+		e.state = NewClusterState(Settings{}, testProtocol().DecodeChange, e.clock, e.limitedLogger.Logger, nil)
 		response, err := doRequest(t, t.Context(), http.MethodPost, url+"/nothing/", "")
 		require.NoError(t, err)
 		assert.Equal(t, 503, response.status)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -324,6 +324,9 @@
 	last := peer.lastMessage
 	if hb.Born < last.Born || (hb.Born == last.Born && hb.Number <= last.Number) {
 		if now.Sub(peer.lastDirect) < restartSilence {
+			if hb.Born != last.Born {
+				level.Info(p.logger).Log("msg", "heartbeat is of an earlier incarnation, dropping it", "peer", hb.Name, "ip", hb.IP, "born", hb.Born, "known", last.Born)
+			}
 			return
 		}
 		level.Warn(p.logger).Log("msg", "peer restarted with its clock behind", "peer", hb.Name, "ip", hb.IP, "born", hb.Born, "before", last.Born,
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -107,7 +107,7 @@
 	t.Run("one that drains is not used until the time to write again has passed", func(t *testing.T) {
 		cs := newRestoredState(&now, []Change{ready, leaving}, []Change{ready})
 		assert.Empty(t, usableServers(cs))
-		now = now.Add(registrationHold - 1)
+		now = now.Add(cs.retentionTimes.server - 1)
 		cs.RemoveExpired()
 		assert.Empty(t, usableServers(cs))
 		now = now.Add(1)
@@ -151,13 +151,18 @@
 	})
 }
 
+func TestRetentionTimes(t *testing.T) {
+	assert.Equal(t, retentionTimes{server: 5600, evacuation: 10_000}, newRetentionTimes(Settings{}))
+	assert.Equal(t, retentionTimes{server: 3500, evacuation: 4000}, newRetentionTimes(Settings{BackendHeartbeat: 500, EvacuationTime: 4000}))
+}
+
 func TestRestoredEvacuations(t *testing.T) {
 	now := clock.Time(1)
 	server, evacuation := putChange("server/a", "ready", 50), putChange("out/z", "", 75)
 	t.Run("a lost one stays in force until the time to write again has passed", func(t *testing.T) {
 		cs := newRestoredState(&now, []Change{server, evacuation}, []Change{server})
 		assert.Empty(t, usableServers(cs))
-		now = now.Add(evacuationHold)
+		now = now.Add(cs.retentionTimes.evacuation)
 		cs.RemoveExpired()
 		assert.Equal(t, []string{"a"}, usableServers(cs))
 	})
--- a/internal/gateway/retained.go
+++ b/internal/gateway/retained.go
@@ -11,15 +11,30 @@
 )
 
 const (
-	// registrationHold is how long a backend server that is known to drain or to have ended stays out of use while a
-	// restored store says otherwise. Three missed heartbeats of 1.2 s end the registration of one that has ended, and one
-	// that lives registers again within 2 s.
-	registrationHold = 5 * clock.Second
-	// evacuationHold is how long a known evacuation that a restored store lost stays in force: the time within which an
-	// evacuation must take effect while the store is unstable.
-	evacuationHold = 10 * clock.Second
+	missedHeartbeats      = 3                        // heartbeats of a backend server whose absence ends its registration
+	registerAgainTime     = 2 * clock.Second         // after a return of the store, for a live backend server to register again
+	defaultHeartbeat      = 1200 * clock.Millisecond // between two heartbeats of a backend server, if the settings don't tell it
+	defaultEvacuationTime = 10 * clock.Second        // for an evacuation to take effect, if the settings don't tell it
 )
 
+// retentionTimes are how long what is known stays in force while a restored store says otherwise.
+type retentionTimes struct {
+	server     clock.Span // a backend server is known to drain or to have ended: it ends its registration, or writes it again
+	evacuation clock.Span // an evacuation is known that the store lost
+}
+
+// newRetentionTimes returns the times for an installation with these settings.
+func newRetentionTimes(s Settings) retentionTimes {
+	heartbeat, evacuation := s.BackendHeartbeat, s.EvacuationTime
+	if heartbeat <= 0 {
+		heartbeat = defaultHeartbeat
+	}
+	if evacuation <= 0 {
+		evacuation = defaultEvacuationTime
+	}
+	return retentionTimes{server: missedHeartbeats*heartbeat + registerAgainTime, evacuation: evacuation}
+}
+
 // retention is a record that stays in force although the store came back from a copy that holds an older one, or none.
 // The next change of the key in the store ends it.
 type retention struct {
@@ -94,7 +109,7 @@
 		cs.records[c.Key] = c
 	case cs.serverOutdated(next, ours, c):
 		cs.records[c.Key] = c
-		cs.retain(ours, c.Position, registrationHold)
+		cs.retain(ours, c.Position, cs.retentionTimes.server)
 	default:
 		cs.applyChange(next, c, source)
 	}
@@ -123,7 +138,7 @@
 		cs.retain(ours, position, 0)
 	case err == nil && !ours.Removed && update.Zone != "":
 		delete(cs.records, key)
-		cs.retain(ours, position, evacuationHold)
+		cs.retain(ours, position, cs.retentionTimes.evacuation)
 	default: // a backend server that lives registers again within its grace
 		cs.applyChange(next, Change{Key: key, Position: position, Removed: true}, source)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -72,7 +72,7 @@
 	e.suspects = newSuspectSet(c)
 	e.settings.Store(&s)
 	e.limitedLogger = &telemetry.RateLimitedLogger{Logger: logger, Clock: c, RoutineKinds: map[string]bool{"whole": true}}
-	e.state = NewClusterState(protocol.DecodeChange, c, logger, func(v *routing.View) {
+	e.state = NewClusterState(s, protocol.DecodeChange, c, logger, func(v *routing.View) {
 		e.loads.Prune(v)
 		if !e.hasJoined() {
 			wake(e.peers.Heard)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -12,25 +12,27 @@
 
 // Settings are the settings of an entry or an agent on the platform.
 type Settings struct {
-	Name          string
-	Zone          string
-	IP            string
-	Front         string // listen address for callers
-	Ready         string // listen address for readiness checks
-	Control       string // listen address for the other entries
-	Directory     string // listen address for callers that look up entries
-	InternalPorts []int  // first and last port of the system's internal traffic
-	Seeds         []string
-	Store         string     // address of the metadata store
-	Memory        int64      // memory of the instance in bytes
-	ShutdownGrace clock.Span // ms from the stop signal until the process is killed
-	TTL           clock.Span // upper bound in ms on the time that callers cache a directory response
-	RetryRatio    float64    // retries per request
-	RetryWindow   clock.Span // window in ms of the retry budget
-	RetrySlack    float64    // retries per window in addition to the ratio
-	Engine        string     // for agents: address of the engine on the same instance
-	EngineService string     // for agents: service that the engine runs
-	Fencing       bool       // engines reject commands with a lower fence than one that they have seen
+	Name             string
+	Zone             string
+	IP               string
+	Front            string // listen address for callers
+	Ready            string // listen address for readiness checks
+	Control          string // listen address for the other entries
+	Directory        string // listen address for callers that look up entries
+	InternalPorts    []int  // first and last port of the system's internal traffic
+	Seeds            []string
+	Store            string     // address of the metadata store
+	Memory           int64      // memory of the instance in bytes
+	ShutdownGrace    clock.Span // ms from the stop signal until the process is killed
+	TTL              clock.Span // upper bound in ms on the time that callers cache a directory response
+	RetryRatio       float64    // retries per request
+	RetryWindow      clock.Span // window in ms of the retry budget
+	RetrySlack       float64    // retries per window in addition to the ratio
+	BackendHeartbeat clock.Span // ms between two heartbeats by which a backend server keeps its registration; 0 if unknown
+	EvacuationTime   clock.Span // ms within which an evacuation takes effect, also while the store is unstable; 0 if unknown
+	Engine           string     // for agents: address of the engine on the same instance
+	EngineService    string     // for agents: service that the engine runs
+	Fencing          bool       // engines reject commands with a lower fence than one that they have seen
 }
 
 // metricsPort is the TCP port of the metrics server; it must match the deploy file.
