--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -80,3 +80,17 @@
 		assert.Equal(t, []string{"b", "g"}, ids(v.Services["s"]))
 	})
 }
+
+// TestServerWithClockBehindIsNeverUsed guards against a backend server that started with its clock behind that of the one
+// before it at its address, and is still not used once that one is gone.
+func TestServerWithClockBehindIsNeverUsed(t *testing.T) {
+	v := &View{Servers: map[string]*Server{
+		"a": {ID: "a", Service: "s", Address: "1", StartedAt: 100, Position: store.At(1, 8)},
+		"b": {ID: "b", Service: "s", Address: "1", StartedAt: 50, Position: store.At(1, 9)},
+	}}
+	v.IndexServers(1)
+	assert.Equal(t, []string{"a"}, ids(v.Services["s"]), "until it is proved replaced")
+	delete(v.Servers, "a")
+	v.IndexServers(1)
+	assert.Equal(t, []string{"b"}, ids(v.Services["s"]))
+}
