Ask again for a configuration that only a peer knows

What callers would see: the last version before a restore is known to one entry that has lost the store; the others pull its state, get nothing, since that entry has not noticed the restore yet, and never ask again: the version is missing at all others for good, until operators write it again.

Cause: a pull was repeated only after an error, and heartbeats wake the loop only if the version changes, which it does not when the entry follows its peers into the new era and retains it.

Why the fix works: a pull from a peer that has a later version is repeated each second until that version is in force.

TestNewerConfigOfPeerIsMissed, red before (8 instead of 9 after 2 s), found by reading.

--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -13,6 +13,7 @@
 const (
 	joinTimeout       = clock.Second            // for a starting entry to learn the newest configuration of its peers
 	configRetryPause  = 100 * clock.Millisecond // after a failed pull of a newer configuration
+	configPullPause   = clock.Second            // after a pull that brought no newer configuration, since the peer has not noticed a restore
 	joinReplyInterval = 50 * clock.Millisecond  // least interval between two heartbeats sent early because a peer starts
 )
 
@@ -34,9 +35,13 @@
 		case <-e.peers.Heard:
 		}
 		retry = nil
-		if err := e.pullNewerConfig(ctx, joining); err != nil {
+		pulled, err := e.pullNewerConfig(ctx, joining)
+		switch {
+		case err != nil:
 			level.Warn(e.limitedLogger.Logger).Log("msg", "newer configuration not pulled from a peer, trying again", "error", err)
 			retry = time.After(configRetryPause.Duration())
+		case pulled:
+			retry = time.After(configPullPause.Duration())
 		}
 		version := e.state.ConfigVersion()
 		if joining && (timedOut || e.peers.CaughtUp(version)) {
@@ -47,9 +52,9 @@
 	}
 }
 
-// pullNewerConfig applies the state of a peer with a newer configuration, if there is any. Unless this entry is joining it
-// leaves out peers that are ahead, since their changes are on the way from the store or from a peer.
-func (e *Entry) pullNewerConfig(ctx context.Context, joining bool) error {
+// pullNewerConfig applies the state of a peer with a newer configuration, and reports whether there is any. Unless this
+// entry is joining it leaves out peers that are ahead, since their changes are on the way from the store or from a peer.
+func (e *Entry) pullNewerConfig(ctx context.Context, joining bool) (pulled bool, err error) {
 	position := e.state.Position()
 	limit := position
 	if joining {
@@ -57,9 +62,9 @@
 	}
 	control, ok := e.peers.WithNewerConfig(e.state.ConfigVersion(), limit)
 	if !ok {
-		return nil
+		return false, nil
 	}
-	return e.pullFrom(ctx, control, position)
+	return true, e.pullFrom(ctx, control, position)
 }
 
 // hasJoined reports whether the entry has learned from its peers what it must know to serve.
--- a/internal/gateway/join_test.go
+++ b/internal/gateway/join_test.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"carawaypick/internal/lifecycle"
 	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
@@ -67,3 +71,29 @@
 	assert.Equal(t, 1, b.count())
 	assert.True(t, e.ready())
 }
+
+// TestNewerConfigOfPeerIsMissed guards against an entry that never gets a version which only a peer knows, because the peer
+// had not noticed the restore yet when the entry asked for it.
+func TestNewerConfigOfPeerIsMissed(t *testing.T) {
+	now := clock.Time(1)
+	peer := &Entry{state: newTestState(&now)}
+	peer.state.Replace([]Change{putChange("config", "\x09", 84).at(1)}, store.At(1, 85), "store")
+	server := httptest.NewServer(peer.peerHandler())
+	defer server.Close()
+	e, _ := newTestEntry(t)
+	e.state = newTestState(&now)
+	e.joined = make(chan struct{})
+	restored := []Change{putChange("config", "\x08", 60).at(2)}
+	e.state.Replace(restored, store.At(2, 70), "store")
+	ctx, cancel := context.WithCancel(t.Context())
+	done := lifecycle.Start(ctx, e.catchUpLoop)
+	e.peers.handleHeartbeat(heartbeat{
+		IP: "10.0.0.9", Number: 1, Ready: true, Control: strings.TrimPrefix(server.URL, "http://"), Era: 1, Revision: 85, Version: 9,
+	})
+	<-e.joined // without the newer version, since the peer has nothing to hand on yet
+	assert.EqualValues(t, 8, e.state.ConfigVersion())
+	peer.state.Replace(restored, store.At(2, 70), "store")
+	assert.Eventually(t, func() bool { return e.state.ConfigVersion() == 9 }, 2*configPullPause.Duration(), 10*time.Millisecond)
+	cancel()
+	assert.NoError(t, <-done)
+}
