Let a starting entry learn what its peers retain

What callers would see: after a restore that lost a drain or an evacuation, an entry that starts sends requests to the backend servers that its peers leave out, until these register again.

Cause: an entry that starts pulled the state of a peer only if that knew a later version or was ahead, and after a restore without a change of the configuration neither is so.

Why the fix works: an entry that starts pulls the state of one peer that serves, once, whatever its version. That is one small call between entries for each start.

TestStartingEntryForgetsDrains, red before (the draining backend server is used), found by reading.

--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -18,13 +18,13 @@
 )
 
 // catchUpLoop takes over configurations that peers know and the store does not hold, as after a restore from a copy. It
-// ends the start of this entry once it knows what they know.
+// ends the start of this entry once it knows what they know, and what one that serves retains.
 func (e *Entry) catchUpLoop(ctx context.Context) error {
 	start := e.clock.Now()
 	timeout := time.NewTimer(joinTimeout.Duration())
 	defer timeout.Stop()
 	var retry <-chan time.Time
-	joining, timedOut := true, false
+	joining, learned, timedOut := true, false, false
 	for {
 		select {
 		case <-ctx.Done():
@@ -36,15 +36,20 @@
 		}
 		retry = nil
 		pulled, err := e.pullNewerConfig(ctx, joining)
+		control, serving := e.peers.Serving()
+		if joining && serving && !learned && err == nil {
+			err = e.pullFrom(ctx, control, e.state.Position()) // what peers retain may be missing in the store
+			learned = err == nil
+		}
 		switch {
 		case err != nil:
-			level.Warn(e.limitedLogger.Logger).Log("msg", "newer configuration not pulled from a peer, trying again", "error", err)
+			level.Warn(e.limitedLogger.Logger).Log("msg", "state not pulled from a peer, trying again", "error", err)
 			retry = time.After(configRetryPause.Duration())
 		case pulled:
 			retry = time.After(configPullPause.Duration())
 		}
 		version := e.state.ConfigVersion()
-		if joining && (timedOut || e.peers.CaughtUp(version)) {
+		if joining && (timedOut || (e.peers.CaughtUp(version) && (learned || !serving))) {
 			joining = false
 			close(e.joined)
 			level.Info(logAt(e.limitedLogger.Logger, e.state.Position())).Log("msg", "joined", "version", version, "waited", e.clock.Since(start), "timeout", timedOut)
@@ -90,6 +95,18 @@
 	return control, ok
 }
 
+// Serving returns the control address of a live peer that serves callers; ok is false if there is none.
+func (p *PeerSet) Serving() (control string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.peers {
+		if peer.alive && peer.lastMessage.Ready {
+			return peer.lastMessage.Control, true
+		}
+	}
+	return "", false
+}
+
 // CaughtUp reports whether version is the latest that any live peer knows, and enough peers told theirs: one that serves,
 // or all seeds, since none may be ready while all start.
 func (p *PeerSet) CaughtUp(version int64) bool {
--- a/internal/gateway/join_test.go
+++ b/internal/gateway/join_test.go
@@ -72,6 +72,29 @@
 	assert.True(t, e.ready())
 }
 
+// TestStartingEntryForgetsDrains guards against an entry that starts after a restore and sends requests to a backend server
+// that its peers know to drain, while the store lost this.
+func TestStartingEntryForgetsDrains(t *testing.T) {
+	now := clock.Time(1)
+	ready, leaving := putChange("server/a", "ready", 60), putChange("server/a", "leaving", 75)
+	peer := &Entry{state: newRestoredState(&now, []Change{ready, leaving, putChange("config", "\x05", 50)}, []Change{ready, putChange("config", "\x05", 50)})}
+	server := httptest.NewServer(peer.peerHandler())
+	defer server.Close()
+	e, _ := newTestEntry(t)
+	e.state, e.joined = newTestState(&now), make(chan struct{})
+	e.state.Replace([]Change{ready.at(2), putChange("config", "\x05", 50).at(2)}, store.At(2, 70), "store")
+	assert.Equal(t, []string{"a"}, usableServers(e.state))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := lifecycle.Start(ctx, e.catchUpLoop)
+	e.peers.handleHeartbeat(heartbeat{
+		IP: "10.0.0.9", Number: 1, Ready: true, Control: strings.TrimPrefix(server.URL, "http://"), Era: 2, Revision: 70, Version: 5,
+	})
+	<-e.joined
+	assert.Empty(t, usableServers(e.state))
+	cancel()
+	assert.NoError(t, <-done)
+}
+
 // TestNewerConfigOfPeerIsMissed guards against an entry that never gets a version which only a peer knows, because the peer
 // had not noticed the restore yet when the entry asked for it.
 func TestNewerConfigOfPeerIsMissed(t *testing.T) {
