--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	joinTimeout       = clock.Second            // for a starting entry to learn the newest configuration of its peers
-	configRetryPause  = 100 * clock.Millisecond // after a failed pull of a newer configuration
-	configPullPause   = clock.Second            // after a pull that brought no newer configuration, since the peer has not noticed a restore
-	joinReplyInterval = 50 * clock.Millisecond  // least interval between two heartbeats sent early because a peer starts
+	joinTimeout      = clock.Second            // for a starting entry to learn the newest configuration of its peers
+	configRetryPause = 100 * clock.Millisecond // after a failed pull of a newer configuration
+	configPullPause  = clock.Second            // after a pull that brought no newer configuration, since the peer has not noticed a restore
+	greetInterval    = 50 * clock.Millisecond  // least interval between two heartbeats sent early because a peer starts
 )
 
-// catchUpLoop takes over configurations that peers know and the store does not hold, as after a restore from a copy. It
-// ends the start of this entry once it knows what they know, and what one that serves retains.
+// catchUpLoop pulls configurations that peers know and the store does not hold, as after a restore from a copy. Until this
+// entry has joined, it also pulls what one peer that serves retains.
 func (e *Entry) catchUpLoop(ctx context.Context) error {
 	start := e.clock.Now()
 	timeout := time.NewTimer(joinTimeout.Duration())
@@ -127,9 +127,9 @@
 	return version > 0
 }
 
-// greet sends the next heartbeat early, to a peer that starts first of all; mu is held.
+// greet sends the next heartbeat early, and to ip first of all, because that peer has just started; mu is held.
 func (p *PeerSet) greet(ip string, now clock.Time) {
-	if now.Sub(p.lastGreeting) < joinReplyInterval {
+	if now.Sub(p.lastGreeting) < greetInterval {
 		return
 	}
 	p.lastGreeting = now
