--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -90,51 +89,6 @@
 	return cs.changedPosition
 }
 
-// ChangesSince returns the changes after a position, oldest first, or all records if the changes are no longer kept or
-// the position is of an earlier era.
-func (cs *ClusterState) ChangesSince(after store.Position) (d Delta) {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	whole := cs.historyStart.After(after) // so is each position of an earlier era
-	d = Delta{Position: cs.position, Whole: whole, Lapse: max(cs.graceUntil.Sub(cs.clock.Now()), 0), Retained: cs.retainedRecords()}
-	for _, c := range cs.records {
-		if d.Whole || c.Position.After(after) {
-			d.Changes = append(d.Changes, c)
-		}
-	}
-	for key, removedAt := range cs.removed {
-		if !d.Whole && removedAt.After(after) {
-			d.Changes = append(d.Changes, Change{Key: key, Position: removedAt, Removed: true})
-		}
-	}
-	slices.SortFunc(d.Changes, func(x, y Change) int { return x.Position.Compare(y.Position) })
-	return d
-}
-
-// Delta is the part of another process's cluster state that is newer than a given position.
-type Delta struct {
-	Position store.Position
-	Whole    bool       // Changes contains all records and replaces the receiver's state
-	Lapse    clock.Span // ms left until the sender's graceUntil, 0 if it has passed
-	Changes  []Change
-	Retained []RetainedRecord // what the sender retains
-}
-
-// ApplyDelta applies the newer state of another process; source names it in log lines.
-func (cs *ClusterState) ApplyDelta(d Delta, source string) {
-	cs.mu.Lock()
-	cs.graceUntil = max(cs.graceUntil, cs.clock.Now().Add(d.Lapse))
-	cs.mu.Unlock()
-	if d.Whole {
-		cs.Replace(d.Changes, d.Position, source)
-	} else {
-		cs.Apply(d.Changes, d.Position, source)
-	}
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	cs.adoptRetained(d.Retained, source)
-}
-
 // StartOutageGrace starts the longer grace for missing registrations; call it when the store answers after an outage.
 func (cs *ClusterState) StartOutageGrace() {
 	cs.mu.Lock()
@@ -203,25 +157,6 @@
 	cs.position = position
 }
 
-// Progress is what a process has applied, each with the ms since it last changed.
-type Progress struct {
-	Era, Revision, Version          int64
-	EraAge, RevisionAge, VersionAge clock.Span
-	Retained                        int // records in force that the store does not hold
-}
-
-// Progress returns what has been applied.
-func (cs *ClusterState) Progress() Progress {
-	now, version := cs.clock.Now(), cs.ConfigVersion()
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	era, revision := cs.position.Numbers()
-	return Progress{
-		Era: era, Revision: revision, Version: version, Retained: len(cs.retained),
-		EraAge: now.Sub(cs.eraAt), RevisionAge: now.Sub(cs.positionAt), VersionAge: now.Sub(cs.configAt),
-	}
-}
-
 // replaceRecords replaces the records by those of a later position in the same era; mu is held.
 func (cs *ClusterState) replaceRecords(next *routing.View, items []Change, position store.Position, source string) {
 	present := make(map[string]bool, len(items))
@@ -239,19 +174,6 @@
 	}
 }
 
-// logDropped logs that changes up to position are dropped; mu is held.
-func (cs *ClusterState) logDropped(message string, count int, position store.Position, source string, more ...any) {
-	knownEra, knownRevision := cs.position.Numbers()
-	line := []any{"msg", message, "changes", count, "knownEra", knownEra, "known", knownRevision, "source", source}
-	level.Warn(logAt(cs.logger, position)).Log(append(line, more...)...)
-}
-
-// logAt returns a logger whose lines tell the position.
-func logAt(logger log.Logger, p store.Position) log.Logger {
-	era, revision := p.Numbers()
-	return log.With(logger, "era", era, "revision", revision)
-}
-
 // MarkReplaced takes s out of use until its registration changes, because another backend server answers at its address.
 func (cs *ClusterState) MarkReplaced(s *routing.Server, replacement string) {
 	cs.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -165,29 +164,6 @@
 	}
 }
 
-// ShouldReadStore reports whether this entry is among the maxStoreReaders entries that read the store for all; lost
-// says that its own last store call failed, position what it has read. All entries rank the live ones in the same order,
-// by a hash of the IP address, with those that can't reach the store last. Peers of an earlier release don't count for
-// an entry that knows the store's era, because it can't follow them.
-func (p *PeerSet) ShouldReadStore(lost bool, position store.Position) bool {
-	own := xxhash.Sum64String(p.ip)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	before := 0
-	for ip, peer := range p.peers {
-		precedes := xxhash.Sum64String(ip) < own
-		if peer.lastMessage.Lost != lost {
-			precedes = lost
-		}
-		theirs := peer.lastMessage.position()
-		followable := theirs.HasEra() || theirs.IsZero() || !position.HasEra()
-		if peer.alive && precedes && followable {
-			before++
-		}
-	}
-	return before < maxStoreReaders
-}
-
 // interval returns the time in ms between two heartbeats.
 func (p *PeerSet) interval() clock.Span {
 	p.mu.Lock()
@@ -411,18 +387,6 @@
 	return addresses
 }
 
-// Ahead returns the control address of the live peer with the latest position; ok is false if none is after position.
-func (p *PeerSet) Ahead(position store.Position) (control string, ok bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, peer := range p.peers {
-		if theirs := peer.lastMessage.position(); peer.alive && theirs.After(position) {
-			position, control, ok = theirs, peer.lastMessage.Control, true
-		}
-	}
-	return control, ok
-}
-
 // Share returns the fraction of a limit over all entries that this entry may use without coordination; it never grows
 // when peers time out.
 func (p *PeerSet) Share() float64 {
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
@@ -91,3 +92,38 @@
 	}
 	return nil
 }
+
+// ShouldReadStore reports whether this entry is among the maxStoreReaders entries that read the store for all; lost
+// says that its own last store call failed, position what it has read. All entries rank the live ones in the same order,
+// by a hash of the IP address, with those that can't reach the store last. Peers of an earlier release don't count for
+// an entry that knows the store's era, because it can't follow them.
+func (p *PeerSet) ShouldReadStore(lost bool, position store.Position) bool {
+	own := xxhash.Sum64String(p.ip)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := 0
+	for ip, peer := range p.peers {
+		precedes := xxhash.Sum64String(ip) < own
+		if peer.lastMessage.Lost != lost {
+			precedes = lost
+		}
+		theirs := peer.lastMessage.position()
+		followable := theirs.HasEra() || theirs.IsZero() || !position.HasEra()
+		if peer.alive && precedes && followable {
+			before++
+		}
+	}
+	return before < maxStoreReaders
+}
+
+// Ahead returns the control address of the live peer with the latest position; ok is false if none is after position.
+func (p *PeerSet) Ahead(position store.Position) (control string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.peers {
+		if theirs := peer.lastMessage.position(); peer.alive && theirs.After(position) {
+			position, control, ok = theirs, peer.lastMessage.Control, true
+		}
+	}
+	return control, ok
+}
--- /dev/null
+++ b/internal/gateway/progress.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"carawaypick/internal/store"
+	"carawaypick/pkg/clock"
+)
+
+// Progress is what a process has applied, each with the ms since it last changed.
+type Progress struct {
+	Era, Revision, Version          int64
+	EraAge, RevisionAge, VersionAge clock.Span
+	Retained                        int // records in force that the store does not hold
+}
+
+// Progress returns what has been applied.
+func (cs *ClusterState) Progress() Progress {
+	now, version := cs.clock.Now(), cs.ConfigVersion()
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	era, revision := cs.position.Numbers()
+	return Progress{
+		Era: era, Revision: revision, Version: version, Retained: len(cs.retained),
+		EraAge: now.Sub(cs.eraAt), RevisionAge: now.Sub(cs.positionAt), VersionAge: now.Sub(cs.configAt),
+	}
+}
+
+// logDropped logs that changes up to position are dropped; mu is held.
+func (cs *ClusterState) logDropped(message string, count int, position store.Position, source string, more ...any) {
+	knownEra, knownRevision := cs.position.Numbers()
+	line := []any{"msg", message, "changes", count, "knownEra", knownEra, "known", knownRevision, "source", source}
+	level.Warn(logAt(cs.logger, position)).Log(append(line, more...)...)
+}
+
+// logAt returns a logger whose lines tell the position.
+func logAt(logger log.Logger, p store.Position) log.Logger {
+	era, revision := p.Numbers()
+	return log.With(logger, "era", era, "revision", revision)
+}
+
+// registerProgress adds gauges of what this entry has read from the store.
+func (e *Entry) registerProgress() {
+	for name, value := range map[string]func(Progress) float64{
+		"store_era":             func(p Progress) float64 { return float64(p.Era) },
+		"store_era_age_ms":      func(p Progress) float64 { return float64(p.EraAge) },
+		"store_revision":        func(p Progress) float64 { return float64(p.Revision) },
+		"store_revision_age_ms": func(p Progress) float64 { return float64(p.RevisionAge) },
+		"config_version":        func(p Progress) float64 { return float64(p.Version) },
+		"config_version_age_ms": func(p Progress) float64 { return float64(p.VersionAge) },
+		"records_retained":      func(p Progress) float64 { return float64(p.Retained) },
+	} {
+		e.metrics.RegisterGauge(name, func() float64 { return value(e.state.Progress()) })
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -97,21 +97,6 @@
 	return e
 }
 
-// registerProgress adds gauges of what this entry has read from the store.
-func (e *Entry) registerProgress() {
-	for name, value := range map[string]func(Progress) float64{
-		"store_era":             func(p Progress) float64 { return float64(p.Era) },
-		"store_era_age_ms":      func(p Progress) float64 { return float64(p.EraAge) },
-		"store_revision":        func(p Progress) float64 { return float64(p.Revision) },
-		"store_revision_age_ms": func(p Progress) float64 { return float64(p.RevisionAge) },
-		"config_version":        func(p Progress) float64 { return float64(p.Version) },
-		"config_version_age_ms": func(p Progress) float64 { return float64(p.VersionAge) },
-		"records_retained":      func(p Progress) float64 { return float64(p.Retained) },
-	} {
-		e.metrics.RegisterGauge(name, func() float64 { return value(e.state.Progress()) })
-	}
-}
-
 // start starts the HTTP servers and the background loops; work receives the result of each, and the first result ends
 // the entry.
 func (e *Entry) start(ctx context.Context) (work chan error, servers []*http.Server, err error) {
