--- a/internal/gateway/storereader.go
+++ b/internal/gateway/storereader.go
@@ -36,6 +36,8 @@
 	lastFailure clock.Time // last failed store call
 	lost        atomic.Bool
 	loaded      bool       // State reflects a range call, so that watch calls can continue from it
+	reading     bool       // this process reads the store rather than following peers
+	callStart   clock.Time // start of the last store call
 	pause       clock.Span // after the next failed call
 }
 
@@ -71,6 +73,7 @@
 // longer pauses after failures: the watch that continues from it may fail again.
 func (r *StoreReader) step(ctx context.Context) error {
 	if r.loaded && !r.ShouldRead(r.Lost()) {
+		r.setReading(false)
 		err := r.pullAndWait(ctx)
 		if err == nil {
 			r.lastSuccess, r.pause = r.Clock.Now(), minRetryPause
@@ -84,6 +87,8 @@
 		}
 		level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "peer does not answer, reading the store", "error", err)
 	}
+	r.setReading(true)
+	r.callStart = r.Clock.Now()
 	if !r.loaded {
 		ctx, cancel := context.WithTimeout(ctx, rangeTimeout.Duration())
 		defer cancel()
@@ -118,6 +123,14 @@
 	return nil
 }
 
+// setReading records whether this process reads the store or follows peers, and logs a change.
+func (r *StoreReader) setReading(reading bool) {
+	if reading != r.reading {
+		r.reading = reading
+		level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "source of the state changed", "store", reading, "lost", r.Lost(), "silent", r.Clock.Since(r.lastSuccess))
+	}
+}
+
 // errOlderAnswer means that the store answered with records of an earlier era than those that are known from peers.
 var errOlderAnswer = errors.New("answer of the store is of an earlier era than the state")
 
@@ -149,7 +162,7 @@
 func (r *StoreReader) handleFailure(ctx context.Context, err error) {
 	r.lastFailure = r.Clock.Now()
 	if !r.lost.Swap(true) {
-		level.Warn(logAt(r.Logger, r.State.Position())).Log("msg", "store lost", "error", err, "silent", r.Clock.Since(r.lastSuccess))
+		level.Warn(logAt(r.Logger, r.State.Position())).Log("msg", "store lost", "error", err, "silent", r.Clock.Since(r.lastSuccess), "took", r.Clock.Since(r.callStart))
 	}
 	if err := r.Pull(ctx); err != nil {
 		level.Warn(r.Logger).Log("msg", "peer did not answer, keeping the current state", "error", err)
