Bound the age of each entry's state by what it can check itself

What callers saw: two entries in touch refused and routed by a configuration that had been replaced 4 s before.

Cause: three entries read the store for all, in watches that may hang for 2.8 s. Until a watch failed its reader counted as sound and all others waited for it; those that stepped in began with a watch of the same length, on a connection kept since their start, which may be silent as well. An entry whose pull from a peer failed did the same. The class: someone in touch waits for someone who isn't, without a limit below the bound.

Why the fix works: heartbeats tell how old the sender's state is at most; an entry whose state nobody confirms for 0.55 of the time that a configuration has asks the store itself, on a connection that was not idle for long, in steps by its place among the entries.

TestStoreReaderPullsFromPeers asked that a reader counts as sound 5 s after it lost the store; it asks now that a check shows it. TestClusterState starts the grace of an outage by the time without a confirmation.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
@@ -18,7 +19,7 @@
 	// registration may expire while its owner is alive. It must stay well below the time within which a draining backend
 	// server must stop receiving work.
 	removalGrace = 500 * clock.Millisecond
-	// outageGrace replaces removalGrace after a store outage, while live backend servers register again.
+	// outageGrace replaces removalGrace after an outage of the store, while live backend servers register again.
 	outageGrace = 2500 * clock.Millisecond
 	// maxRemovals is the maximum number of removals that are kept for other processes. The next removal drops them, and
 	// processes with a lower revision then receive all records.
@@ -48,6 +49,11 @@
 	eraAt           clock.Time                // when the era of position last changed
 	positionAt      clock.Time                // when position last changed
 	configAt        clock.Time                // when the configuration in force last changed
+	confirmedAt     clock.Time                // the state has all that the store held then
+	confirmed       confirmation              // that told confirmedAt
+	origin          uint64                    // of the confirmations of this process
+	ownNumber       uint64                    // of the last of them
+	adopted         map[uint64]uint64         // number of the last confirmation that was adopted from each origin
 	graceUntil      clock.Time                // servers whose registrations disappear before this time without a drain notice stay in use until then
 	view            atomic.Pointer[routing.View]
 }
@@ -57,6 +63,7 @@
 	cs := &ClusterState{
 		decode: decode, clock: c, logger: logger, onUpdate: onUpdate, retentionTimes: newRetentionTimes(s),
 		records: make(map[string]Change), retained: make(map[string]retention), removed: make(map[string]store.Position),
+		origin: rand.Uint64() | 1, adopted: make(map[uint64]uint64),
 	}
 	cs.view.Store(&routing.View{})
 	return cs
@@ -84,16 +91,8 @@
 
 // ChangedPosition returns the position that another process must have reached to have the same state.
 func (cs *ClusterState) ChangedPosition() store.Position {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	return cs.changedPosition
-}
-
-// StartOutageGrace starts the longer grace for missing registrations; call it when the store answers after an outage.
-func (cs *ClusterState) StartOutageGrace() {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	cs.graceUntil = cs.clock.Now().Add(outageGrace)
+	changed, _ := cs.Confirmation()
+	return changed
 }
 
 // Apply applies the changes up to position. It drops changes of another era and reports whether they were of this one.
@@ -104,6 +103,9 @@
 		cs.logDropped("changes are of another era than the state, dropping them", len(changes), position, source)
 		return false
 	}
+	if position == cs.position {
+		return true // two calls were answered at the same time
+	}
 	next := cs.copyView()
 	changed := false
 	for _, c := range changes {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -39,6 +39,7 @@
 	retries       *retryBudget
 	suspects      *suspectSet
 	admission     *admission
+	unreachable   string        // control address of the peer that the last pull of state failed at
 	joined        chan struct{} // closed when this entry knows what its peers know of the configuration
 	draining      atomic.Bool
 	active        atomic.Int64
@@ -266,7 +267,7 @@
 	era, revision := view.Position.Numbers()
 	line := []any{
 		"msg", "request", "id", c.ID, "outcome", outcome, "took", e.clock.Since(c.start),
-		"team", c.team.Name, "attempts", c.attempts, "servers", strings.Join(c.tried, " "), "era", era, "revision", revision,
+		"team", c.team.Name, "attempts", c.attempts, "servers", strings.Join(c.tried, " "), "era", era, "revision", revision, "age", e.state.Age(),
 	}
 	if c.route != nil {
 		line = append(line, "route", c.route.Name, "service", c.service.Name, "content", formatFingerprint(c.content))
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -58,6 +58,17 @@
 	}
 }
 
+// testPeerSync returns the connection of a store reader to peers that are never ahead; read says whether it reads the store.
+func testPeerSync(read bool, pull func(context.Context) error) PeerSync {
+	return PeerSync{
+		ShouldRead: func(bool) bool { return read },
+		Pull:       pull,
+		Notify:     func() {},
+		Readers:    func(bool) (rank, count int) { return 0, 1 },
+		Settings:   func() Settings { return Settings{} },
+	}
+}
+
 // backendHandler serves one request on the connection of a fake backend server.
 type backendHandler func(conn net.Conn, r *http.Request)
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,7 +30,7 @@
 	peerTimeout             = 1500 * clock.Millisecond // time without a heartbeat after which a peer isn't listed to callers and its requests don't count
 	peerExpiry              = time.Minute              // time without a heartbeat after which a peer is removed from the peer set
 	reservedShares          = 1.0                      // shares of a limit kept for entries not yet discovered
-	maxStoreReaders         = 3                        // entries that read the store, so that two of them may fail without an effect
+	maxStoreReaders         = 3                        // entries that read the store, so that two of them may fail with hardly any effect
 	minEntries              = 3                        // least number of entries among which a limit is divided
 )
 
@@ -56,6 +56,8 @@
 	Completed []completion  // completed runs of the contents that were in flight at them
 	Evidence  uint64        // digest of all that the sender knows of crashes
 
+	Confirmed confirmation // how old the sender's state is at most; none from an entry of an earlier release
+
 	Ask string // address of the engine whose group an agent asks for
 }
 
@@ -93,6 +95,8 @@
 	Heard      chan struct{}   // signals that a peer has started, become ready or taken another configuration
 	OnEvidence func(heartbeat) // receives each heartbeat for its evidence of crashes; nil for none
 
+	OnConfirmation func(changed store.Position, c confirmation) // receives how old the state of each sender is; nil for none
+
 	mu       sync.Mutex
 	sequence uint64
 	peers    map[string]*peerState // by IP address
@@ -289,6 +293,13 @@
 	if p.OnEvidence != nil && hb.Evidence != 0 {
 		p.OnEvidence(hb)
 	}
+	if p.updatePeer(hb) && p.OnConfirmation != nil {
+		p.OnConfirmation(hb.position(), hb.Confirmed)
+	}
+}
+
+// updatePeer updates the sender's state unless the message is of an earlier incarnation or reordered, which it reports.
+func (p *PeerSet) updatePeer(hb heartbeat) (updated bool) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -303,7 +314,7 @@
 			if hb.Born != last.Born {
 				level.Info(p.logger).Log("msg", "heartbeat is of an earlier incarnation, dropping it", "peer", hb.Name, "ip", hb.IP, "born", hb.Born, "known", last.Born)
 			}
-			return
+			return false
 		}
 		level.Warn(p.logger).Log("msg", "peer restarted with its clock behind", "peer", hb.Name, "ip", hb.IP, "born", hb.Born, "before", last.Born,
 			"number", hb.Number, "silent", now.Sub(peer.lastDirect))
@@ -327,6 +338,7 @@
 	}
 	p.loads.SetPeerInFlight(hb.IP, hb.Flights)
 	p.maxAlive = max(p.maxAlive, p.countAlive()+1)
+	return true
 }
 
 // handleRelayed adds an unknown relayed peer to the targets and, if the peer is alive, updates the time at which it was
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -12,7 +12,8 @@
 type Progress struct {
 	Era, Revision, Version          int64
 	EraAge, RevisionAge, VersionAge clock.Span
-	Retained                        int // records in force that the store does not hold
+	Age                             clock.Span // ms since the state was known to be what the store holds
+	Retained                        int        // records in force that the store does not hold
 }
 
 // Progress returns what has been applied.
@@ -22,7 +23,7 @@
 	defer cs.mu.Unlock()
 	era, revision := cs.position.Numbers()
 	return Progress{
-		Era: era, Revision: revision, Version: version, Retained: len(cs.retained),
+		Era: era, Revision: revision, Version: version, Retained: len(cs.retained), Age: now.Sub(cs.confirmedAt),
 		EraAge: now.Sub(cs.eraAt), RevisionAge: now.Sub(cs.positionAt), VersionAge: now.Sub(cs.configAt),
 	}
 }
@@ -49,6 +50,7 @@
 		"store_revision_age_ms": func(p Progress) float64 { return float64(p.RevisionAge) },
 		"config_version":        func(p Progress) float64 { return float64(p.Version) },
 		"config_version_age_ms": func(p Progress) float64 { return float64(p.VersionAge) },
+		"state_age_ms":          func(p Progress) float64 { return float64(p.Age) },
 		"records_retained":      func(p Progress) float64 { return float64(p.Retained) },
 	} {
 		e.metrics.RegisterGauge(name, func() float64 { return value(e.state.Progress()) })
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -81,17 +81,23 @@
 	born := clock.Wall()
 	e.peers = NewPeerSet(s, c, logger, e.loads, func() heartbeat {
 		news := e.suspects.nextNews()
-		era, revision := e.state.ChangedPosition().Numbers()
+		changed, confirmed := e.state.Confirmation()
+		era, revision := changed.Numbers()
 		return heartbeat{
-			Crashes: news.Crashes, Completed: news.Completed, Evidence: e.suspects.digest(),
+			Confirmed: confirmed,
+			Crashes:   news.Crashes, Completed: news.Completed, Evidence: e.suspects.digest(),
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(),
 		}
 	}, func(address string) engine.MemberList { return memberList(e.state.View(), address, c.Now()) })
 	e.peers.OnEvidence = e.receiveEvidence
+	e.peers.OnConfirmation = e.state.AdoptConfirmation
 	e.reader = &StoreReader{Protocol: protocol, State: e.state, Clock: c, Logger: logger, PeerSync: PeerSync{
 		ShouldRead: func(lost bool) bool { return e.peers.ShouldReadStore(lost, e.state.Position()) }, Pull: e.pullState, Updates: e.peers.Updates, Notify: e.peers.Notify,
+		Readers:  func(lost bool) (rank, count int) { return e.peers.StoreReaders(lost, e.state.Position()) },
+		Settings: func() Settings { return *e.settings.Load() },
 	}}
+	e.reader.lost.Store(true) // until the store answers
 	e.retries = newRetryBudget(s, e.peers.Share)
 	e.registerProgress()
 	return e
@@ -130,6 +136,7 @@
 		run(h.name, func(context.Context) error { return server.Serve(listener) })
 	}
 	run("store", e.reader.Run)
+	run("store check", e.reader.CheckLoop)
 	run("peers", func(ctx context.Context) error { return e.peers.Run(ctx, s.IP) })
 	run("sweep", e.cleanupLoop)
 	run("evidence", e.evidenceLoop)
--- a/internal/gateway/storereader.go
+++ b/internal/gateway/storereader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,14 +17,16 @@
 
 const (
 	rangeTimeout    = 1500 * clock.Millisecond // for all pages of a range; a slow store takes 250 ms for each
-	watchWait       = 2 * clock.Second         // duration of one watch call, short so that a dead connection is detected soon
-	watchMargin     = 800 * clock.Millisecond  // time for the response after watchWait
+	watchMargin     = 800 * clock.Millisecond  // time for the response after the wait of a watch
 	minRetryPause   = 100 * clock.Millisecond  // after the first failed call
 	maxRetryPause   = 800 * clock.Millisecond  // between failed calls, since each call has a cost
-	outageThreshold = 2500 * clock.Millisecond // time without a response, beyond watchWait, after which registrations may have expired
+	outageThreshold = 2500 * clock.Millisecond // time without a response of the store, after which registrations may have expired
 )
 
 // StoreReader keeps a ClusterState up to date from the store, or from peers that read the store.
+//
+// The entries that read the store wait in watches that end in turn, so that one of them confirms the state at each
+// interval; all others learn from their heartbeats how old the state is. See CheckLoop for an entry that learns nothing.
 type StoreReader struct {
 	Protocol Protocol
 	State    *ClusterState
@@ -32,29 +35,33 @@
 
 	PeerSync
 
-	lastSuccess clock.Time // last successful store call or pull from a peer
-	lastFailure clock.Time // last failed store call
-	lost        atomic.Bool
-	loaded      bool       // State reflects a range call, so that watch calls can continue from it
-	reading     bool       // this process reads the store rather than following peers
-	callStart   clock.Time // start of the last store call
-	pause       clock.Span // after the next failed call
+	loaded  bool       // State reflects a range call, so that watch calls can continue from it
+	reading bool       // this process reads the store rather than following peers
+	pause   clock.Span // after the next failed call
+	wait    clock.Span // of the next watch; 0 for the turn of this entry among the readers
+
+	lost atomic.Bool
+
+	mu          sync.Mutex
+	lastFailure clock.Time     // last failed store call; 0 for none
+	watchedFrom store.Position // of the watch that is under way
+	cancelWatch func()         // gives up the watch that is under way; nil for none
 }
 
-// Lost reports whether the last store call failed.
+// Lost reports whether the last store call failed, or none has been answered yet.
 func (r *StoreReader) Lost() bool {
 	return r.lost.Load()
 }
 
 // Run updates the state until ctx ends; it returns nil.
 func (r *StoreReader) Run(ctx context.Context) error {
-	r.lastSuccess, r.pause = r.Clock.Now(), minRetryPause
+	r.pause = minRetryPause
 	for ctx.Err() == nil {
 		err := r.step(ctx)
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
-		if errors.Is(err, ErrCompacted) {
+		if isCompacted(err) {
 			level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "store does not have the changes since this position, reading all records", "error", err)
 			r.loaded = false
 		} else {
@@ -69,65 +76,134 @@
 	return nil
 }
 
+func isCompacted(err error) bool {
+	return errors.Is(err, ErrCompacted)
+}
+
 // step makes one store call, or pulls from peers if other processes read the store. A range alone does not end the
 // longer pauses after failures: the watch that continues from it may fail again.
 func (r *StoreReader) step(ctx context.Context) error {
 	if r.loaded && !r.ShouldRead(r.Lost()) {
-		r.setReading(false)
-		err := r.pullAndWait(ctx)
-		if err == nil {
-			r.lastSuccess, r.pause = r.Clock.Now(), minRetryPause
-			if r.Lost() && r.Clock.Since(r.lastFailure) > storeRetryDelay {
-				r.lost.Store(false) // this process may read the store again
-			}
-			return nil
-		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "peer does not answer, reading the store", "error", err)
+		return r.follow(ctx)
 	}
 	r.setReading(true)
-	r.callStart = r.Clock.Now()
 	if !r.loaded {
 		ctx, cancel := context.WithTimeout(ctx, rangeTimeout.Duration())
 		defer cancel()
-		answer, err := r.Protocol.Range(ctx, "")
-		if err != nil {
+		if err := r.readAll(ctx); err != nil {
 			return err
 		}
-		r.recordSuccess()
-		answer = answer.withKnownEra(r.State.Position())
-		if !r.State.Replace(answer.Changes, answer.Position, "store") && !answer.Position.SameEra(r.State.Position()) {
-			return errOlderAnswer
-		}
-		r.loaded = true
+		r.loaded, r.wait = true, 0
 		return nil
 	}
-	position := r.State.Position()
-	ctx, cancel := context.WithTimeout(ctx, (watchWait + watchMargin).Duration())
+	return r.watch(ctx)
+}
+
+// follow applies newer state of peers and waits for more. If no peer answers it reads the store at once.
+func (r *StoreReader) follow(ctx context.Context) error {
+	r.setReading(false)
+	r.wait = 0
+	err := r.pullAndWait(ctx)
+	if err == nil {
+		r.pause = minRetryPause
+		return nil
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "peer does not answer, reading the store", "error", err)
+	return r.check(ctx)
+}
+
+// watch waits for changes in the store and applies them.
+func (r *StoreReader) watch(ctx context.Context) error {
+	wait := r.wait
+	if wait == 0 {
+		wait = r.FirstWait()
+	}
+	ctx, cancel := context.WithTimeout(ctx, (wait + watchMargin).Duration())
 	defer cancel()
-	answer, err := r.Protocol.Watch(ctx, "", position, watchWait)
+	r.setWatch(cancel)
+	defer r.setWatch(nil)
+	started := r.Clock.Now()
+	age, changed, err := r.readChanges(ctx, wait)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil // the check gave it up, or the process ends
+	}
 	if err != nil {
-		return err
+		return errors.Wrapf(err, "after %d ms", r.Clock.Since(started))
+	}
+	r.pause = minRetryPause
+	r.wait = 0
+	if !changed {
+		r.wait = r.NextWait(age)
+	}
+	return nil
+}
+
+// readChanges applies the changes after the state's position, waiting up to wait ms for one. It returns whether there were
+// any, and the age that the state had until then.
+func (r *StoreReader) readChanges(ctx context.Context, wait clock.Span) (age clock.Span, changed bool, err error) {
+	position, start := r.State.Position(), r.Clock.Now()
+	answer, err := r.Protocol.Watch(ctx, "", position, wait)
+	if err != nil {
+		return 0, false, err
 	}
+	age = r.State.Age()
 	r.recordSuccess()
 	answer = answer.withKnownEra(position)
 	if !r.State.Apply(answer.Changes, answer.Position, "store") {
-		return errors.Wrap(ErrCompacted, "answer is of another era")
+		return age, false, errors.Wrap(ErrCompacted, "answer is of another era")
 	}
-	r.pause = minRetryPause
-	if len(answer.Changes) > 0 {
-		r.Notify()
+	confirmedAt := start // an answer may have been on the way for long
+	if len(answer.Changes) == 0 {
+		confirmedAt = min(r.Clock.Now(), start.Add(wait)) // the store answered no sooner
+	}
+	r.State.Confirm(answer.Position, confirmedAt)
+	r.Notify()
+	return age, len(answer.Changes) > 0, nil
+}
+
+// readAll replaces the state by all records of the store.
+func (r *StoreReader) readAll(ctx context.Context) error {
+	start := r.Clock.Now()
+	answer, err := r.Protocol.Range(ctx, "")
+	if err != nil {
+		return err
+	}
+	r.recordSuccess()
+	answer = answer.withKnownEra(r.State.Position())
+	if !r.State.Replace(answer.Changes, answer.Position, "store") && !answer.Position.SameEra(r.State.Position()) {
+		return errOlderAnswer
 	}
+	r.State.Confirm(answer.Position, start)
+	r.Notify()
 	return nil
 }
 
+// setWatch records how to give up the watch that is under way; nil for none.
+func (r *StoreReader) setWatch(cancel func()) {
+	position := r.State.Position()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watchedFrom, r.cancelWatch = position, cancel
+}
+
+// giveUpWatch gives up the watch that is under way if it began at or before the position.
+func (r *StoreReader) giveUpWatch(position store.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancelWatch != nil && !r.watchedFrom.After(position) {
+		level.Info(logAt(r.Logger, position)).Log("msg", "watch of the store given up")
+		r.cancelWatch()
+	}
+}
+
 // setReading records whether this process reads the store or follows peers, and logs a change.
 func (r *StoreReader) setReading(reading bool) {
 	if reading != r.reading {
 		r.reading = reading
-		level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "source of the state changed", "store", reading, "lost", r.Lost(), "silent", r.Clock.Since(r.lastSuccess))
+		level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "source of the state changed", "store", reading, "lost", r.Lost(), "age", r.State.Age())
 	}
 }
 
@@ -149,22 +225,29 @@
 // recordSuccess records a response of the store; it must be called before the response is applied, because registrations
 // may have expired during an outage.
 func (r *StoreReader) recordSuccess() {
-	elapsed := r.Clock.Since(r.lastSuccess)
-	if elapsed > outageThreshold+watchWait {
-		r.State.StartOutageGrace()
-	}
+	r.State.EndOutage()
 	if r.lost.Swap(false) {
-		level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "store reached again", "silent", elapsed)
+		level.Info(logAt(r.Logger, r.State.Position())).Log("msg", "store reached", "silent", r.State.Age())
 	}
-	r.lastSuccess = r.Clock.Now()
 }
 
-func (r *StoreReader) handleFailure(ctx context.Context, err error) {
+// recordFailure records a failed store call.
+func (r *StoreReader) recordFailure(err error) {
+	r.mu.Lock()
 	r.lastFailure = r.Clock.Now()
+	r.mu.Unlock()
 	if !r.lost.Swap(true) {
-		level.Warn(logAt(r.Logger, r.State.Position())).Log("msg", "store lost", "error", err, "silent", r.Clock.Since(r.lastSuccess), "took", r.Clock.Since(r.callStart))
+		level.Warn(logAt(r.Logger, r.State.Position())).Log("msg", "store lost", "error", err, "silent", r.State.Age())
+		r.Notify() // others step in
 	}
+}
+
+// handleFailure records a failed store call and follows peers meanwhile.
+func (r *StoreReader) handleFailure(ctx context.Context, err error) {
+	r.recordFailure(err)
 	if err := r.Pull(ctx); err != nil {
 		level.Warn(r.Logger).Log("msg", "peer did not answer, keeping the current state", "error", err)
+		return
 	}
+	r.loaded = r.loaded || !r.State.Position().IsZero() // a peer's state continues as well as a range
 }
--- a/internal/telemetry/requestlog.go
+++ b/internal/telemetry/requestlog.go
@@ -39,7 +39,7 @@
 	"store came back from a copy": true, "store has an older record than the one in force, keeping the newer": true,
 	"records are older than the state, dropping them": true, "changes are of another era than the state, dropping them": true,
 	"change is not newer than the state, dropping it": true, "store does not have the changes since this position, reading all records": true,
-	"store lost": true, "store reached again": true,
+	"store lost": true, "store reached": true, "state is not confirmed, reading the store": true,
 }
 
 // LogLine is one log line of a process.
