Ask another peer for a newer configuration if one can't be reached

What callers would see: an entry that starts, or follows peers after a restore, misses the newest configuration for as long as the one peer that it asks can't be reached, though others have it or a newer one than its own.

Why the fix works: after a failed pull the next one goes to another peer with a newer version, if there is one.

TestUnreachablePeerHidesNewerConfig, red before (0 instead of 5 after two pulls), found by reading.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -39,10 +39,12 @@
 	retries       *retryBudget
 	suspects      *suspectSet
 	admission     *admission
-	unreachable   string        // control address of the peer that the last pull of state failed at
-	joined        chan struct{} // closed when this entry knows what its peers know of the configuration
-	draining      atomic.Bool
-	active        atomic.Int64
+	unreachable   string // control address of the peer that the last pull of state failed at
+	// configUnreachable is the same for the last pull of a newer configuration, which another loop does.
+	configUnreachable string
+	joined            chan struct{} // closed when this entry knows what its peers know of the configuration
+	draining          atomic.Bool
+	active            atomic.Int64
 }
 
 // call is the state of one caller request.
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -65,11 +65,15 @@
 	if joining {
 		limit = store.Latest
 	}
-	control, ok := e.peers.WithNewerConfig(e.state.ConfigVersion(), limit)
+	control, ok := e.peers.WithNewerConfig(e.state.ConfigVersion(), limit, e.configUnreachable)
 	if !ok {
 		return false, nil
 	}
-	return true, e.pullFrom(ctx, control, position)
+	e.configUnreachable = ""
+	if err = e.pullFrom(ctx, control, position); err != nil {
+		e.configUnreachable = control
+	}
+	return true, err
 }
 
 // hasJoined reports whether the entry has learned from its peers what it must know to serve.
@@ -83,13 +87,19 @@
 }
 
 // WithNewerConfig returns the control address of the live peer with the latest version of the configuration among those
-// whose position is not after limit; ok is false if none is above version.
-func (p *PeerSet) WithNewerConfig(version int64, limit store.Position) (control string, ok bool) {
+// whose position is not after limit; ok is false if none is above version. The peer with the control address avoid is
+// returned only if no other one is above.
+func (p *PeerSet) WithNewerConfig(version int64, limit store.Position, avoid string) (control string, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	latest := version
 	for _, peer := range p.peers {
-		if m := peer.lastMessage; peer.alive && m.Version > version && !m.position().After(limit) {
-			version, control, ok = m.Version, m.Control, true
+		m := peer.lastMessage
+		if !peer.alive || m.Version <= version || m.position().After(limit) || (ok && m.Control == avoid) {
+			continue
+		}
+		if !ok || control == avoid || m.Version > latest {
+			latest, control, ok = m.Version, m.Control, true
 		}
 	}
 	return control, ok
--- a/internal/gateway/join_test.go
+++ b/internal/gateway/join_test.go
@@ -8,11 +8,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"carawaypick/internal/lifecycle"
 	"carawaypick/internal/store"
+	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
 
@@ -42,12 +44,12 @@
 		p := newPeers()
 		p.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Ready: true, Control: "c", Era: 2, Revision: 70, Version: 6})
 		assert.False(t, p.CaughtUp(5))
-		control, ok := p.WithNewerConfig(5, store.At(2, 70))
+		control, ok := p.WithNewerConfig(5, store.At(2, 70), "")
 		assert.True(t, ok)
 		assert.Equal(t, "c", control)
-		_, ok = p.WithNewerConfig(5, store.At(2, 69))
+		_, ok = p.WithNewerConfig(5, store.At(2, 69), "")
 		assert.False(t, ok, "the change is on its way")
-		_, ok = p.WithNewerConfig(6, store.Latest)
+		_, ok = p.WithNewerConfig(6, store.Latest, "")
 		assert.False(t, ok)
 	})
 }
@@ -120,3 +122,21 @@
 	cancel()
 	assert.NoError(t, <-done)
 }
+
+// TestUnreachablePeerHidesNewerConfig guards against an entry that asks the one peer with the newest configuration again
+// and again, though it can't reach it and others have a newer one than its own.
+func TestUnreachablePeerHidesNewerConfig(t *testing.T) {
+	now := clock.Time(1)
+	peer := newTestState(&now)
+	require.True(t, peer.Replace([]Change{putChange("config", "\x05", 5).at(1)}, store.At(1, 7), "store"))
+	server := httptest.NewServer((&Entry{state: peer}).peerHandler())
+	defer server.Close()
+	e := &Entry{state: newTestState(&now), limitedLogger: &telemetry.RateLimitedLogger{Logger: log.NewNopLogger(), Clock: clock.Manual(&now)}}
+	e.peers = newTestPeerSets(&now, 1, nil, nil)[0]
+	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.8", Number: 1, Control: "127.0.0.1:1", Era: 1, Revision: 9, Version: 6})
+	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Control: strings.TrimPrefix(server.URL, "http://"), Era: 1, Revision: 7, Version: 5})
+	for range 2 {
+		_, _ = e.pullNewerConfig(t.Context(), true)
+	}
+	assert.EqualValues(t, 5, e.state.ConfigVersion())
+}
