Log the shared parts of the prompt of a failed attempt

Ids are hashed and the last part, which belongs to one request, is left out. No change of what is done.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -131,7 +131,7 @@
 	if x.outcome != outcomeAnswered {
 		e.limitedLogger.Log("attempt", "msg", "attempt failed", "id", c.ID, "server", s.ID, "address", s.Address, "reason", x.reason,
 			"error", x.err, "attempt", c.attempts, "notrun", x.outcome == outcomeNotExecuted, "crashed", crashed,
-			"content", formatFingerprint(c.content), "took", e.clock.Since(c.start))
+			"content", formatFingerprint(c.content), "parts", formatFingerprints(c.SharedParts), "took", e.clock.Since(c.start))
 	}
 }
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -39,6 +39,15 @@
 	return strconv.FormatUint(content, 16)
 }
 
+// formatFingerprints returns the form of several fingerprints in log lines.
+func formatFingerprints(contents []uint64) string {
+	var texts []string
+	for _, content := range contents {
+		texts = append(texts, formatFingerprint(content))
+	}
+	return strings.Join(texts, " ")
+}
+
 // rejectQuarantined returns the rejection of a request whose content crashed backend servers, or nil.
 func (e *Entry) rejectQuarantined(c *call) *rejection {
 	remaining, crashes := e.suspects.quarantined(c.content)
@@ -74,11 +83,7 @@
 
 // logCrash logs news of a crash; source tells where they come from.
 func (e *Entry) logCrash(r crashReport, source string) {
-	var contents []string
-	for _, content := range r.Contents {
-		contents = append(contents, formatFingerprint(content))
-	}
-	e.limitedLogger.Log("crash", "msg", "backend server crashed", "crash", r.ID, "contents", strings.Join(contents, " "), "age", r.Age, "source", source)
+	e.limitedLogger.Log("crash", "msg", "backend server crashed", "crash", r.ID, "contents", formatFingerprints(r.Contents), "age", r.Age, "source", source)
 }
 
 // serverCrashed reports whether the process of s ended during the exchange: it closed the connection, its address refuses
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -48,6 +48,7 @@
 	PromptTokens         int        // tokens of the prompt
 	MaxOutputTokens      int        // upper bound on the tokens of the response
 	ExpectedOutputTokens int        // the caller's estimate of the tokens of the response
+	SharedParts          []uint64   // hashes of the parts of the prompt that other requests may share, in order
 }
 
 // ForwardHeaders holds the values of the request headers that an entry sets for a backend server.
