Quarantine a part of prompts that crashes backend servers

Cause: a crash counted against the whole content of the requests in flight. No two of these are alike, so nothing added up.

Why the fix works: each crash also names the shared parts of the prompts in flight. The cause is what crashes have in common and nothing that completed has; completed runs of suspect parts are exchanged with the evidence. Evidence goes the same ways as that for contents, so entries that start or were cut off pull it.

--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -13,6 +13,7 @@
 	Contents []uint64 // fingerprints of the contents in flight
 	Unlikely []uint64 // those of Contents that are less likely the cause, as the server was cold or had begun to respond
 	Isolated bool     // the only content in flight was a suspect that ran in isolation
+	Parts    []Part   // parts of the prompts in flight that other requests may share
 	At       clock.Time
 }
 
@@ -21,7 +22,8 @@
 	id       string
 	isolated bool
 	at       clock.Time
-	contents map[uint64]int // weight against each content that was in flight
+	contents map[uint64]int  // weight against each content that was in flight
+	parts    map[uint64]Part // parts of prompts in flight, by id
 }
 
 const (
@@ -55,6 +57,9 @@
 	completedOrder []uint64              // contents in completed, first recorded first
 
 	verdicts map[uint64]crashHistory // quarantined contents with the crashes that count; nil if it must be computed anew
+
+	completedParts completedParts
+	partVerdicts   map[uint64]partHistory // the same for parts
 }
 
 // NewSuspectTracker returns an empty tracker that drops a crash after retention ms.
@@ -71,7 +76,7 @@
 			return false
 		}
 		i, isNew = len(s.crashes), true
-		s.crashes = append(s.crashes, recordedCrash{id: c.ID, isolated: c.Isolated, at: c.At, contents: make(map[uint64]int)})
+		s.crashes = append(s.crashes, recordedCrash{id: c.ID, isolated: c.Isolated, at: c.At, contents: make(map[uint64]int), parts: make(map[uint64]Part)})
 	}
 	r := &s.crashes[i]
 	r.at, r.isolated = min(r.at, c.At), r.isolated && c.Isolated // the same result in any order of the reports
@@ -86,7 +91,15 @@
 			isNew = true
 		}
 	}
-	s.verdicts = nil
+	for _, p := range c.Parts {
+		old, known := r.parts[p.ID]
+		better := Part{ID: p.ID, Depth: max(p.Depth, old.Depth), Unlikely: p.Unlikely && (old.Unlikely || !known)}
+		if better != old && (known || len(r.parts) < maxContents) {
+			r.parts[p.ID] = better
+			isNew = true
+		}
+	}
+	s.forgetVerdicts()
 	return isNew
 }
 
@@ -101,7 +114,7 @@
 // time if it ran in isolation at one of them, and for a quarter otherwise, because another content in flight or an outage
 // may be the cause. Of several contents the one with the most crashes is quarantined first, and crashes that it explains
 // hardly count against the others: so content that only happened to be in flight is released once the cause has crashed
-// another server. Content that completed within the retention time is quarantined only if it ran in isolation at one of
+// another server. The same goes for crashes that a quarantined part explains. Content that completed within the retention time is quarantined only if it ran in isolation at one of
 // the crashes, or if these happened at crashMoments separate moments since.
 func (s *SuspectTracker) Quarantined(now clock.Time, content uint64) (remaining clock.Span, quarantined bool) {
 	if s.history(now, content).weight < quarantineWeight {
@@ -130,10 +143,10 @@
 		}
 		s.completedOrder = append(s.completedOrder, content)
 	}
-	s.completed[content] = max(s.completed[content], now)
-	if _, convicted := s.verdicts[content]; convicted {
-		s.verdicts = nil
+	if s.history(now, content).weight > 0 {
+		s.forgetVerdicts() // it explains no crashes any more
 	}
+	s.completed[content] = max(s.completed[content], now)
 }
 
 // Crashes returns the crashes within the retention time.
@@ -146,6 +159,9 @@
 				c.Unlikely = append(c.Unlikely, content)
 			}
 		}
+		for _, id := range slices.Sorted(maps.Keys(r.parts)) {
+			c.Parts = append(c.Parts, r.parts[id])
+		}
 		crashes = append(crashes, c)
 	}
 	return crashes
@@ -169,7 +185,8 @@
 	weight            int
 	isolated          bool
 	lastCrash         clock.Time
-	completedRecently bool // the content completed within the retention time
+	completedRecently bool     // the content completed within the retention time
+	explained         []string // ids of the crashes that another cause explains
 }
 
 func (s *SuspectTracker) history(now clock.Time, content uint64) crashHistory {
@@ -203,6 +220,14 @@
 	s.verdicts = make(map[uint64]crashHistory)
 	suspects := s.histories(now)
 	explained := make(map[string]bool) // by crash id
+	for _, part := range s.convictedParts(now) {
+		for _, id := range part.ids {
+			if !explained[id] {
+				explained[id] = true
+				s.discount(suspects, id)
+			}
+		}
+	}
 	for {
 		cause, found := worstSuspect(suspects)
 		if !found {
@@ -279,12 +304,17 @@
 	}
 }
 
+// forgetVerdicts lets all verdicts be computed anew.
+func (s *SuspectTracker) forgetVerdicts() {
+	s.verdicts, s.partVerdicts = nil, nil
+}
+
 // sweep removes crashes older than the retention time.
 func (s *SuspectTracker) sweep(now clock.Time) {
 	count := len(s.crashes)
 	s.crashes = slices.DeleteFunc(s.crashes, func(r recordedCrash) bool { return now.Sub(r.at) >= s.retention })
 	if len(s.crashes) < count {
-		s.verdicts = nil
+		s.forgetVerdicts()
 	}
 }
 
--- /dev/null
+++ b/internal/balance/suspectpart.go
@@ -0,0 +1,200 @@
+package balance
+
+import (
+	"slices"
+
+	"carawaypick/pkg/clock"
+)
+
+// Part is a part of the prompt of a request that was in flight at a crash.
+type Part struct {
+	ID       uint64 // hash of the part's id
+	Depth    int    // number of parts before it in the prompt
+	Unlikely bool   // it is less likely the cause, as most prompts begin with it or the server was cold
+}
+
+const (
+	// partMoments is the least number of separate moments of crashes that quarantine a part: one outage ends several
+	// servers at one moment.
+	partMoments = 2
+	// maxCompletedParts is the number of parts recorded as completed before older ones are dropped; those that go on
+	// completing stay.
+	maxCompletedParts = 4096
+)
+
+// completedParts records when parts last completed, in two generations so that parts which go on completing stay.
+type completedParts struct {
+	current, previous map[uint64]clock.Time
+}
+
+func (c *completedParts) record(id uint64, at clock.Time) {
+	if len(c.current) >= maxCompletedParts || c.current == nil {
+		c.current, c.previous = make(map[uint64]clock.Time), c.current
+	}
+	known, _ := c.at(id)
+	c.current[id] = max(known, at)
+}
+
+func (c *completedParts) at(id uint64) (at clock.Time, known bool) {
+	if at, known = c.current[id]; known {
+		return at, true
+	}
+	at, known = c.previous[id]
+	return at, known
+}
+
+// partHistory summarizes the crashes that count against one part.
+type partHistory struct {
+	crashHistory
+	depth int
+}
+
+// RecordCompletedPart records that a request with the part completed at a time: no crash within the retention time counts
+// against the part. It reports whether that is news.
+func (s *SuspectTracker) RecordCompletedPart(now, at clock.Time, id uint64) (isNew bool) {
+	isNew = !s.partCompleted(now, id) && now.Sub(at) < s.retention
+	s.completedParts.record(id, at)
+	if isNew {
+		s.forgetVerdicts()
+	}
+	return isNew
+}
+
+// CompletedPartAt returns when a request with the part last completed; known is false if that is not recorded.
+func (s *SuspectTracker) CompletedPartAt(id uint64) (at clock.Time, known bool) {
+	return s.completedParts.at(id)
+}
+
+// CrashesWithPart returns the ids of the crashes at which the part was in flight.
+func (s *SuspectTracker) CrashesWithPart(id uint64) (ids []string) {
+	for _, c := range s.crashes {
+		if _, inFlight := c.parts[id]; inFlight {
+			ids = append(ids, c.id)
+		}
+	}
+	return ids
+}
+
+// QuarantinedPart reports whether a request with any of the parts must not run, for how many ms, and the ids of the
+// crashes that decide it.
+//
+// The cause is what crashes have in common and nothing that completed has. So a part is quarantined for a quarter of the
+// retention time after crashes at two separate moments, or three if it is an unlikely cause, unless a request with it
+// completed within the retention time, or one content was in flight at all of these crashes and explains them. Of several
+// parts the one with the most crashes comes first, the deepest of equals; crashes that it explains hardly count against
+// the others.
+func (s *SuspectTracker) QuarantinedPart(now clock.Time, parts []uint64) (remaining clock.Span, crashes []string) {
+	if len(parts) == 0 || len(s.crashes) == 0 {
+		return 0, nil
+	}
+	verdicts := s.convictedParts(now)
+	for _, id := range parts {
+		h, convicted := verdicts[id]
+		if left := h.lastCrash.Add(s.retention / sharedCrashDivisor).Sub(now); convicted && left > remaining {
+			remaining, crashes = left, h.ids
+		}
+	}
+	return remaining, crashes
+}
+
+func (s *SuspectTracker) partCompleted(now clock.Time, id uint64) bool {
+	at, known := s.completedParts.at(id)
+	return known && now.Sub(at) < s.retention
+}
+
+// convictedParts returns the quarantined parts with the crashes that count against them.
+func (s *SuspectTracker) convictedParts(now clock.Time) map[uint64]partHistory {
+	s.sweep(now)
+	if s.partVerdicts != nil {
+		return s.partVerdicts
+	}
+	s.partVerdicts = make(map[uint64]partHistory)
+	suspects := s.partHistories(now)
+	for {
+		cause, found := worstPart(suspects)
+		if !found {
+			return s.partVerdicts
+		}
+		h := suspects[cause]
+		s.partVerdicts[cause] = h
+		delete(suspects, cause)
+		for id, other := range suspects {
+			for _, crash := range other.ids {
+				if slices.Contains(h.ids, crash) && !slices.Contains(other.explained, crash) {
+					other.explained = append(other.explained, crash)
+					other.weight -= s.partWeight(crash, id) - explainedWeight
+				}
+			}
+			suspects[id] = other
+		}
+	}
+}
+
+// partHistories returns the crashes that count against each part that may be a cause.
+func (s *SuspectTracker) partHistories(now clock.Time) map[uint64]partHistory {
+	all := make(map[uint64]partHistory)
+	for i := range s.crashes {
+		c := &s.crashes[i]
+		for id, p := range c.parts {
+			if s.partCompleted(now, id) {
+				continue
+			}
+			h := all[id]
+			h.ids, h.times = append(h.ids, c.id), append(h.times, c.at)
+			h.weight += p.weight()
+			h.lastCrash = max(h.lastCrash, c.at)
+			h.depth = max(h.depth, p.Depth)
+			all[id] = h
+		}
+	}
+	for id, h := range all {
+		if h.weight < quarantineWeight || h.moments() < partMoments || s.oneContent(now, h.ids) {
+			delete(all, id)
+		}
+	}
+	return all
+}
+
+// weight returns what a crash weighs against the part.
+func (p Part) weight() int {
+	if p.Unlikely {
+		return unlikelyWeight
+	}
+	return likelyWeight
+}
+
+func (s *SuspectTracker) partWeight(crash string, id uint64) int {
+	i := slices.IndexFunc(s.crashes, func(r recordedCrash) bool { return r.id == crash })
+	return s.crashes[i].parts[id].weight()
+}
+
+// oneContent reports whether one content was in flight at all of the crashes and has not completed within the retention
+// time. A popular content may be in flight at many crashes.
+func (s *SuspectTracker) oneContent(now clock.Time, crashes []string) bool {
+	first := slices.IndexFunc(s.crashes, func(r recordedCrash) bool { return r.id == crashes[0] })
+	for content := range s.crashes[first].contents {
+		h := s.history(now, content)
+		if !h.completedRecently && !slices.ContainsFunc(crashes, func(id string) bool { return !slices.Contains(h.ids, id) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// worstPart returns the part that is to be quarantined first; found is false if none is to be.
+func worstPart(suspects map[uint64]partHistory) (worst uint64, found bool) {
+	for id, h := range suspects {
+		if h.weight < quarantineWeight {
+			continue
+		}
+		w := suspects[worst]
+		switch {
+		case !found, h.weight > w.weight:
+			worst, found = id, true
+		case h.weight < w.weight:
+		case h.depth > w.depth || (h.depth == w.depth && id < worst):
+			worst = id
+		}
+	}
+	return worst, found
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"carawaypick/internal/balance"
 	"carawaypick/internal/routing"
 	"carawaypick/pkg/clock"
 )
@@ -20,6 +21,10 @@
 // final answer waits for it.
 const crashProbeTimeout = 150 * clock.Millisecond
 
+// soundAfter is the time in ms from the first event of an attempt's stream after which the parts of the prompt are proved
+// not to crash the backend server: one that they crash ends as it begins to write.
+const soundAfter = 500 * clock.Millisecond
+
 // fingerprint identifies the content of a request: its team, path and body. A request that a caller sends again has the
 // same fingerprint, whatever its id and the entry that receives it.
 func fingerprint(team, uri string, body []byte) uint64 {
@@ -50,11 +55,25 @@
 
 // rejectQuarantined returns the rejection of a request whose content crashed backend servers, or nil.
 func (e *Entry) rejectQuarantined(c *call) *rejection {
-	remaining, crashes := e.suspects.quarantined(c.content)
-	if len(crashes) == 0 {
+	if remaining, crashes := e.suspects.quarantined(c.content); len(crashes) > 0 {
+		return &rejection{status: http.StatusServiceUnavailable, reason: "it crashed backend servers", retryAfter: remaining, crashes: crashes}
+	}
+	if remaining, crashes := e.suspects.quarantinedPart(c.SharedParts); len(crashes) > 0 {
+		return &rejection{status: http.StatusServiceUnavailable, reason: "a part of its prompt crashed backend servers", retryAfter: remaining, crashes: crashes}
+	}
+	return nil
+}
+
+// partsInFlight returns the shared parts of the request's prompt as suspects of a crash during the exchange; none if the
+// backend server had been writing on them.
+func (c *call) partsInFlight(x *exchange, cold bool) (parts []balance.Part) {
+	if x.partsSound {
 		return nil
 	}
-	return &rejection{status: http.StatusServiceUnavailable, reason: "it crashed backend servers", retryAfter: remaining, crashes: crashes}
+	for depth, id := range c.SharedParts {
+		parts = append(parts, balance.Part{ID: id, Depth: depth, Unlikely: depth == 0 || cold})
+	}
+	return parts
 }
 
 // recordEvidence records the attempt's result for or against the content of the request, tells the other entries of a
@@ -62,6 +81,7 @@
 func (e *Entry) recordEvidence(c *call, s *routing.Server, x *exchange) (crashed bool) {
 	if x.outcome == outcomeAnswered && x.response.StatusCode < http.StatusMultipleChoices && isFramed(x.response) {
 		e.suspects.addCompleted(c.content)
+		e.suspects.addCompletedParts(c.SharedParts)
 		return false
 	}
 	if !e.serverCrashed(c, s, x) {
@@ -69,9 +89,10 @@
 	}
 	e.metrics.Crashes.Get("refused").Inc()
 	id := s.ID + "/" + strconv.FormatInt(s.StartedAt, 10)
-	unlikely := x.progressed || e.clock.Now() < s.ColdUntil
-	e.suspects.addCrash(id, c.content, unlikely)
-	e.logCrash(crashReport{ID: id, Contents: []uint64{c.content}}, "attempt "+c.ID)
+	cold := e.clock.Now() < s.ColdUntil
+	parts := c.partsInFlight(x, cold)
+	e.suspects.addCrash(id, c.content, x.progressed || cold, parts)
+	e.logCrash(crashReport{ID: id, Contents: []uint64{c.content}, Parts: parts}, "attempt "+c.ID)
 	e.peers.Notify()
 	return true
 }
@@ -83,7 +104,14 @@
 
 // logCrash logs news of a crash; source tells where they come from.
 func (e *Entry) logCrash(r crashReport, source string) {
-	e.limitedLogger.Log("crash", "msg", "backend server crashed", "crash", r.ID, "contents", formatFingerprints(r.Contents), "age", r.Age, "source", source)
+	e.limitedLogger.Log("crash", "msg", "backend server crashed", "crash", r.ID, "contents", formatFingerprints(r.Contents), "parts", formatFingerprints(partIDs(r.Parts)), "age", r.Age, "source", source)
+}
+
+func partIDs(parts []balance.Part) (ids []uint64) {
+	for _, p := range parts {
+		ids = append(ids, p.ID)
+	}
+	return ids
 }
 
 // serverCrashed reports whether the process of s ended during the exchange: it closed the connection, its address refuses
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -146,7 +146,7 @@
 // quarantine makes e reject the content of a request with the body to the path.
 func quarantine(e *Entry, path, body string) {
 	for _, id := range []string{"a", "b"} {
-		e.suspects.addCrash(id, fingerprint("t", path, []byte(body)), false)
+		e.suspects.addCrash(id, fingerprint("t", path, []byte(body)), false, nil)
 	}
 }
 
--- a/internal/gateway/evidencesync.go
+++ b/internal/gateway/evidencesync.go
@@ -19,7 +19,7 @@
 // probably just started.
 func (e *Entry) receiveEvidence(hb heartbeat) {
 	if len(hb.Crashes) > 0 {
-		e.mergeEvidence(evidence{Crashes: hb.Crashes, Completed: hb.Completed}, hb.Name)
+		e.mergeEvidence(evidence{Crashes: hb.Crashes, Completed: hb.Completed, CompletedParts: hb.CompletedParts}, hb.Name)
 	}
 	if e.suspects.digest() == 0 {
 		wake(e.suspects.pullNow)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -34,6 +34,7 @@
 	headers     ResponseHeaders
 	conn        *serverConn
 	progressed  bool       // the backend server sent a part of its answer
+	partsSound  bool       // it has been writing for so long that no part of the prompt crashes it
 	reusable    bool       // the connection may be kept for another request
 	idleTimeout clock.Span // the backend server's idle timeout in ms, 0 if it sent none
 	detach      func()     // keeps the end of the context from resetting the connection
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -56,6 +56,8 @@
 	Completed []completion  // completed runs of the contents that were in flight at them
 	Evidence  uint64        // digest of all that the sender knows of crashes
 
+	CompletedParts []completion // completed runs of the parts that were in flight at them
+
 	Confirmed confirmation // how old the sender's state is at most; none from an entry of an earlier release
 
 	Ask string // address of the engine whose group an agent asks for
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -85,7 +85,7 @@
 		era, revision := changed.Numbers()
 		return heartbeat{
 			Confirmed: confirmed,
-			Crashes:   news.Crashes, Completed: news.Completed, Evidence: e.suspects.digest(),
+			Crashes:   news.Crashes, Completed: news.Completed, CompletedParts: news.CompletedParts, Evidence: e.suspects.digest(),
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(),
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -178,7 +178,7 @@
 // forwardEvents forwards complete events until the stream ends; it returns nil if the stream ended between events.
 func (e *Entry) forwardEvents(c *call, cs *callerStream, x *exchange) (err error) {
 	reader := bufio.NewReaderSize(x.response.Body, connBufferSize)
-	last := clock.Time(0)
+	first, last := clock.Time(0), clock.Time(0)
 	for {
 		v, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -197,6 +197,13 @@
 			cs.maxGap = max(cs.maxGap, now.Sub(last))
 		}
 		last = now
+		if first == 0 {
+			first = now
+		}
+		if !x.partsSound && now.Sub(first) >= soundAfter {
+			x.partsSound = true
+			e.suspects.addCompletedParts(c.SharedParts)
+		}
 		if !cs.started {
 			cs.timeToFirst = now.Sub(c.start)
 			if c.attempts == 1 {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -16,15 +16,16 @@
 	relayedReportRounds = 1                 // heartbeats that carry a report from another entry
 	maxReports          = 16                // crash reports in one heartbeat
 	maxDigestAge        = clock.Second      // after which a digest is computed anew, since crashes expire
-	maxReportedContents = 512               // contents in flight in the reports of one heartbeat, but for its first report
+	maxReportedContents = 512               // contents and parts in flight in the reports of one heartbeat, but for its first report
 )
 
 // crashReport is a crash of a backend server in the messages between entries.
 type crashReport struct {
 	ID       string
-	Contents []uint64   // fingerprints of the contents in flight
-	Unlikely []uint64   // those of Contents that are less likely the cause
-	Age      clock.Span // ms since the crash
+	Contents []uint64       // fingerprints of the contents in flight
+	Unlikely []uint64       // those of Contents that are less likely the cause
+	Parts    []balance.Part // parts of the prompts in flight
+	Age      clock.Span     // ms since the crash
 }
 
 // completion is a completed run, in the messages between entries, of a content that was in flight at a crash.
@@ -33,10 +34,11 @@
 	Age     clock.Span // ms since the content last completed
 }
 
-// evidence is what an entry knows of crashes and of the contents that were in flight.
+// evidence is what an entry knows of crashes and of the contents and parts of prompts that were in flight.
 type evidence struct {
-	Crashes   []crashReport
-	Completed []completion
+	Crashes        []crashReport
+	Completed      []completion
+	CompletedParts []completion // of parts, by their ids
 }
 
 // suspectSet tracks which contents may crash backend servers and exchanges the evidence with the other entries.
@@ -72,11 +74,20 @@
 	return remaining, s.tracker.CrashesWith(now, content)
 }
 
-// addCrash records a crash that this entry saw.
-func (s *suspectSet) addCrash(id string, content uint64, unlikely bool) {
+// quarantinedPart reports whether a request with any of the parts must not be sent, for how many ms, and the ids of the
+// crashes that decide it.
+func (s *suspectSet) quarantinedPart(parts []uint64) (remaining clock.Span, crashes []string) {
+	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := balance.Crash{ID: id, Contents: []uint64{content}, At: s.clock.Now()}
+	return s.tracker.QuarantinedPart(now, parts)
+}
+
+// addCrash records a crash that this entry saw, with one content and its parts that were in flight.
+func (s *suspectSet) addCrash(id string, content uint64, unlikely bool, parts []balance.Part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := balance.Crash{ID: id, Contents: []uint64{content}, Parts: parts, At: s.clock.Now()}
 	if unlikely {
 		c.Unlikely = c.Contents
 	}
@@ -98,6 +109,27 @@
 	s.tracker.RecordCompleted(now, content)
 }
 
+// addCompletedParts records that a backend server has written an answer on the parts.
+func (s *suspectSet) addCompletedParts(parts []uint64) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range parts {
+		s.addCompletedPart(now, now, id, ownReportRounds)
+	}
+}
+
+// addCompletedPart records a completion of a part, and announces it for some rounds if it speaks for the part; mu is held.
+func (s *suspectSet) addCompletedPart(now, at clock.Time, id uint64, rounds int) {
+	if !s.tracker.RecordCompletedPart(now, at, id) {
+		return
+	}
+	for _, crash := range s.tracker.CrashesWithPart(id) {
+		s.announced[crash] = max(s.announced[crash], rounds)
+		s.digestedAt = 0
+	}
+}
+
 // merge adds the evidence of another entry and returns the crashes that it told something new about.
 func (s *suspectSet) merge(v evidence) (news []crashReport) {
 	now := s.clock.Now()
@@ -108,7 +140,7 @@
 		if r.Age >= suspectRetention {
 			continue
 		}
-		if s.tracker.AddCrash(balance.Crash{ID: r.ID, Contents: r.Contents, Unlikely: r.Unlikely, At: now.Add(-r.Age)}) {
+		if s.tracker.AddCrash(balance.Crash{ID: r.ID, Contents: r.Contents, Unlikely: r.Unlikely, Parts: r.Parts, At: now.Add(-r.Age)}) {
 			s.announced[r.ID] = max(s.announced[r.ID], relayedReportRounds)
 			news = append(news, r)
 		}
@@ -116,6 +148,9 @@
 	for _, done := range v.Completed {
 		s.addCompletion(now, done)
 	}
+	for _, done := range v.CompletedParts {
+		s.addCompletedPart(now, now.Add(-done.Age), done.Content, relayedReportRounds)
+	}
 	return news
 }
 
@@ -142,9 +177,16 @@
 
 // report returns the crashes with the completions of their contents in the form for other entries; mu is held.
 func (s *suspectSet) report(now clock.Time, crashes []balance.Crash) (v evidence) {
-	reported := make(map[uint64]bool)
+	reported, reportedParts := make(map[uint64]bool), make(map[uint64]bool)
 	for _, c := range crashes {
-		v.Crashes = append(v.Crashes, crashReport{ID: c.ID, Contents: c.Contents, Unlikely: c.Unlikely, Age: now.Sub(c.At)})
+		v.Crashes = append(v.Crashes, crashReport{ID: c.ID, Contents: c.Contents, Unlikely: c.Unlikely, Parts: c.Parts, Age: now.Sub(c.At)})
+		for _, p := range c.Parts {
+			at, known := s.tracker.CompletedPartAt(p.ID)
+			if known && now.Sub(at) < suspectRetention && !reportedParts[p.ID] {
+				v.CompletedParts = append(v.CompletedParts, completion{Content: p.ID, Age: now.Sub(at)})
+				reportedParts[p.ID] = true
+			}
+		}
 		for _, content := range c.Contents {
 			at, known := s.tracker.CompletedAt(content)
 			if known && now.Sub(at) < suspectRetention && !reported[content] {
@@ -186,9 +228,9 @@
 		if rounds == 0 {
 			continue
 		}
-		if len(selected) == 0 || (len(selected) < maxReports && contents+len(c.Contents) <= maxReportedContents) {
+		if len(selected) == 0 || (len(selected) < maxReports && contents+len(c.Contents)+len(c.Parts) <= maxReportedContents) {
 			selected = append(selected, c)
-			contents += len(c.Contents)
+			contents += len(c.Contents) + len(c.Parts)
 			rounds--
 		}
 		if rounds > 0 {
@@ -228,5 +270,23 @@
 		}
 		digest ^= xxhash.Sum64(b[:])
 	}
+	for _, p := range c.Parts {
+		digest ^= s.partDigest(id, p)
+	}
 	return digest
 }
+
+// partDigest returns a digest of a part that was in flight at a crash, and of whether it completed; mu is held.
+func (s *suspectSet) partDigest(crash uint64, p balance.Part) uint64 {
+	const partMark = 3 // tells a part from a content
+	b := [19]byte{17: partMark}
+	binary.LittleEndian.PutUint64(b[:8], crash)
+	binary.LittleEndian.PutUint64(b[8:16], p.ID)
+	if p.Unlikely {
+		b[16] = 1
+	}
+	if _, known := s.tracker.CompletedPartAt(p.ID); known {
+		b[18] = 1
+	}
+	return xxhash.Sum64(b[:])
+}
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -37,7 +37,7 @@
 			content := rapid.Uint64Range(1, 4).Draw(t, "content")
 			switch rapid.SampledFrom([]string{"crash", "complete", "heartbeat", "time"}).Draw(t, "step") {
 			case "crash":
-				s.addCrash(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server"), content, rapid.Bool().Draw(t, "unlikely"))
+				s.addCrash(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server"), content, rapid.Bool().Draw(t, "unlikely"), nil)
 			case "complete":
 				s.addCompleted(content)
 			case "heartbeat":
@@ -73,7 +73,7 @@
 		saw, served := newTestSuspects(&now), newTestSuspects(&now)
 		served.addCompleted(7)
 		for _, id := range []string{"a", "b", "c"} {
-			saw.addCrash(id, 7, false)
+			saw.addCrash(id, 7, false, nil)
 		}
 		require.True(t, isQuarantined(saw, 7))
 		served.merge(saw.nextNews())
@@ -83,14 +83,14 @@
 	})
 	t.Run("a crash that several entries saw counts once", func(t *testing.T) {
 		a, b := newTestSuspects(&now), newTestSuspects(&now)
-		a.addCrash("a", 7, false)
-		b.addCrash("a", 7, false)
+		a.addCrash("a", 7, false, nil)
+		b.addCrash("a", 7, false, nil)
 		a.merge(b.nextNews())
 		assert.False(t, isQuarantined(a, 7))
 	})
 	t.Run("a report is sent with a few heartbeats only", func(t *testing.T) {
 		s := newTestSuspects(&now)
-		s.addCrash("a", 7, false)
+		s.addCrash("a", 7, false, nil)
 		for range ownReportRounds {
 			assert.Len(t, s.nextNews().Crashes, 1)
 		}
@@ -118,8 +118,8 @@
 func TestEvidenceReachesNewEntry(t *testing.T) {
 	now := clock.Time(1000)
 	peer := &Entry{suspects: newTestSuspects(&now)}
-	peer.suspects.addCrash("a", 7, false)
-	peer.suspects.addCrash("b", 7, false)
+	peer.suspects.addCrash("a", 7, false, nil)
+	peer.suspects.addCrash("b", 7, false, nil)
 	server := httptest.NewServer(peer.peerHandler())
 	defer server.Close()
 	e := &Entry{suspects: newTestSuspects(&now), limitedLogger: &telemetry.RateLimitedLogger{Logger: log.NewNopLogger(), Clock: clock.Manual(&now)}}
