Limit answers of backend servers that do not end

What callers would see: a backend server that sends a head without end, or bytes that are no answer, takes an entry of 284 MB down with all its requests: 758 to 2190 MB in 4 s. Events without an id were passed on until the deadline, and a failure's body without end was cut off and passed on as if complete.

Cause: heads were read without a limit, bodies up to 8 MiB each however many were read at once, events up to 1 MiB each.

Why the fix works: 64 KiB for all that precedes the body of an answer, with interim responses and answers to other requests; 8 MiB for a body and a stream, an eighth of the memory for all bodies that are read at one time; 128 KiB for an event, with those before it that have no id. Beyond a limit the connection is reset, which counts as a failed attempt.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -83,10 +84,7 @@
 		return x, nil
 	}
 	x.progressed = true
-	content, err := io.ReadAll(io.LimitReader(x.response.Body, maxResponseBody+1))
-	if err == nil && len(content) > maxResponseBody {
-		err = errors.Newf("response body exceeds %d bytes", maxResponseBody)
-	}
+	content, err := e.readBody(x.response.Body)
 	if err == nil && !x.headers.valid(c.ID, x.response.StatusCode) {
 		err = errors.Newf("response with status %d has no valid seal", x.response.StatusCode)
 	}
@@ -98,6 +96,29 @@
 	return x, content
 }
 
+// readBody reads a body to its end. It fails if the body is too long, or if all that are read at this time use too much
+// memory.
+func (e *Entry) readBody(body io.Reader) (content []byte, err error) {
+	var buffer bytes.Buffer
+	counted := int64(0)
+	defer func() { e.buffered.Add(-counted) }()
+	limit := e.settings.Load().Memory / bodyMemoryDivisor
+	for buffer.Len() <= maxResponseBody {
+		n, err := io.CopyN(&buffer, body, freeBodyBytes)
+		if errors.Is(err, io.EOF) {
+			return buffer.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		counted += n
+		if all := e.buffered.Add(n); limit > 0 && all > limit {
+			return nil, errors.Newf("response bodies use %d bytes, which is more than %d", all, limit)
+		}
+	}
+	return nil, errors.Newf("response body exceeds %d bytes", maxResponseBody)
+}
+
 // valid reports whether a response with the status may be forwarded as the answer to the request id.
 func (h ResponseHeaders) valid(id string, status int) bool {
 	if status < http.StatusMultipleChoices {
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -21,6 +21,7 @@
 	maxFreshIdle       = clock.Second            // longest idle time of a connection that carries a non-idempotent request
 	maxIdlePerServer   = 16                      // idle connections to one backend server
 	connBufferSize     = 4 << 10                 // bytes
+	maxHeadBytes       = 64 << 10                // before the body of an answer: its head, interim responses and answers to other requests
 	keepAliveIdle      = time.Second             // idle time before the first TCP keep-alive probe
 	keepAliveInterval  = 500 * time.Millisecond  // between two TCP keep-alive probes
 	keepAliveCount     = 3                       // unanswered probes after which the connection is closed
@@ -30,11 +31,26 @@
 type serverConn struct {
 	net.Conn
 	reader      *bufio.Reader
+	headLeft    int        // bytes that may still be read before the body of an answer
+	inBody      bool       // the head was read, so that headLeft doesn't apply
 	usableUntil clock.Time // the connection carries no further request from this time on
 	lastUsed    clock.Time // end of the last exchange on the connection
 	reused      bool
 }
 
+// Read implements net.Conn; it fails once a head is too long.
+func (c *serverConn) Read(p []byte) (n int, err error) {
+	if c.inBody {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, errors.Newf("more than %d bytes before the body of an answer", maxHeadBytes)
+	}
+	n, err = c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 // reset closes the connection with a TCP RST, which discards a request that is still unsent or delayed in the network.
 // After an orderly close, such a request would still reach the backend server once the path recovers.
 func (c *serverConn) reset() {
@@ -99,7 +115,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &serverConn{Conn: conn, reader: bufio.NewReaderSize(conn, connBufferSize), usableUntil: p.clock.Now().Add(defaultIdleTimeout)}, nil
+	c = &serverConn{Conn: conn, usableUntil: p.clock.Now().Add(defaultIdleTimeout)}
+	c.reader = bufio.NewReaderSize(c, connBufferSize)
+	return c, nil
 }
 
 // put returns a connection to the pool after a complete exchange. It closes the connection if it has unread data, if it
@@ -177,6 +195,8 @@
 // readResponseHead reads the head of the response to the request id, skipping interim responses and up to
 // maxStrayResponses responses to other requests.
 func (c *serverConn) readResponseHead(request *http.Request, id string, parse func(int, http.Header) ResponseHeaders) (h responseHead, err error) {
+	c.headLeft, c.inBody = maxHeadBytes, false
+	defer func() { c.inBody = err == nil }()
 	for {
 		h.response, err = http.ReadResponse(c.reader, request) //nolint:bodyclose // the caller reads and closes the body
 		if err != nil {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -17,7 +17,9 @@
 )
 
 const (
-	maxResponseBody    = 8 << 20                 // bytes of a response body that is buffered before it is forwarded
+	maxResponseBody    = 8 << 20                 // bytes of a response body that is buffered before it is forwarded, and of a stream
+	freeBodyBytes      = 64 << 10                // of each body that don't count towards the limit of all bodies
+	bodyMemoryDivisor  = 8                       // of the instance's memory: limit of all bodies that are buffered at one time
 	noConfigRetryAfter = 500 * clock.Millisecond // Retry-After before the first configuration is received
 	noServerRetryAfter = clock.Second            // Retry-After while the service has no usable backend server
 	lowestPriority     = 9                       // numerically largest priority that backend servers accept
@@ -45,6 +47,7 @@
 	joined            chan struct{} // closed when this entry knows what its peers know of the configuration
 	draining          atomic.Bool
 	active            atomic.Int64
+	buffered          atomic.Int64 // bytes of response bodies that are buffered, beyond freeBodyBytes of each
 }
 
 // call is the state of one caller request.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,8 +14,8 @@
 	"carawaypick/pkg/clock"
 )
 
-// maxEventSize is the maximum size of one event in bytes.
-const maxEventSize = 1 << 20
+// maxEventSize is the maximum size of one event in bytes. Many streams may have one in memory at the same time.
+const maxEventSize = 128 << 10
 
 // event is one server-sent event in its raw form.
 type event struct {
@@ -154,7 +154,7 @@
 // forwardNonStream forwards a response with another status than 200 if the caller's stream has not started, and reports
 // whether it forwarded the response.
 func (e *Entry) forwardNonStream(c *call, cs *callerStream, s *routing.Server, x *exchange) (final bool) {
-	content, err := io.ReadAll(io.LimitReader(x.response.Body, maxResponseBody))
+	content, err := e.readBody(x.response.Body)
 	if err != nil || !x.headers.valid(c.ID, x.response.StatusCode) || cs.started {
 		x.outcome, x.reason = outcomeUnknown, "status "+strconv.Itoa(x.response.StatusCode)
 		x.err = err
@@ -178,49 +178,91 @@
 // forwardEvents forwards complete events until the stream ends; it returns nil if the stream ended between events.
 func (e *Entry) forwardEvents(c *call, cs *callerStream, x *exchange) (err error) {
 	reader := bufio.NewReaderSize(x.response.Body, connBufferSize)
-	first, last := clock.Time(0), clock.Time(0)
-	for {
-		v, err := readEvent(reader)
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return nil
-		}
+	var times eventTimes
+	for size := 0; ; {
+		v, ended, err := readNumberedEvent(reader)
 		if err != nil {
 			return err
 		}
+		if ended && len(v.raw) == 0 {
+			return nil
+		}
+		if size += len(v.raw); size > maxResponseBody {
+			return errors.Newf("stream exceeds %d bytes", maxResponseBody)
+		}
 		if v.hasID && !isNextEvent(cs.lastEventID, v.id) {
 			return errors.Newf("unexpected event id: got %s after %s", v.id, cs.lastEventID)
 		}
 		x.progressed = true
-		now := e.clock.Now()
-		if last > 0 {
-			e.admission.recordGap(now, c.service.Name, now.Sub(last))
-			cs.maxGap = max(cs.maxGap, now.Sub(last))
-		}
-		last = now
-		if first == 0 {
-			first = now
-		}
-		if !x.partsSound && now.Sub(first) >= soundAfter {
-			x.partsSound = true
-			e.suspects.addCompletedParts(c.SharedParts)
-		}
+		e.recordEvent(c, cs, x, &times)
 		if !cs.started {
-			cs.timeToFirst = now.Sub(c.start)
-			if c.attempts == 1 {
-				e.admission.recordFirstEvent(c.service.Name, now.Sub(c.admittedAt))
-			}
-			e.metrics.FirstEventLatency.Get(c.service.Name).Update(float64(e.clock.Since(c.start)))
 			cs.start(x.response)
 		}
-		if _, err := cs.writer.Write(v.raw); err != nil {
+		if err := cs.write(v.raw); err != nil {
 			return errors.Wrap(err, "write to caller")
 		}
-		if err := cs.control.Flush(); err != nil {
-			return errors.Wrap(err, "flush to caller")
+		if ended {
+			return nil
 		}
 		cs.events++
-		if v.hasID {
-			cs.lastEventID = v.id
+		cs.lastEventID = v.id
+	}
+}
+
+// readNumberedEvent reads events up to one that has an id and returns them as one. Others are held back, so that a server
+// which sends nothing else is recognised as faulty before the caller gets any of it; at the end of the stream the event
+// has those that no other follows.
+func readNumberedEvent(r *bufio.Reader) (v event, ended bool, err error) {
+	for {
+		next, err := readEvent(r)
+		ended = errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
+		if err != nil && !ended {
+			return v, false, err
 		}
+		v.raw, v.id, v.hasID = append(v.raw, next.raw...), next.id, next.hasID
+		if len(v.raw) > maxEventSize {
+			return v, false, errors.Newf("%d bytes of events without an id", len(v.raw))
+		}
+		if v.hasID || ended {
+			return v, ended, nil
+		}
+	}
+}
+
+// eventTimes are the times of the first and the last event of an attempt.
+type eventTimes struct {
+	first, last clock.Time
+}
+
+// recordEvent records the time of an event for the caller's stream, the load of the service and the parts of the prompt.
+func (e *Entry) recordEvent(c *call, cs *callerStream, x *exchange, t *eventTimes) {
+	now := e.clock.Now()
+	if t.last > 0 {
+		e.admission.recordGap(now, c.service.Name, now.Sub(t.last))
+		cs.maxGap = max(cs.maxGap, now.Sub(t.last))
+	}
+	t.last = now
+	if t.first == 0 {
+		t.first = now
+	}
+	if !x.partsSound && now.Sub(t.first) >= soundAfter {
+		x.partsSound = true
+		e.suspects.addCompletedParts(c.SharedParts)
+	}
+	if cs.started {
+		return
+	}
+	cs.timeToFirst = now.Sub(c.start)
+	if c.attempts == 1 {
+		e.admission.recordFirstEvent(c.service.Name, now.Sub(c.admittedAt))
+	}
+	e.metrics.FirstEventLatency.Get(c.service.Name).Update(float64(e.clock.Since(c.start)))
+}
+
+// write sends events to the caller at once.
+func (cs *callerStream) write(raw []byte) error {
+	if _, err := cs.writer.Write(raw); err != nil {
+		return err
 	}
+	return cs.control.Flush()
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -125,3 +125,30 @@
 		}
 	})
 }
+
+// TestUnnumberedEventsReachCallers guards against events without an id that are passed on before the server is known to
+// send others as well.
+func TestUnnumberedEventsReachCallers(t *testing.T) {
+	read := func(text string) (raw, id string, ended bool, err error) {
+		v, ended, err := readNumberedEvent(bufio.NewReader(strings.NewReader(text)))
+		return string(v.raw), v.id, ended, err
+	}
+	t.Run("one is read with the next that has an id", func(t *testing.T) {
+		raw, id, ended, err := read(": a\n\nid: 3\ndata: x\n\nid: 4\n\n")
+		require.NoError(t, err)
+		assert.Equal(t, ": a\n\nid: 3\ndata: x\n\n", raw)
+		assert.Equal(t, "3", id)
+		assert.False(t, ended)
+	})
+	t.Run("the last ones are read at the end", func(t *testing.T) {
+		raw, id, ended, err := read("data: done\n\n")
+		require.NoError(t, err)
+		assert.Equal(t, "data: done\n\n", raw)
+		assert.Empty(t, id)
+		assert.True(t, ended)
+	})
+	t.Run("none are read from a server that sends nothing else", func(t *testing.T) {
+		_, _, _, err := read(strings.Repeat(": a\n\n", maxEventSize))
+		assert.ErrorContains(t, err, "events without an id")
+	})
+}
