Take an unframed answer for broken off if its server ended with it

What callers would see: a stream without a length or chunks whose backend server ends between events, or before the first one, looks complete; so does a shorter body. A crash by a part of the prompt after the head left no evidence.

Cause: the end of the connection is the end of such an answer, whatever ended it.

Why the fix works: the address of a server that has ended refuses a connection, as for a broken one. One dial for each unframed answer.

TestUnframedAnswerLooksComplete, red before for both streams (200, no evidence).

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -85,6 +85,9 @@
 	}
 	x.progressed = true
 	content, err := e.readBody(x.response.Body)
+	if err == nil && !isFramed(x.response) && e.endedWithServer(c, s, &x) {
+		err = errors.Wrap(io.ErrUnexpectedEOF, "body ended with its backend server")
+	}
 	if err == nil && !x.headers.valid(c.ID, x.response.StatusCode) {
 		err = errors.Newf("response with status %d has no valid seal", x.response.StatusCode)
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -135,6 +135,13 @@
 	return false
 }
 
+// endedWithServer reports whether the process of s ended as it closed the connection at the end of its answer.
+func (e *Entry) endedWithServer(c *call, s *routing.Server, x *exchange) bool {
+	closed := *x
+	closed.outcome, closed.err = outcomeUnknown, io.EOF
+	return e.serverCrashed(c, s, &closed)
+}
+
 // closedByPeer reports whether err is the end or the reset of a connection by its other end.
 func closedByPeer(err error) bool {
 	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -188,3 +188,24 @@
 		quarantine(e, "/unsafe/", "popular")
 	}
 }
+
+// TestUnframedAnswerLooksComplete guards against an answer without a length or chunks that passes for complete although its
+// backend server has ended.
+func TestUnframedAnswerLooksComplete(t *testing.T) {
+	const head = "200 OK\nId: $ID\nSeal: s\nContent-Type: text/event-stream\n\n"
+	for _, v := range []struct{ name, path, sent string }{
+		{"a stream before its first event", "/fixed/", ""},
+		{"a stream between events", "/fixed/", sseEvent("1") + sseEvent("2")},
+		{"a body", "/unsafe/", "hel"},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			ending := newEndingBackend(t, head+v.sent)
+			e, url := newTestEntry(t, ending)
+			response, err := doRequest(t, t.Context(), http.MethodPost, url+v.path, "x")
+			if err == nil {
+				assert.Equal(t, http.StatusBadGateway, response.status)
+			}
+			assert.EqualValues(t, 1, e.metrics.Crashes.Get("refused").Get(), "evidence of a crash")
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -134,6 +134,9 @@
 	} else {
 		err = e.forwardEvents(c, cs, x)
 	}
+	if err == nil && !isFramed(x.response) && e.endedWithServer(c, s, x) {
+		err = errors.Wrap(io.ErrUnexpectedEOF, "stream ended with its backend server")
+	}
 	if err == nil {
 		e.finishAttempt(c, s, x)
 		if !cs.started {
