Reject a waiting request as soon as news of a crash quarantine it

What callers would see: a request that will not be sent any more waits for a place, up to 1.2 s or its deadline, before it is refused.

Cause: the quarantine was checked on arrival and before each send only.

Why the fix works: news of a crash, seen here or told by another entry, wake the waiting requests, which check it again.

TestQuarantinedRequestWaitsOn, red before (still waiting after 200 ms).

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -136,22 +136,37 @@
 	if queued.Rejected {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "the wait would be too long", retryAfter: queued.RetryAfter}
 	}
-	select {
-	case rej := <-waiter.Value:
-		if rej == nil {
-			c.reservedIn = q // dispatch has reserved the slot
+	rej, decided := e.waitForTurn(ctx, c, waiter)
+	if !decided {
+		e.admission.mu.Lock()
+		defer e.admission.mu.Unlock()
+		if !q.waiting.Remove(waiter) && <-waiter.Value == nil {
+			c.reservedIn = q
 		}
 		return rej
-	case <-ctx.Done():
 	}
-	e.admission.mu.Lock()
-	defer e.admission.mu.Unlock()
-	if !q.waiting.Remove(waiter) {
-		if rej := <-waiter.Value; rej == nil {
-			c.reservedIn = q
+	if rej == nil {
+		c.reservedIn = q // dispatch has reserved the slot
+	}
+	return rej
+}
+
+// waitForTurn waits until the request is admitted or rejected by dispatch, which it reports as decided, until its time is
+// over, or until news of a crash quarantine it.
+func (e *Entry) waitForTurn(ctx context.Context, c *call, waiter *balance.Waiter[chan *rejection]) (rej *rejection, decided bool) {
+	for {
+		news := e.suspects.nextCrash()
+		if rej := e.rejectQuarantined(c); rej != nil {
+			return rej, false
+		}
+		select {
+		case rej := <-waiter.Value:
+			return rej, true
+		case <-news:
+		case <-ctx.Done():
+			return &rejection{status: http.StatusServiceUnavailable, reason: "the time is over"}, false
 		}
 	}
-	return &rejection{status: http.StatusServiceUnavailable, reason: "the time is over"}
 }
 
 // newWaiter returns the queue item of c; delay is the expected time in ms from admission to a stream's first event.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -177,6 +178,34 @@
 	assert.Empty(t, e.admission.services, "the request does not enter a queue")
 }
 
+// TestQuarantinedRequestWaitsOn guards against a request that goes on waiting for a place after it was quarantined.
+func TestQuarantinedRequestWaitsOn(t *testing.T) {
+	release := make(chan struct{})
+	e, url := newTestEntry(t, newFakeBackend(t, func(conn net.Conn, r *http.Request) {
+		<-release
+		respondOK(conn, r)
+	}))
+	e.state.View().Servers["i0"].Slots = 1
+	results := make(chan int, 2)
+	for _, body := range []string{"sound", "poison"} {
+		go func() {
+			response, err := doRequest(t, t.Context(), http.MethodPost, url+"/stream/", body)
+			assert.NoError(t, err)
+			results <- response.status
+		}()
+		time.Sleep(50 * time.Millisecond)
+	}
+	quarantine(e, "/stream/", "poison")
+	select {
+	case status := <-results:
+		assert.Equal(t, 503, status)
+	case <-time.After(200 * time.Millisecond):
+		t.Error("the quarantined request still waits")
+	}
+	close(release)
+	<-results
+}
+
 // TestCompletedRequestIsNotQuarantined guards against the rejection of a content that only happened to be in flight where
 // backend servers crashed.
 func TestCompletedRequestIsNotQuarantined(t *testing.T) {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -56,10 +56,24 @@
 	digestedAt   clock.Time // time of cachedDigest, 0 if it must be computed anew
 
 	pullNow chan struct{} // requests a pull at once, because this entry knows nothing yet
+	news    chan struct{} // closed when a crash becomes known, for waiting requests
 }
 
 func newSuspectSet(c clock.Clock) *suspectSet {
-	return &suspectSet{clock: c, tracker: balance.NewSuspectTracker(suspectRetention), announced: make(map[string]int), pullNow: make(chan struct{}, 1)}
+	return &suspectSet{clock: c, tracker: balance.NewSuspectTracker(suspectRetention), announced: make(map[string]int), pullNow: make(chan struct{}, 1), news: make(chan struct{})}
+}
+
+// nextCrash returns a channel that is closed when the next crash becomes known.
+func (s *suspectSet) nextCrash() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.news
+}
+
+// wakeWaiting lets waiting requests check whether they may still be sent; mu is held.
+func (s *suspectSet) wakeWaiting() {
+	close(s.news)
+	s.news = make(chan struct{})
 }
 
 // quarantined reports whether content must not be sent, for how many ms, and the ids of the crashes that decide it.
@@ -94,6 +108,7 @@
 	if s.tracker.AddCrash(c) {
 		s.announced[id] = ownReportRounds
 		s.digestedAt = 0
+		s.wakeWaiting()
 	}
 }
 
@@ -145,6 +160,9 @@
 			news = append(news, r)
 		}
 	}
+	if len(news) > 0 {
+		s.wakeWaiting()
+	}
 	for _, done := range v.Completed {
 		s.addCompletion(now, done)
 	}
