Quarantine a part after five crashes at one moment

Cause: crashes at one moment counted as one outage, however many they were.

Why the fix works: few parts are in flight at five servers without completing anywhere.

--- a/internal/balance/suspectpart.go
+++ b/internal/balance/suspectpart.go
@@ -14,9 +14,11 @@
 }
 
 const (
-	// partMoments is the least number of separate moments of crashes that quarantine a part: one outage ends several
-	// servers at one moment.
+	// partMoments is the least number of separate moments of crashes that quarantine a part, since one outage ends several
+	// servers at one moment. partCrashes at one moment quarantine it as well: few parts are in flight at so many servers
+	// without completing anywhere.
 	partMoments = 2
+	partCrashes = 5
 	// maxCompletedParts is the number of parts recorded as completed before older ones are dropped; those that go on
 	// completing stay.
 	maxCompletedParts = 4096
@@ -148,7 +150,7 @@
 		}
 	}
 	for id, h := range all {
-		if h.weight < quarantineWeight || h.moments() < partMoments || s.oneContent(now, h.ids) {
+		if h.weight < quarantineWeight || (h.moments() < partMoments && len(h.ids) < partCrashes) || s.oneContent(now, h.ids) {
 			delete(all, id)
 		}
 	}
--- a/internal/balance/suspectpart_test.go
+++ b/internal/balance/suspectpart_test.go
@@ -48,6 +48,11 @@
 	t.Run("two crashes at one moment are an outage", func(t *testing.T) {
 		assert.False(t, quarantined(partTracker([][]uint64{{first, cause}, {first, cause}}, 10, 10), cause))
 	})
+	t.Run("five crashes at one moment are too many for one", func(t *testing.T) {
+		parts := [][]uint64{{first, cause}, {first, cause}, {first, cause}, {first, cause}, {first, cause}}
+		assert.False(t, quarantined(partTracker(parts, 10, 10, 10, 10), cause))
+		assert.True(t, quarantined(partTracker(parts, 10, 10, 10, 10, 10), cause))
+	})
 	t.Run("of parts that nothing tells apart the deepest", func(t *testing.T) {
 		s := partTracker([][]uint64{{first, second, cause}, {first, second, cause}}, 10, 12)
 		assert.False(t, quarantined(s, first, second))
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -297,7 +297,7 @@
 // partDigest returns a digest of a part that was in flight at a crash, and of whether it completed; mu is held.
 func (s *suspectSet) partDigest(crash uint64, p balance.Part) uint64 {
 	const partMark = 3 // tells a part from a content
-	b := [19]byte{17: partMark}
+	b := [20]byte{17: partMark, 19: byte(p.Depth)}
 	binary.LittleEndian.PutUint64(b[:8], crash)
 	binary.LittleEndian.PutUint64(b[8:16], p.ID)
 	if p.Unlikely {
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -37,9 +37,11 @@
 			content := rapid.Uint64Range(1, 4).Draw(t, "content")
 			switch rapid.SampledFrom([]string{"crash", "complete", "heartbeat", "time"}).Draw(t, "step") {
 			case "crash":
-				s.addCrash(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server"), content, rapid.Bool().Draw(t, "unlikely"), nil)
+				parts := []balance.Part{{ID: rapid.Uint64Range(1, 4).Draw(t, "part"), Depth: rapid.IntRange(0, 2).Draw(t, "depth"), Unlikely: rapid.Bool().Draw(t, "unlikely part")}}
+				s.addCrash(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server"), content, rapid.Bool().Draw(t, "unlikely"), parts)
 			case "complete":
 				s.addCompleted(content)
+				s.addCompletedParts([]uint64{rapid.Uint64Range(1, 4).Draw(t, "completed part")})
 			case "heartbeat":
 				news := s.nextNews()
 				if rapid.Bool().Draw(t, "arrives") {
@@ -62,6 +64,9 @@
 			require.Equal(t, all[0].digest(), s.digest())
 			for content := range uint64(5) {
 				require.Equal(t, isQuarantined(all[0], content), isQuarantined(s, content))
+				_, first := all[0].quarantinedPart([]uint64{content})
+				_, crashes := s.quarantinedPart([]uint64{content})
+				require.Equal(t, len(first) > 0, len(crashes) > 0)
 			}
 		}
 	})
