Hold no popular part for crashes that others explain

What callers would see: where crashes begin with the traffic, sound requests that share a part are rejected for ten minutes.

Cause: parts were ordered by the number of crashes alone. Crashes by a request that comes again and again counted as well.

Why the fix works: nearly every send of the cause ends in a crash, while a popular part is sent far more often, so parts are ordered by crashes for each send of this entry, and crashes that a part explains don't count against others. A content that was in flight at three crashes and never completed explains these; two attempts of one request don't.

--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -58,8 +58,8 @@
 
 	verdicts map[uint64]crashHistory // quarantined contents with the crashes that count; nil if it must be computed anew
 
-	completedParts completedParts
-	partVerdicts   map[uint64]partHistory // the same for parts
+	parts        partRecords
+	partVerdicts map[uint64]partHistory // the same for parts
 }
 
 // NewSuspectTracker returns an empty tracker that drops a crash after retention ms.
--- a/internal/balance/suspectpart.go
+++ b/internal/balance/suspectpart.go
@@ -19,43 +19,66 @@
 	// without completing anywhere.
 	partMoments = 2
 	partCrashes = 5
-	// maxCompletedParts is the number of parts recorded as completed before older ones are dropped; those that go on
-	// completing stay.
-	maxCompletedParts = 4096
+	// contentCrashes is the number of crashes by one content that explain them: more than the attempts of one request, so
+	// that requests with a crashing part don't hide it.
+	contentCrashes = 3
+	// maxRecordedParts is the number of parts of which something is recorded before older ones are dropped; those of which
+	// more is recorded stay.
+	maxRecordedParts = 4096
 )
 
-// completedParts records when parts last completed, in two generations so that parts which go on completing stay.
-type completedParts struct {
-	current, previous map[uint64]clock.Time
+// partRecord is what is recorded of one part.
+type partRecord struct {
+	completedAt clock.Time // when a request with it last completed; 0 for never
+	sends       int        // of requests with it by this process
 }
 
-func (c *completedParts) record(id uint64, at clock.Time) {
-	if len(c.current) >= maxCompletedParts || c.current == nil {
-		c.current, c.previous = make(map[uint64]clock.Time), c.current
+// partRecords are the records of parts, in two generations so that those which are used go on.
+type partRecords struct {
+	current, previous map[uint64]partRecord
+}
+
+func (r *partRecords) set(id uint64, p partRecord) {
+	if len(r.current) >= maxRecordedParts || r.current == nil {
+		r.current, r.previous = make(map[uint64]partRecord), r.current
 	}
-	known, _ := c.at(id)
-	c.current[id] = max(known, at)
+	r.current[id] = p
 }
 
-func (c *completedParts) at(id uint64) (at clock.Time, known bool) {
-	if at, known = c.current[id]; known {
-		return at, true
+func (r *partRecords) get(id uint64) partRecord {
+	if p, known := r.current[id]; known {
+		return p
 	}
-	at, known = c.previous[id]
-	return at, known
+	return r.previous[id]
 }
 
 // partHistory summarizes the crashes that count against one part.
 type partHistory struct {
 	crashHistory
 	depth int
+	sends int
+}
+
+// ratio returns the weight of the crashes for each send: nearly every send of the cause ends in a crash, while a popular
+// part is in flight at many.
+func (h *partHistory) ratio() float64 {
+	return float64(h.weight) / float64(1+h.sends)
+}
+
+// RecordPartSend records that this process sends a request with the part to a server.
+func (s *SuspectTracker) RecordPartSend(id uint64) {
+	p := s.parts.get(id)
+	p.sends++
+	s.parts.set(id, p)
 }
 
 // RecordCompletedPart records that a request with the part completed at a time: no crash within the retention time counts
 // against the part. It reports whether that is news.
 func (s *SuspectTracker) RecordCompletedPart(now, at clock.Time, id uint64) (isNew bool) {
 	isNew = !s.partCompleted(now, id) && now.Sub(at) < s.retention
-	s.completedParts.record(id, at)
+	p := s.parts.get(id)
+	p.completedAt = max(p.completedAt, at)
+	s.parts.set(id, p)
 	if isNew {
 		s.forgetVerdicts()
 	}
@@ -64,7 +87,8 @@
 
 // CompletedPartAt returns when a request with the part last completed; known is false if that is not recorded.
 func (s *SuspectTracker) CompletedPartAt(id uint64) (at clock.Time, known bool) {
-	return s.completedParts.at(id)
+	at = s.parts.get(id).completedAt
+	return at, at > 0
 }
 
 // CrashesWithPart returns the ids of the crashes at which the part was in flight.
@@ -82,9 +106,10 @@
 //
 // The cause is what crashes have in common and nothing that completed has. So a part is quarantined for a quarter of the
 // retention time after crashes at two separate moments, or three if it is an unlikely cause, unless a request with it
-// completed within the retention time, or one content was in flight at all of these crashes and explains them. Of several
-// parts the one with the most crashes comes first, the deepest of equals; crashes that it explains hardly count against
-// the others.
+// completed within the retention time, or contents explain these crashes. Of several
+// parts the one with the most crashes for each send comes first, the deepest of equals; crashes that it explains don't
+// count against the others. So a popular part that was in flight at all of them is not held for the cause, even if crashes
+// came so fast that nothing has completed yet.
 func (s *SuspectTracker) QuarantinedPart(now clock.Time, parts []uint64) (remaining clock.Span, crashes []string) {
 	if len(parts) == 0 || len(s.crashes) == 0 {
 		return 0, nil
@@ -100,7 +125,7 @@
 }
 
 func (s *SuspectTracker) partCompleted(now clock.Time, id uint64) bool {
-	at, known := s.completedParts.at(id)
+	at, known := s.CompletedPartAt(id)
 	return known && now.Sub(at) < s.retention
 }
 
@@ -124,7 +149,7 @@
 			for _, crash := range other.ids {
 				if slices.Contains(h.ids, crash) && !slices.Contains(other.explained, crash) {
 					other.explained = append(other.explained, crash)
-					other.weight -= s.partWeight(crash, id) - explainedWeight
+					other.weight -= s.partWeight(crash, id)
 				}
 			}
 			suspects[id] = other
@@ -135,10 +160,11 @@
 // partHistories returns the crashes that count against each part that may be a cause.
 func (s *SuspectTracker) partHistories(now clock.Time) map[uint64]partHistory {
 	all := make(map[uint64]partHistory)
+	byContent := s.crashesByContent(now)
 	for i := range s.crashes {
 		c := &s.crashes[i]
 		for id, p := range c.parts {
-			if s.partCompleted(now, id) {
+			if byContent[c.id] || s.partCompleted(now, id) {
 				continue
 			}
 			h := all[id]
@@ -146,6 +172,7 @@
 			h.weight += p.weight()
 			h.lastCrash = max(h.lastCrash, c.at)
 			h.depth = max(h.depth, p.Depth)
+			h.sends = s.parts.get(id).sends
 			all[id] = h
 		}
 	}
@@ -157,6 +184,29 @@
 	return all
 }
 
+// crashesByContent returns the crashes that a content explains: it was in flight at contentCrashes of them and has not
+// completed within the retention time.
+func (s *SuspectTracker) crashesByContent(now clock.Time) map[string]bool {
+	counts := make(map[uint64]int)
+	for i := range s.crashes {
+		for content := range s.crashes[i].contents {
+			counts[content]++
+		}
+	}
+	explained := make(map[string]bool)
+	for content, count := range counts {
+		if count < contentCrashes {
+			continue
+		}
+		if h := s.history(now, content); !h.completedRecently {
+			for _, id := range h.ids {
+				explained[id] = true
+			}
+		}
+	}
+	return explained
+}
+
 // weight returns what a crash weighs against the part.
 func (p Part) weight() int {
 	if p.Unlikely {
@@ -191,9 +241,9 @@
 		}
 		w := suspects[worst]
 		switch {
-		case !found, h.weight > w.weight:
+		case !found, h.ratio() > w.ratio():
 			worst, found = id, true
-		case h.weight < w.weight:
+		case h.ratio() < w.ratio():
 		case h.depth > w.depth || (h.depth == w.depth && id < worst):
 			worst = id
 		}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -228,6 +228,7 @@
 		LastEventID: lastEvent,
 		Priority:    min(c.priority(), lowestPriority),
 	})
+	e.suspects.addSend(c.SharedParts)
 	e.loads.Start(s.ID)
 	e.releaseReservation(c)
 	x := e.send(ctx, s, out, c.ID, c.route.Kind == routing.NonIdempotent)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -124,6 +124,15 @@
 	s.tracker.RecordCompleted(now, content)
 }
 
+// addSend records that this entry sends a request with the parts to a backend server.
+func (s *suspectSet) addSend(parts []uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range parts {
+		s.tracker.RecordPartSend(id)
+	}
+}
+
 // addCompletedParts records that a backend server has written an answer on the parts.
 func (s *suspectSet) addCompletedParts(parts []uint64) {
 	now := s.clock.Now()
