Count completed runs from before an entry's start

Cause: the records of parts took 0 for 'never completed'. Times count from the start of the process, so what a peer tells of earlier completions is negative.

Why the fix works: whether a part completed is recorded by itself.

TestQuarantinedPart, a part that completed before this process started: red before.

--- a/internal/balance/suspectpart.go
+++ b/internal/balance/suspectpart.go
@@ -29,7 +29,8 @@
 
 // partRecord is what is recorded of one part.
 type partRecord struct {
-	completedAt clock.Time // when a request with it last completed; 0 for never
+	completed   bool       // a request with it completed
+	completedAt clock.Time // when that last was; negative if it was before this process started
 	sends       int        // of requests with it by this process
 }
 
@@ -77,7 +78,9 @@
 func (s *SuspectTracker) RecordCompletedPart(now, at clock.Time, id uint64) (isNew bool) {
 	isNew = !s.partCompleted(now, id) && now.Sub(at) < s.retention
 	p := s.parts.get(id)
-	p.completedAt = max(p.completedAt, at)
+	if !p.completed || at > p.completedAt {
+		p.completed, p.completedAt = true, at
+	}
 	s.parts.set(id, p)
 	if isNew {
 		s.forgetVerdicts()
@@ -87,8 +90,8 @@
 
 // CompletedPartAt returns when a request with the part last completed; known is false if that is not recorded.
 func (s *SuspectTracker) CompletedPartAt(id uint64) (at clock.Time, known bool) {
-	at = s.parts.get(id).completedAt
-	return at, at > 0
+	p := s.parts.get(id)
+	return p.completedAt, p.completed
 }
 
 // CrashesWithPart returns the ids of the crashes at which the part was in flight.
--- a/internal/balance/suspectpart_test.go
+++ b/internal/balance/suspectpart_test.go
@@ -97,6 +97,14 @@
 		}
 		assert.False(t, quarantined(s, second))
 	})
+	t.Run("a part that completed before this process started", func(t *testing.T) {
+		s := partTracker([][]uint64{{first, cause}, {first, cause}}, 10, 12)
+		assert.True(t, s.RecordCompletedPart(now, clock.Time(-5*clock.Second), cause))
+		assert.False(t, quarantined(s, cause))
+		at, known := s.CompletedPartAt(cause)
+		assert.True(t, known)
+		assert.Negative(t, at)
+	})
 	t.Run("two causes", func(t *testing.T) {
 		s := partTracker([][]uint64{{first, cause}, {first, below}, {first, cause}, {first, below}}, 10, 12, 14, 16)
 		s.RecordCompletedPart(now, 5, first)
