--- a/internal/balance/suspectpart.go
+++ b/internal/balance/suspectpart.go
@@ -109,10 +109,10 @@
 //
 // The cause is what crashes have in common and nothing that completed has. So a part is quarantined for a quarter of the
 // retention time after crashes at two separate moments, or three if it is an unlikely cause, unless a request with it
-// completed within the retention time, or contents explain these crashes. Of several
-// parts the one with the most crashes for each send comes first, the deepest of equals; crashes that it explains don't
-// count against the others. So a popular part that was in flight at all of them is not held for the cause, even if crashes
-// came so fast that nothing has completed yet.
+// completed within the retention time, or contents explain these crashes. Of several parts the one with the most crashes
+// for each send comes first, the deepest of equals; crashes that it explains don't count against the others. So a popular
+// part that was in flight at all of them is not taken for the cause, even if crashes came so fast that nothing has
+// completed yet.
 func (s *SuspectTracker) QuarantinedPart(now clock.Time, parts []uint64) (remaining clock.Span, crashes []string) {
 	if len(parts) == 0 || len(s.crashes) == 0 {
 		return 0, nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -177,18 +177,6 @@
 	return max(heartbeatInterval, intervalPerPeer*clock.Span(min(len(p.targets), maxTargets)))
 }
 
-// Costs returns the live peers' estimates in ms of what a request adds to a pass of the service's engines.
-func (p *PeerSet) Costs(service string) (costs []float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, peer := range p.peers {
-		if cost := peer.lastMessage.Costs[service]; peer.alive && cost > 0 {
-			costs = append(costs, cost)
-		}
-	}
-	return costs
-}
-
 // nextMessage returns the next heartbeat and the IP addresses to send it to.
 func (p *PeerSet) nextMessage() (message heartbeat, targets []string) {
 	message = p.self()
@@ -386,25 +374,3 @@
 		}
 	}
 }
-
-// ReadyAddresses returns the addresses at which the live, ready peers serve callers, sorted.
-func (p *PeerSet) ReadyAddresses() (addresses []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	for _, peer := range p.peers {
-		if peer.alive && peer.lastMessage.Ready && now.Sub(peer.lastSeen) <= peerTimeout {
-			addresses = append(addresses, peer.lastMessage.Front)
-		}
-	}
-	slices.Sort(addresses)
-	return addresses
-}
-
-// Share returns the fraction of a limit over all entries that this entry may use without coordination; it never grows
-// when peers time out.
-func (p *PeerSet) Share() float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return 1 / (float64(max(p.maxAlive, minEntries)) + reservedShares)
-}
