Log and count requests that go to cold backend servers

No line told that a request went to a cold server, how many this entry had sent to it within the second, or its part of the rate.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -208,13 +208,24 @@
 		}
 	}
 	candidates := e.loads.Candidates(servers, c.service, c.tried)
-	i := balance.PickEndpoint(candidates, e.settings.Load().Zone, e.peers.Share(), rand.Uint64)
+	share := e.peers.Share()
+	i := balance.PickEndpoint(candidates, e.settings.Load().Zone, share, rand.Uint64)
 	if i < 0 {
 		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "every backend server is down or was tried", retryAfter: noServerRetryAfter}
 	}
+	if candidates[i].Cold {
+		e.logColdSend(c, servers[i], &candidates[i], share)
+	}
 	return servers[i], nil
 }
 
+// logColdSend logs and counts a request that goes to a cold backend server.
+func (e *Entry) logColdSend(c *call, s *routing.Server, candidate *balance.Endpoint, share float64) {
+	e.metrics.ColdSends.Get(c.service.Name).Inc()
+	e.limitedLogger.Log("cold", "msg", "request goes to a cold backend server", "id", c.ID, "server", s.ID, "sent", candidate.RecentStarts,
+		"rate", candidate.ColdRate, "part", candidate.ColdRate*share, "remaining", s.ColdUntil.Sub(e.clock.Now()))
+}
+
 // attempt sends the request to s; a non-empty lastEvent asks to resume the stream after that event.
 func (e *Entry) attempt(ctx context.Context, c *call, s *routing.Server, lastEvent string) exchange {
 	c.attempts++
