Deal the rate of a cold backend server in whole requests

Callers of a cold server found it crashed by too many requests (FAILBACK). Cause: 14 requests a second were divided among 33 entries as 0.41 each, and each entry's first request passed, so 33 to 36 arrived in one second where 26 are allowed; the log lines show 86 of 86 sends with part 0.41. Added to it: a counter that forgot a request after 0.876 s, a choice and a count in two steps, and starting entries that divided by 4.

The whole requests of the rate are now dealt to the entries by a hash of entry and server. An entry deals in proportion to the entries that it hears, so sides of a partition stay within the rate together; one that starts has no part for a second. Requests wait for a part instead of being admitted and rejected, and are rejected at once where this entry has none.

--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -8,11 +8,16 @@
 	OwnInFlight  int // requests in flight from this entry
 	PeerInFlight int // requests in flight from other entries
 	Zone         string
-	Cold         bool
-	ColdRate     float64 // requests per second that the server accepts from all entries while cold; 0 for no limit
-	RecentStarts int     // requests sent by this entry in the last second
-	Ejected      bool    // ejected after failures
-	Tried        bool    // this request was already sent to the server
+	Limited      bool // the server accepts a limited rate of requests from all entries together
+	Part         int  // of that rate: requests in its window that this entry may send
+	Sent         int  // requests that this entry sent in that window
+	Ejected      bool // ejected after failures
+	Tried        bool // this request was already sent to the server
+}
+
+// RateUsedUp reports whether this entry has sent its part of the server's rate.
+func (e *Endpoint) RateUsedUp() bool {
+	return e.Limited && e.Sent >= e.Part
 }
 
 // InFlight returns the requests in flight from all entries.
@@ -24,13 +29,12 @@
 // or -1 if none is usable.
 //
 // Entries see each other's counts with a delay. If all of them picked the least loaded endpoint, it would be overloaded
-// before any of them noticed (Mitzenmacher, "How useful is old information?", 2000). coldFraction is the fraction, from 0 to 1,
-// of a cold backend server's rate that this entry may use.
-func PickEndpoint(endpoints []Endpoint, zone string, coldFraction float64, random func() uint64) int {
+// before any of them noticed (Mitzenmacher, "How useful is old information?", 2000).
+func PickEndpoint(endpoints []Endpoint, zone string, random func() uint64) int {
 	usable := make([]int, 0, len(endpoints))
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.Tried || e.Ejected || (e.Cold && e.ColdRate > 0 && float64(e.RecentStarts) >= e.ColdRate*coldFraction) {
+		if e.Tried || e.Ejected || e.RateUsedUp() {
 			continue
 		}
 		usable = append(usable, i)
@@ -108,38 +112,3 @@
 func (h *Health) Ejected(now clock.Time) bool {
 	return now < h.ejectedUntil
 }
-
-// counterBuckets is the number of buckets in the window of a SlidingCounter.
-const counterBuckets = 8
-
-// SlidingCounter counts events over the last second.
-type SlidingCounter struct {
-	counts  [counterBuckets]int
-	buckets [counterBuckets]int64 // time bucket that each count belongs to
-}
-
-func counterBucket(now clock.Time) int64 {
-	return int64(now) * counterBuckets / int64(clock.Second)
-}
-
-// Add records one event.
-func (c *SlidingCounter) Add(now clock.Time) {
-	bucket := counterBucket(now)
-	i := bucket % counterBuckets
-	if c.buckets[i] != bucket {
-		c.buckets[i], c.counts[i] = bucket, 0
-	}
-	c.counts[i]++
-}
-
-// Count returns the number of events in the last second.
-func (c *SlidingCounter) Count(now clock.Time) int {
-	bucket := counterBucket(now)
-	total := 0
-	for i := range c.counts {
-		if bucket-c.buckets[i] < counterBuckets {
-			total += c.counts[i]
-		}
-	}
-	return total
-}
--- a/internal/balance/overload_test.go
+++ b/internal/balance/overload_test.go
@@ -14,22 +14,23 @@
 	constant := func() uint64 { return 1 }
 	t.Run("least loaded relative to its slots", func(t *testing.T) {
 		endpoints := []Endpoint{{Slots: 4, OwnInFlight: 2}, {Slots: 12, OwnInFlight: 3, PeerInFlight: 2}, {Slots: 4, OwnInFlight: 1, PeerInFlight: 2}}
-		assert.Equal(t, 1, PickEndpoint(endpoints, "z", 1, constant))
+		assert.Equal(t, 1, PickEndpoint(endpoints, "z", constant))
 	})
 	t.Run("own zone among equals", func(t *testing.T) {
 		endpoints := []Endpoint{{Slots: 4, Zone: "y"}, {Slots: 4, Zone: "z"}}
-		assert.Equal(t, 1, PickEndpoint(endpoints, "z", 1, constant))
+		assert.Equal(t, 1, PickEndpoint(endpoints, "z", constant))
 	})
-	t.Run("skips endpoints that are ejected, tried or at their cold rate", func(t *testing.T) {
-		endpoints := []Endpoint{{Slots: 4, Ejected: true}, {Slots: 4, Tried: true}, {Slots: 4, Cold: true, ColdRate: 36, RecentStarts: 9}}
-		assert.Equal(t, -1, PickEndpoint(endpoints, "z", 0.25, constant))
-		assert.Equal(t, 2, PickEndpoint(endpoints, "z", 0.5, constant))
+	t.Run("skips endpoints that are ejected, tried or have got this entry's part of their rate", func(t *testing.T) {
+		endpoints := []Endpoint{{Slots: 4, Ejected: true}, {Slots: 4, Tried: true}, {Slots: 4, Limited: true, Part: 2, Sent: 2}, {Slots: 4, Limited: true}}
+		assert.Equal(t, -1, PickEndpoint(endpoints, "z", constant))
+		endpoints[2].Part = 3
+		assert.Equal(t, 2, PickEndpoint(endpoints, "z", constant))
 	})
 	t.Run("ties are spread", func(t *testing.T) {
 		random := rand.New(rand.NewPCG(1, 2))
 		seen := map[int]int{}
 		for range 400 {
-			seen[PickEndpoint(make([]Endpoint, 4), "z", 1, random.Uint64)]++
+			seen[PickEndpoint(make([]Endpoint, 4), "z", random.Uint64)]++
 		}
 		for i := range 4 {
 			assert.InDelta(t, 100, seen[i], 40)
@@ -84,7 +85,7 @@
 				}
 			}
 		}
-		s := PickEndpoint(endpoints, "", 1, random.Uint64)
+		s := PickEndpoint(endpoints, "", random.Uint64)
 		own[entry][s]++
 		ends = append(ends, end{ms + 1500, entry, s})
 		total := 0
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -30,6 +30,7 @@
 
 // serviceQueue holds the waiting requests and the concurrency limit of one service.
 type serviceQueue struct {
+	service    routing.Service // as in the latest configuration that a request was routed by
 	waiting    balance.WaitQueue[chan *rejection]
 	limiter    balance.ConcurrencyLimiter
 	reserved   int // admitted requests that are not yet sent
@@ -49,6 +50,7 @@
 		q = &serviceQueue{}
 		a.services[s.Name] = q
 	}
+	q.service = s
 	stride := float64(max(s.Engine.StepsPerPass, 1))
 	q.limiter.BasePassMs, q.limiter.PriorCostMs = s.Engine.StepMs*stride, s.Engine.StepMsPerRequest*stride
 	return q
@@ -74,16 +76,21 @@
 	}
 }
 
-// freeSlots returns how many more requests the service's limit admits now; mu is held.
-func (e *Entry) freeSlots(name string, q *serviceQueue, servers []*routing.Server, now clock.Time) float64 {
+// freeSlots returns how many more requests the service's limit and the rates of its servers admit now, and whether no server
+// accepts any from this entry; mu is held.
+func (e *Entry) freeSlots(q *serviceQueue, servers []*routing.Server, now clock.Time) (free float64, closed bool) {
+	cost, urgent := e.meanCost(q.service.Name, q, now), q.waiting.Urgent(now, urgentWithin)
+	room := e.loads.Room(servers, q.service, func(slots int) float64 { return q.limiter.Limit(cost, slots, urgent) })
 	if q.limiter.Saturated(now) {
-		return 0
+		return 0, room.Closed
 	}
-	limit, cost, urgent := 0.0, e.meanCost(name, q, now), q.waiting.Urgent(now, urgentWithin)
-	for _, s := range servers {
-		limit += q.limiter.Limit(cost, s.Slots, urgent)
-	}
-	return limit - float64(e.loads.TotalInFlight(servers)+q.reserved)
+	return room.Requests - float64(e.loads.TotalInFlight(servers)+q.reserved), room.Closed
+}
+
+// admits reports whether a request may be sent to the service now, apart from those that wait; mu is held.
+func (e *Entry) admits(q *serviceQueue, servers []*routing.Server, now clock.Time) bool {
+	free, _ := e.freeSlots(q, servers, now)
+	return free >= 1 && !e.loads.AllTripped(servers, true)
 }
 
 // meanCost returns the ms that a request adds to a pass, averaged over the estimates of all entries so that their limits
@@ -122,11 +129,15 @@
 	q.limiter.GapTarget = c.route.GapTarget
 	q.waiting.RecordArrival(now)
 	// Without servers the request is admitted at once, and pickServer rejects it.
-	if len(servers) == 0 || (q.waiting.Len() == 0 && e.freeSlots(c.service.Name, q, servers, now) >= 1 && !e.loads.AllTripped(servers, true)) {
+	if len(servers) == 0 || (q.waiting.Len() == 0 && e.admits(q, servers, now)) {
 		e.reserve(q, c, now)
 		e.admission.mu.Unlock()
 		return nil
 	}
+	if _, closed := e.freeSlots(q, servers, now); closed {
+		e.admission.mu.Unlock()
+		return rejectionOfLimited()
+	}
 	waiter := newWaiter(c, now, q.firstEvent.Delay())
 	if e.loads.AllTripped(servers, false) {
 		waiter.LatestUseful = max(waiter.LatestUseful, c.deadline.Add(-typicalStreamDuration)) // a tripped group may recover at any time
@@ -211,7 +222,7 @@
 			w.Value <- &rejection{status: http.StatusServiceUnavailable, reason: "no place became free in time", retryAfter: queueRetryAfter}
 		}
 		servers := e.loads.Available(view.Services[name])
-		for q.waiting.Len() > 0 && e.freeSlots(name, q, servers, now) >= 1 && !e.loads.AllTripped(servers, true) {
+		for q.waiting.Len() > 0 && e.admits(q, servers, now) {
 			w, _ := q.waiting.Pop(now)
 			q.waiting.RecordStart(now)
 			q.reserved++
--- /dev/null
+++ b/internal/gateway/coldrate_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"carawaypick/internal/balance"
+	"carawaypick/internal/engine"
+	"carawaypick/internal/routing"
+	"carawaypick/pkg/clock"
+)
+
+// TestStartingEntryTakesPartOfAll guards against entries that divide a limit before they know the others.
+func TestStartingEntryTakesPartOfAll(t *testing.T) {
+	now := clock.Time(1)
+	s := Settings{Name: "e", IP: "10.0.0.1", InternalPorts: []int{1, 2}, Seeds: []string{"10.0.0.1:9", "10.0.0.2:9"}}
+	p := NewPeerSet(s, clock.Manual(&now), log.NewNopLogger(), NewLoadTracker(clock.Manual(&now)),
+		func() heartbeat { return heartbeat{IP: s.IP} }, func(string) engine.MemberList { return engine.MemberList{} })
+	receive := func() {
+		p.handleHeartbeat(heartbeat{Name: "f", IP: "10.0.0.2", Born: 1, Number: uint64(now), Known: []peerAge{{IP: "10.0.0.3"}}})
+	}
+	p.nextMessage()
+	assert.Empty(t, p.Entries().Alive, "no other was heard")
+	receive()
+	p.nextMessage()
+	assert.Empty(t, p.Entries().Alive, "others may be unknown")
+	now = now.Add(settleTime)
+	receive()
+	p.nextMessage()
+	assert.Equal(t, []string{"e", "f"}, p.Entries().Alive)
+	assert.Equal(t, 3, p.Entries().Known, "with the relayed one")
+	now = now.Add(2 * peerTimeout)
+	p.nextMessage()
+	assert.Equal(t, []string{"e"}, p.Entries().Alive)
+	assert.Equal(t, 3, p.Entries().Known, "silent ones may be alive")
+	now = now.Add(memberExpiry)
+	p.nextMessage()
+	assert.Equal(t, 1, p.Entries().Known)
+}
+
+// coldService is a service whose servers accept 14 requests a second while cold.
+var coldService = routing.Service{Name: "s", ColdRate: 14}
+
+// TestRequestsAtOnceExceedPart guards against requests that see room before others have counted theirs.
+func TestRequestsAtOnceExceedPart(t *testing.T) {
+	loads := NewLoadTracker(clock.New())
+	entries := &balance.EntrySet{Self: "a", Alive: []string{"a", "b"}, Known: 2}
+	loads.entries = func() *balance.EntrySet { return entries }
+	servers := []*routing.Server{{ID: "i", Slots: 100, ColdUntil: clock.New().Now().Add(clock.Minute)}}
+	var chosen atomic.Int64
+	var work sync.WaitGroup
+	for range 64 {
+		work.Go(func() {
+			if i, _, limited := loads.Choose(servers, coldService, nil, "z"); i >= 0 {
+				chosen.Add(1)
+			} else {
+				assert.True(t, limited)
+			}
+		})
+	}
+	work.Wait()
+	assert.EqualValues(t, 7, chosen.Load())
+}
+
+func TestRoomOfColdServers(t *testing.T) {
+	now := clock.Time(1000)
+	loads := NewLoadTracker(clock.Manual(&now))
+	entries := &balance.EntrySet{Self: "a", Alive: []string{"a"}, Known: 1}
+	loads.entries = func() *balance.EntrySet { return entries }
+	limit := func(slots int) float64 { return float64(slots) }
+	cold, warm := &routing.Server{ID: "i", Slots: 20, ColdUntil: 9000}, &routing.Server{ID: "j", Slots: 20}
+	room := func(servers ...*routing.Server) Room { return loads.Room(servers, coldService, limit) }
+	t.Run("a cold server has room for the rest of its part", func(t *testing.T) {
+		assert.Equal(t, Room{Requests: 14}, room(cold))
+		loads.Choose([]*routing.Server{cold}, coldService, nil, "z")
+		assert.Equal(t, Room{Requests: 14}, room(cold), "13 beside the one in flight")
+		loads.End("i", balance.Success)
+		assert.Equal(t, Room{Requests: 13}, room(cold))
+		assert.Equal(t, Room{Requests: 33}, room(cold, warm))
+	})
+	t.Run("a server that is down has none, unless all are down", func(t *testing.T) {
+		loads.serverLoad("j").health.Record(now, balance.Unreachable)
+		assert.Equal(t, Room{Requests: 13}, room(cold, warm))
+		assert.Equal(t, Room{Requests: 20}, room(warm))
+	})
+	t.Run("none is open to an entry without a part", func(t *testing.T) {
+		entries = &balance.EntrySet{Self: "a", Known: 33}
+		assert.Equal(t, Room{Closed: true}, room(cold, warm))
+		assert.Equal(t, Room{Requests: 20}, room(warm))
+	})
+}
+
+// TestColdServersKeepCallersWaiting guards against requests that wait for servers which accept none from this entry.
+func TestColdServersKeepCallersWaiting(t *testing.T) {
+	backend := newFakeBackend(t, respondOK)
+	e, url := newTestEntry(t, backend)
+	entries := &balance.EntrySet{Self: "e", Known: 33}
+	e.loads.entries = func() *balance.EntrySet { return entries }
+	view := *e.state.View()
+	view.Config.Services["s"] = coldService
+	view.Servers["i0"].ColdUntil = e.clock.Now().Add(clock.Minute)
+	e.state.view.Store(&view)
+	got, err := doRequest(t, t.Context(), http.MethodGet, url+"/safe/x", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Zero(t, backend.count())
+}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -22,6 +22,7 @@
 	bodyMemoryDivisor  = 8                       // of the instance's memory: limit of all bodies that are buffered at one time
 	noConfigRetryAfter = 500 * clock.Millisecond // Retry-After before the first configuration is received
 	noServerRetryAfter = clock.Second            // Retry-After while the service has no usable backend server
+	limitedRetryAfter  = clock.Second            // mean Retry-After while backend servers accept nothing more from this entry
 	lowestPriority     = 9                       // numerically largest priority that backend servers accept
 	returnMargin       = 5 * clock.Millisecond   // subtracted from the forwarded timeout to leave time for the response to reach the caller
 )
@@ -187,7 +188,8 @@
 	return size
 }
 
-// pickServer chooses a backend server for the next attempt from the current view, or returns a rejection.
+// pickServer chooses a backend server for the next attempt from the current view and counts the attempt there, or returns a
+// rejection.
 func (e *Entry) pickServer(c *call) (s *routing.Server, rej *rejection) {
 	view := e.state.View()
 	if rej := e.authorize(view, c); rej != nil {
@@ -207,23 +209,32 @@
 			servers = probes
 		}
 	}
-	candidates := e.loads.Candidates(servers, c.service, c.tried)
-	share := e.peers.Share()
-	i := balance.PickEndpoint(candidates, e.settings.Load().Zone, share, rand.Uint64)
+	i, chosen, limited := e.loads.Choose(servers, c.service, c.tried, e.settings.Load().Zone)
+	if limited {
+		return nil, rejectionOfLimited()
+	}
 	if i < 0 {
 		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "every backend server is down or was tried", retryAfter: noServerRetryAfter}
 	}
-	if candidates[i].Cold {
-		e.logColdSend(c, servers[i], &candidates[i], share)
+	if chosen.Limited {
+		e.logColdSend(c, servers[i], chosen)
 	}
 	return servers[i], nil
 }
 
+// rejectionOfLimited returns the rejection of a request that no backend server accepts from this entry now; others may be
+// accepted at other entries.
+func rejectionOfLimited() *rejection {
+	spread := clock.Span(rand.Int64N(int64(limitedRetryAfter)))
+	return &rejection{status: http.StatusServiceUnavailable, reason: "the backend servers are cold and accept no more from this entry", retryAfter: limitedRetryAfter/2 + spread}
+}
+
 // logColdSend logs and counts a request that goes to a cold backend server.
-func (e *Entry) logColdSend(c *call, s *routing.Server, candidate *balance.Endpoint, share float64) {
+func (e *Entry) logColdSend(c *call, s *routing.Server, chosen balance.Endpoint) {
 	e.metrics.ColdSends.Get(c.service.Name).Inc()
-	e.limitedLogger.Log("cold", "msg", "request goes to a cold backend server", "id", c.ID, "server", s.ID, "sent", candidate.RecentStarts,
-		"rate", candidate.ColdRate, "part", candidate.ColdRate*share, "remaining", s.ColdUntil.Sub(e.clock.Now()))
+	entries := e.peers.Entries()
+	e.limitedLogger.Log("cold", "msg", "request goes to a cold backend server", "id", c.ID, "server", s.ID, "sent", chosen.Sent,
+		"rate", c.service.ColdRate, "part", chosen.Part, "alive", len(entries.Alive), "entries", entries.Known, "remaining", s.ColdUntil.Sub(e.clock.Now()))
 }
 
 // attempt sends the request to s; a non-empty lastEvent asks to resume the stream after that event.
@@ -240,7 +251,6 @@
 		Priority:    min(c.priority(), lowestPriority),
 	})
 	e.suspects.addSend(c.SharedParts)
-	e.loads.Start(s.ID)
 	e.releaseReservation(c)
 	x := e.send(ctx, s, out, c.ID, c.route.Kind == routing.NonIdempotent)
 	if x.outcome == outcomeUnknown {
--- a/internal/gateway/loadtracker.go
+++ b/internal/gateway/loadtracker.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"carawaypick/internal/balance"
 	"carawaypick/internal/routing"
 	"carawaypick/pkg/clock"
@@ -10,7 +14,8 @@
 
 // LoadTracker tracks the load and health of each backend server as seen by this entry.
 type LoadTracker struct {
-	clock clock.Clock
+	clock   clock.Clock
+	entries func() *balance.EntrySet // returns the entries among which the rates of servers are divided
 
 	mu           sync.Mutex
 	servers      map[string]*serverLoad
@@ -18,16 +23,23 @@
 	peerInFlight map[string]map[string]int          // by peer IP address and backend server id
 }
 
+// coldWindow is the window in which the rate of a cold backend server is divided into whole requests.
+const coldWindow = clock.Second
+
 // serverLoad is the load and health of one backend server.
 type serverLoad struct {
 	inFlight int // requests of this entry that are in flight
 	health   balance.Health
-	sendRate balance.SlidingCounter // requests that this entry sent within the last second
+	sent     balance.SendLog // requests of this entry while the server's rate was limited
+
+	part     int // of rate, for this entry among the entries
+	rate     balance.ServerRate
+	entrySet *balance.EntrySet
 }
 
 // NewLoadTracker returns an empty tracker.
 func NewLoadTracker(c clock.Clock) *LoadTracker {
-	return &LoadTracker{clock: c, servers: make(map[string]*serverLoad), breakers: make(map[string]*balance.CircuitBreaker), peerInFlight: make(map[string]map[string]int)}
+	return &LoadTracker{clock: c, entries: func() *balance.EntrySet { return &balance.EntrySet{} }, servers: make(map[string]*serverLoad), breakers: make(map[string]*balance.CircuitBreaker), peerInFlight: make(map[string]map[string]int)}
 }
 
 func (t *LoadTracker) serverLoad(id string) *serverLoad {
@@ -156,43 +168,93 @@
 	return total
 }
 
-// Candidates returns the servers as endpoints to choose from, with their load and health and whether they are in tried.
-func (t *LoadTracker) Candidates(servers []*routing.Server, service routing.Service, tried []string) []balance.Endpoint {
+// Choose chooses one of the servers for a request that was already sent to those in tried, counts the request that is sent
+// to it, and returns it as it was before. If none is usable i is -1, and limited tells whether one would be but for its rate.
+func (t *LoadTracker) Choose(servers []*routing.Server, service routing.Service, tried []string, zone string) (i int, chosen balance.Endpoint, limited bool) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	endpoints := make([]balance.Endpoint, len(servers))
 	for i, s := range servers {
-		st := t.serverLoad(s.ID)
-		others := 0
-		for _, inFlight := range t.peerInFlight {
-			others += inFlight[s.ID]
-		}
-		endpoints[i] = balance.Endpoint{
-			Slots:        s.Slots,
-			OwnInFlight:  st.inFlight,
-			PeerInFlight: others,
-			Zone:         s.Zone,
-			Cold:         now < s.ColdUntil,
-			ColdRate:     service.ColdRate,
-			RecentStarts: st.sendRate.Count(now),
-			Ejected:      st.health.Ejected(now),
-		}
-		for _, id := range tried {
-			endpoints[i].Tried = endpoints[i].Tried || id == s.ID
-		}
+		endpoints[i] = t.endpoint(s, service, now)
+		endpoints[i].Tried = slices.Contains(tried, s.ID)
+		limited = limited || (endpoints[i].RateUsedUp() && !endpoints[i].Ejected && !endpoints[i].Tried)
 	}
-	return endpoints
+	i = balance.PickEndpoint(endpoints, zone, rand.Uint64)
+	if i < 0 {
+		return i, chosen, limited
+	}
+	t.start(servers[i].ID, endpoints[i].Limited, now)
+	return i, endpoints[i], false
 }
 
-// Start counts a request that is sent to the backend server id.
-func (t *LoadTracker) Start(id string) {
+// endpoint returns the state of a server; mu is held.
+func (t *LoadTracker) endpoint(s *routing.Server, service routing.Service, now clock.Time) (e balance.Endpoint) {
+	load := t.serverLoad(s.ID)
+	e = balance.Endpoint{Slots: s.Slots, OwnInFlight: load.inFlight, Zone: s.Zone, Ejected: load.health.Ejected(now)}
+	for _, inFlight := range t.peerInFlight {
+		e.PeerInFlight += inFlight[s.ID]
+	}
+	if now < s.ColdUntil && service.ColdRate > 0 {
+		rate := balance.NewServerRate(service.ColdRate, coldWindow)
+		e.Limited, e.Part, e.Sent = true, load.partOf(rate, s.ID, t.entries()), load.sent.Within(now, rate.Window)
+	}
+	return e
+}
+
+// partOf returns the part of the server's rate that this entry may send.
+func (l *serverLoad) partOf(rate balance.ServerRate, id string, entries *balance.EntrySet) int {
+	if l.rate != rate || l.entrySet != entries {
+		l.part, l.rate, l.entrySet = rate.Part(xxhash.Sum64String(id), entries), rate, entries
+	}
+	return l.part
+}
+
+// start counts a request that is sent to the backend server id; mu is held.
+func (t *LoadTracker) start(id string, limited bool, now clock.Time) {
+	load := t.serverLoad(id)
+	load.inFlight++
+	if limited {
+		load.sent.Add(now)
+	}
+}
+
+// Room is what servers have room for.
+type Room struct {
+	Requests float64 // that may run at once: those in flight and those that this entry may add now
+	Closed   bool    // no server that is up accepts any request from this entry, as their rates are dealt to others
+}
+
+// Room returns what the servers have room for; limit returns how many requests a server with the slots runs at once.
+func (t *LoadTracker) Room(servers []*routing.Server, service routing.Service, limit func(slots int) float64) (room Room) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.serverLoad(id)
-	s.inFlight++
-	s.sendRate.Add(now)
+	up, closed := 0, 0
+	down := 0.0 // requests that the servers which are down would run
+	for _, s := range servers {
+		e := t.endpoint(s, service, now)
+		size := limit(s.Slots)
+		if e.Ejected {
+			running := min(size, float64(e.InFlight()))
+			room.Requests += running
+			down += size - running
+			continue
+		}
+		up++
+		if e.Limited {
+			size = min(size, float64(e.InFlight()+max(e.Part-e.Sent, 0)))
+			if e.Part == 0 {
+				closed++
+			}
+		}
+		room.Requests += size
+	}
+	if up == 0 {
+		room.Requests += down // a request is admitted, and rejected when no server can be chosen
+	}
+	room.Closed = up > 0 && closed == up
+	return room
 }
 
 // End counts the end of a request at the backend server id; signal updates the server's health.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,11 +7,13 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/balance"
 	"carawaypick/internal/datagram"
 	"carawaypick/internal/engine"
 	"carawaypick/internal/lifecycle"
@@ -29,6 +31,9 @@
 	maxRelayAge             = 600 * clock.Millisecond  // longest age at which a heartbeat is relayed: about two heartbeat intervals at maxTargets targets
 	peerTimeout             = 1500 * clock.Millisecond // time without a heartbeat after which a peer isn't listed to callers and its requests don't count
 	peerExpiry              = time.Minute              // time without a heartbeat after which a peer is removed from the peer set
+	memberExpiry            = 10 * clock.Minute        // time without a sign of an entry after which no part of a server's rate is kept for it
+	settleTime              = clock.Second             // for an entry that starts to learn of all others
+	aloneTime               = 10 * clock.Second        // after which an entry that heard no other since its start counts as the only one
 	reservedShares          = 1.0                      // shares of a limit kept for entries not yet discovered
 	maxStoreReaders         = 3                        // entries that read the store, so that two of them may fail with hardly any effect
 	minEntries              = 3                        // least number of entries among which a limit is divided
@@ -87,6 +92,7 @@
 	clock      clock.Clock
 	logger     log.Logger
 	loads      *LoadTracker
+	name       string
 	ip         string
 	port       int
 	self       func() heartbeat                      // returns this entry's heartbeat
@@ -106,6 +112,11 @@
 	pending  []string              // live targets that were not yet sent a heartbeat in the current round
 	seeds    []string              // IP addresses of the seeds but for this entry
 	maxAlive int                   // highest number of entries alive at one time, including this one
+	members  map[string]clock.Time // IP addresses of the other entries that were ever heard or relayed, with the time
+	heard    bool                  // a peer was heard since the start
+	start    clock.Time
+
+	entries atomic.Pointer[balance.EntrySet]
 
 	lastGreeting clock.Time // last heartbeat sent early because a peer starts
 }
@@ -116,8 +127,10 @@
 		clock: c, logger: logger, loads: loads, ip: s.IP, port: s.InternalPorts[0], self: self, memberList: memberList,
 		sendNow: make(chan struct{}, 1), Updates: make(chan struct{}, 1), Heard: make(chan struct{}, 1),
 		peers: make(map[string]*peerState), targets: make(map[string]clock.Time), maxAlive: 1,
+		members: make(map[string]clock.Time), start: c.Now(), name: s.Name,
 	}
 	p.AddSeeds(s)
+	p.updateEntries()
 	return p
 }
 
@@ -183,6 +196,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire()
+	p.updateEntries()
 	p.sequence++
 	message.Number = p.sequence
 	now := p.clock.Now()
@@ -321,11 +335,15 @@
 	if hb.Born != peer.lastMessage.Born && !hb.Ready {
 		p.greet(hb.IP, now)
 	}
+	joined := !peer.alive
 	peer.lastMessage, peer.lastSeen, peer.lastDirect, peer.alive = hb, now, now, true
-	p.targets[hb.IP] = now
+	p.targets[hb.IP], p.members[hb.IP], p.heard = now, now, true
 	for _, relay := range hb.Known {
 		p.handleRelayed(now, relay)
 	}
+	if joined {
+		p.updateEntries()
+	}
 	p.loads.SetPeerInFlight(hb.IP, hb.Flights)
 	p.maxAlive = max(p.maxAlive, p.countAlive()+1)
 	return true
@@ -340,6 +358,7 @@
 	if _, known := p.targets[relay.IP]; !known {
 		p.targets[relay.IP] = now
 	}
+	p.members[relay.IP] = now
 	if peer := p.peers[relay.IP]; peer != nil && peer.alive {
 		peer.lastSeen = max(peer.lastSeen, now.Add(-relay.Age))
 		p.targets[relay.IP] = max(p.targets[relay.IP], peer.lastSeen)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,6 +90,7 @@
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(),
 		}
 	}, func(address string) engine.MemberList { return memberList(e.state.View(), address, c.Now()) })
+	e.loads.entries = e.peers.Entries
 	e.peers.OnEvidence = e.receiveEvidence
 	e.peers.OnConfirmation = e.state.AdoptConfirmation
 	e.reader = &StoreReader{Protocol: protocol, State: e.state, Clock: c, Logger: logger, PeerSync: PeerSync{
