Take a backend server that ended for cold when it is back

One that restarts under its id, or while the store can't be read, got no limit until a new registration arrived, and the value that answers may carry was parsed but never used. A server that refused a connection, whose crash an entry reported, or that says so, is now cold for 5 s and its cold time. TestRestartedServerIsTakenForWarm failed before in three of four cases.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -150,6 +151,7 @@
 	}
 	e.loads.End(s.ID, signal)
 	crashed := e.recordEvidence(c, s, x)
+	e.recordCold(c, s, x, crashed)
 	e.updateServerState(s, x)
 	e.dispatch()
 	if x.outcome != outcomeAnswered {
@@ -159,6 +161,16 @@
 	}
 }
 
+// recordCold records that s says that it is cold, or may be when it accepts connections again, as its process has ended.
+func (e *Entry) recordCold(c *call, s *routing.Server, x *exchange, crashed bool) {
+	if x.headers.Cold > 0 {
+		e.loads.RecordCold(s.ID, x.headers.Cold)
+	}
+	if crashed || (x.reason == "dial" && errors.Is(x.err, syscall.ECONNREFUSED)) {
+		e.loads.RecordCold(s.ID, restartTime+c.service.ColdTime)
+	}
+}
+
 // updateServerState marks a replaced backend server, and trips or resets the circuit breaker of its group.
 func (e *Entry) updateServerState(s *routing.Server, x *exchange) {
 	if x.outcome == outcomeNotExecuted && x.headers.Misdirected {
--- a/internal/gateway/coldrate_test.go
+++ b/internal/gateway/coldrate_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -112,3 +113,46 @@
 	assert.NotEmpty(t, got.header.Get("Retry-After"))
 	assert.Zero(t, backend.count())
 }
+
+// TestRestartedServerIsTakenForWarm guards a backend server that comes back cold under a registration that doesn't say so.
+func TestRestartedServerIsTakenForWarm(t *testing.T) {
+	limited := func(e *Entry) bool {
+		view := e.state.View()
+		_, chosen, _ := e.loads.Choose(view.Services["s"], coldService, nil, "z")
+		return chosen.Limited
+	}
+	send := func(t *testing.T, answer backendHandler) *Entry {
+		backend := newFakeBackend(t, answer)
+		e, url := newTestEntry(t, backend)
+		e.state.View().Config.Services["s"] = coldService
+		require.False(t, limited(e))
+		_, err := doRequest(t, t.Context(), http.MethodGet, url+"/unsafe/x", "")
+		require.NoError(t, err)
+		return e
+	}
+	t.Run("an answer says that it is cold", func(t *testing.T) {
+		assert.True(t, limited(send(t, func(conn net.Conn, r *http.Request) {
+			respond(conn, r, "200 OK\nId: $ID\nSeal: s\nCold: 3000\nContent-Length: 5\n\nhello")
+		})))
+	})
+	t.Run("an answer says nothing", func(t *testing.T) {
+		assert.False(t, limited(send(t, respondOK)))
+	})
+	t.Run("its address refused a connection", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		require.NoError(t, listener.Close())
+		e, url := newTestEntry(t, &fakeBackend{address: listener.Addr().String()})
+		e.state.View().Config.Services["s"] = coldService
+		_, err = doRequest(t, t.Context(), http.MethodGet, url+"/unsafe/x", "")
+		require.NoError(t, err)
+		e.loads.serverLoad("i0").health.Record(0, balance.Success)
+		assert.True(t, limited(e))
+	})
+	t.Run("another entry reports its crash", func(t *testing.T) {
+		e, _ := newTestEntry(t, newFakeBackend(t, respondOK))
+		report := crashReport{ID: crashID(e.state.View().Servers["i0"]), Contents: []uint64{1}}
+		e.mergeEvidence(evidence{Crashes: []crashReport{report}}, "f")
+		assert.True(t, limited(e))
+	})
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	e.metrics.Crashes.Get("refused").Inc()
-	id := s.ID + "/" + strconv.FormatInt(s.StartedAt, 10)
+	id := crashID(s)
 	cold := e.clock.Now() < s.ColdUntil
 	parts := c.partsInFlight(x, cold)
 	e.suspects.addCrash(id, c.content, x.progressed || cold, parts)
@@ -97,6 +97,11 @@
 	return true
 }
 
+// crashID returns the id of the crash that ends the process of s.
+func crashID(s *routing.Server) string {
+	return s.ID + "/" + strconv.FormatInt(s.StartedAt, 10)
+}
+
 // isFramed reports whether the end of the response's body is marked, so that a broken connection can't pass for it.
 func isFramed(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
--- a/internal/gateway/evidencesync.go
+++ b/internal/gateway/evidencesync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -96,8 +97,13 @@
 
 // mergeEvidence adds the evidence of another entry; source names it in log lines.
 func (e *Entry) mergeEvidence(v evidence, source string) {
+	view := e.state.View()
 	for _, r := range e.suspects.merge(v) {
 		e.logCrash(r, source)
+		id, _, _ := strings.Cut(r.ID, "/")
+		if s := view.Servers[id]; s != nil && view.Config != nil && crashID(s) == r.ID {
+			e.loads.RecordCold(id, restartTime+view.Config.Services[s.Service].ColdTime-r.Age)
+		}
 	}
 }
 
--- a/internal/gateway/loadtracker.go
+++ b/internal/gateway/loadtracker.go
@@ -23,8 +23,10 @@
 	peerInFlight map[string]map[string]int          // by peer IP address and backend server id
 }
 
-// coldWindow is the window in which the rate of a cold backend server is divided into whole requests.
-const coldWindow = clock.Second
+const (
+	coldWindow  = clock.Second     // in which the rate of a cold backend server is divided into whole requests
+	restartTime = 5 * clock.Second // within which a backend server that ended may be back under the same registration
+)
 
 // serverLoad is the load and health of one backend server.
 type serverLoad struct {
@@ -32,6 +34,8 @@
 	health   balance.Health
 	sent     balance.SendLog // requests of this entry while the server's rate was limited
 
+	coldUntil clock.Time // time until which the server may be cold, whatever its registration says
+
 	part     int // of rate, for this entry among the entries
 	rate     balance.ServerRate
 	entrySet *balance.EntrySet
@@ -195,7 +199,7 @@
 	for _, inFlight := range t.peerInFlight {
 		e.PeerInFlight += inFlight[s.ID]
 	}
-	if now < s.ColdUntil && service.ColdRate > 0 {
+	if now < max(s.ColdUntil, load.coldUntil) && service.ColdRate > 0 {
 		rate := balance.NewServerRate(service.ColdRate, coldWindow)
 		e.Limited, e.Part, e.Sent = true, load.partOf(rate, s.ID, t.entries()), load.sent.Within(now, rate.Window)
 	}
@@ -219,6 +223,15 @@
 	}
 }
 
+// RecordCold records that the backend server id is cold for the given ms, or may be: its registration can be older.
+func (t *LoadTracker) RecordCold(id string, remaining clock.Span) {
+	until := t.clock.Now().Add(remaining)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	load := t.serverLoad(id)
+	load.coldUntil = max(load.coldUntil, until)
+}
+
 // Room is what servers have room for.
 type Room struct {
 	Requests float64 // that may run at once: those in flight and those that this entry may add now
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -127,7 +127,7 @@
 	peer.suspects.addCrash("b", 7, false, nil)
 	server := httptest.NewServer(peer.peerHandler())
 	defer server.Close()
-	e := &Entry{suspects: newTestSuspects(&now), limitedLogger: &telemetry.RateLimitedLogger{Logger: log.NewNopLogger(), Clock: clock.Manual(&now)}}
+	e := &Entry{state: newTestState(&now), suspects: newTestSuspects(&now), limitedLogger: &telemetry.RateLimitedLogger{Logger: log.NewNopLogger(), Clock: clock.Manual(&now)}}
 	e.peers = newTestPeerSets(&now, 1, nil, nil)[0]
 	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Control: strings.TrimPrefix(server.URL, "http://"), Evidence: peer.suspects.digest()})
 	control, other := e.peers.WithOtherEvidence(e.suspects.digest(), "")
