Deal the slack of the retry budget in whole retries

The budget is now counted over a window: what the entry's own requests in it earn, and the whole retries of the slack that are dealt to it. The parts add up to the bound at any number of entries.

--- a/internal/balance/overload_test.go
+++ b/internal/balance/overload_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -125,18 +126,58 @@
 	assert.True(t, b.AllowProbe(clock.Time(minProbeDelay+maxProbeDelay)))
 }
 
+// retriesOf simulates entries whose requests all fail for 40 s, with perSecond requests of all together, and returns the times
+// of the retries. The entries start together.
+func retriesOf(entries, perSecond int, slack float64) (retries []clock.Time) {
+	names := entryNames(entries)
+	var shares []*RetryBudgetShare
+	var views []*EntrySet
+	for _, name := range names {
+		shares = append(shares, &RetryBudgetShare{Ratio: 0.16, Slack: slack, Window: 10 * clock.Second})
+		views = append(views, &EntrySet{Self: name, Alive: names, Known: entries})
+	}
+	for n := range 40 * perSecond {
+		now, i := clock.Time(n*1000/perSecond), n%entries
+		shares[i].RecordRequest(now)
+		if shares[i].TryWithdraw(now, views[i]) {
+			retries = append(retries, now)
+		}
+	}
+	return retries
+}
+
+// TestRetryBudgetOfManyEntries guards against parts of the budget of all entries that exceed it, or that allow nothing.
+func TestRetryBudgetOfManyEntries(t *testing.T) {
+	const perSecond, slack, ratio, window = 1000, 94.0, 0.2, 10 * clock.Second
+	for _, count := range entryCounts {
+		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) {
+			retries := retriesOf(count, perSecond, slack)
+			assert.Greater(t, len(retries), 4*perSecond*10*8/100, "at least half of what requests earn")
+			from := 0
+			for i := range retries {
+				for retries[i].Sub(retries[from]) >= window {
+					from++
+				}
+				require.LessOrEqual(t, float64(i-from+1), ratio*perSecond*10+slack)
+			}
+		})
+	}
+}
+
 func TestRetryBudgetShare(t *testing.T) {
-	const entries = 9
 	window := 10 * clock.Second
+	alone := &EntrySet{Self: "a", Alive: []string{"a"}, Known: 1}
 	t.Run("a retry storm after a restart stays within the bound of every window", func(t *testing.T) {
+		const entries = 9
+		names := entryNames(entries)
 		shares := make([]*RetryBudgetShare, entries)
 		for i := range shares {
 			shares[i] = &RetryBudgetShare{Ratio: 0.2, Slack: 88, Window: window}
 		}
 		var spent []clock.Time
 		for now := clock.Time(0); now < 40_000; now += 10 {
-			for _, s := range shares {
-				if s.TryWithdraw(now, 1.0/entries) {
+			for i, s := range shares {
+				if s.TryWithdraw(now, &EntrySet{Self: names[i], Alive: names, Known: entries}) {
 					spent = append(spent, now)
 				}
 			}
@@ -152,12 +193,12 @@
 	})
 	t.Run("requests earn retries", func(t *testing.T) {
 		s := RetryBudgetShare{Ratio: 0.2, Slack: 88, Window: window}
-		assert.False(t, s.TryWithdraw(0, 0.1))
+		assert.False(t, s.TryWithdraw(0, alone))
 		for range 5 {
-			s.Deposit(0, 0.1)
+			s.RecordRequest(0)
 		}
-		assert.True(t, s.TryWithdraw(0, 0.1))
-		assert.False(t, s.TryWithdraw(0, 0.1))
+		assert.True(t, s.TryWithdraw(0, alone))
+		assert.False(t, s.TryWithdraw(0, alone))
 	})
 }
 
--- a/internal/balance/retrybudgetshare.go
+++ b/internal/balance/retrybudgetshare.go
@@ -1,50 +1,57 @@
 package balance
 
-import "carawaypick/pkg/clock"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"carawaypick/pkg/clock"
+)
 
 // RetryBudgetShare is one entry's part of the retries that all entries together may make in a window.
 //
-// Each entry starts with an empty budget, so that the total stays within the bound without coordination even if many
-// entries restart at the same time.
+// Each window of an entry has at most what its own requests in that window earn, and the whole retries of the slack that are
+// dealt to it. So the total stays within the bound, at any number of entries.
 type RetryBudgetShare struct {
-	Ratio  float64    // retries earned per request
-	Slack  float64    // additional retries per window, for all entries together
-	Window clock.Span // ms
+	Service string     // by whose name the slack is dealt
+	Ratio   float64    // retries earned per request
+	Slack   float64    // additional retries per window, for all entries together
+	Window  clock.Span // ms
 
-	retries    float64 // available
-	refilledAt clock.Time
-	started    bool
+	requests SendLog
+	retries  SendLog
+	started  bool
+	start    clock.Time
 }
 
-// Deposit adds the retries earned by a first attempt; fraction, from 0 to 1, is this entry's part of the slack.
-func (r *RetryBudgetShare) Deposit(now clock.Time, fraction float64) {
-	r.refill(now, fraction)
-	r.retries = min(r.retries+r.Ratio, r.capacity(fraction))
+// RecordRequest records a first attempt.
+func (r *RetryBudgetShare) RecordRequest(now clock.Time) {
+	r.begin(now)
+	r.requests.Within(now, r.Window)
+	r.requests.Add(now)
 }
 
-// TryWithdraw withdraws one retry, or returns false if the budget is used up; fraction is as in Deposit.
-func (r *RetryBudgetShare) TryWithdraw(now clock.Time, fraction float64) bool {
-	r.refill(now, fraction)
-	if r.retries < 1 {
+// TryWithdraw withdraws one retry, or returns false if the budget is used up; the slack is dealt to the entries.
+func (r *RetryBudgetShare) TryWithdraw(now clock.Time, entries *EntrySet) bool {
+	r.begin(now)
+	allowed := r.Ratio*float64(r.requests.Within(now, r.Window)) + float64(r.slack(now, entries))
+	if float64(r.retries.Within(now, r.Window)+1) > allowed {
 		return false
 	}
-	r.retries--
+	r.retries.Add(now)
 	return true
 }
 
-// refill adds the slack accrued since the last call.
-//
-// Half of this entry's part of the slack accrues per window. At most the same amount is saved up, so that the slack
-// spent in one window never exceeds this entry's part.
-func (r *RetryBudgetShare) refill(now clock.Time, fraction float64) {
-	if r.started && r.Window > 0 {
-		r.retries += r.Slack * fraction / 2 * float64(now.Sub(r.refilledAt)) / float64(r.Window)
-		r.retries = min(r.retries, r.capacity(fraction))
+func (r *RetryBudgetShare) begin(now clock.Time) {
+	if !r.started {
+		r.started, r.start = true, now
 	}
-	r.started, r.refilledAt = true, now
 }
 
-// capacity returns the maximum number of retries that may be saved up.
-func (r *RetryBudgetShare) capacity(fraction float64) float64 {
-	return r.Slack * fraction / 2
+// slack returns the retries of the slack that this entry has in a window. It has none in its first window, since it does not
+// know what it spent before a restart.
+func (r *RetryBudgetShare) slack(now clock.Time, entries *EntrySet) int {
+	if now.Sub(r.start) < r.Window || r.Slack < 1 {
+		return 0
+	}
+	rate := ServerRate{Requests: int(r.Slack), Window: r.Window}
+	return rate.Part(xxhash.Sum64String(r.Service), entries)
 }
--- a/internal/balance/serverrate.go
+++ b/internal/balance/serverrate.go
@@ -63,9 +63,9 @@
 	return int(exact)
 }
 
-// SendLog holds the times of the latest requests from one entry to a server with a limited rate.
+// SendLog holds the times of the latest requests of one kind from one entry.
 type SendLog struct {
-	times []clock.Time
+	times []clock.Time // ascending
 }
 
 // Add records a request.
@@ -75,6 +75,7 @@
 
 // Within returns the number of requests in the window that ends now, and forgets those before it.
 func (l *SendLog) Within(now clock.Time, window clock.Span) int {
-	l.times = slices.DeleteFunc(l.times, func(at clock.Time) bool { return now.Sub(at) >= window })
+	first, _ := slices.BinarySearch(l.times, now.Add(-window)+1)
+	l.times = l.times[first:]
 	return len(l.times)
 }
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -170,7 +170,7 @@
 	e.state.view.Store(view)
 	close(e.joined)
 	for range 100 { // fills the retry budget
-		e.retries.recordRequest(&call{service: routing.Service{Name: "s"}}, 0)
+		e.retries.recordRequest(&call{service: routing.Service{Name: "s"}}, e.clock.Now())
 	}
 	server := httptest.NewServer(e)
 	t.Cleanup(server.Close)
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -14,21 +14,21 @@
 // retryBudget is this entry's share, by service, of the retries that all entries may make.
 type retryBudget struct {
 	settings Settings
-	share    func() float64 // returns this entry's share of a limit over all entries
+	entries  func() *balance.EntrySet // returns the entries among which the budget of all is divided
 
 	mu       sync.Mutex
 	services map[string]*balance.RetryBudgetShare
 }
 
-func newRetryBudget(s Settings, share func() float64) *retryBudget {
-	return &retryBudget{settings: s, share: share, services: make(map[string]*balance.RetryBudgetShare)}
+func newRetryBudget(s Settings, entries func() *balance.EntrySet) *retryBudget {
+	return &retryBudget{settings: s, entries: entries, services: make(map[string]*balance.RetryBudgetShare)}
 }
 
 // budgetOf returns the budget of the service; mu is held.
 func (b *retryBudget) budgetOf(name string) *balance.RetryBudgetShare {
 	budget := b.services[name]
 	if budget == nil {
-		budget = &balance.RetryBudgetShare{Ratio: b.settings.RetryRatio * usedRatio, Slack: b.settings.RetrySlack, Window: b.settings.RetryWindow}
+		budget = &balance.RetryBudgetShare{Service: name, Ratio: b.settings.RetryRatio * usedRatio, Slack: b.settings.RetrySlack, Window: b.settings.RetryWindow}
 		b.services[name] = budget
 	}
 	return budget
@@ -41,12 +41,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budgetOf(c.service.Name).Deposit(now, b.share())
+	b.budgetOf(c.service.Name).RecordRequest(now)
 }
 
 // spend takes one retry from the budget; it returns false if none is left.
 func (b *retryBudget) spend(c *call, now clock.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budgetOf(c.service.Name).TryWithdraw(now, b.share())
+	return b.budgetOf(c.service.Name).TryWithdraw(now, b.entries())
 }
