Deal the idle connections of a backend server to the entries

Half of the connections are now dealt in whole ones. By its formula the code before kept 300 in TestIdleConnectionsFillServer, 50 are kept now. Nothing divides by the number of entries any more.

--- a/internal/gateway/clusterstate_test.go
+++ b/internal/gateway/clusterstate_test.go
@@ -196,11 +196,12 @@
 		_, ok = p.Ahead(store.At(0, 7), "")
 		assert.False(t, ok)
 	})
-	t.Run("the share of a limit does not grow when peers time out", func(t *testing.T) {
-		share := p.Share()
+	t.Run("the part of a limit does not grow when peers time out", func(t *testing.T) {
+		known := p.Entries().Known
 		now = now.Add(peerTimeout + 1)
 		p.expire()
-		assert.InDelta(t, share, p.Share(), 0)
+		p.updateEntries()
+		assert.Equal(t, known, p.Entries().Known)
 		assert.Zero(t, loads.TotalInFlight([]*routing.Server{server}), "a timed-out peer has nothing in flight")
 	})
 }
--- a/internal/gateway/coldrate_test.go
+++ b/internal/gateway/coldrate_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -45,6 +46,21 @@
 	assert.Equal(t, 1, p.Entries().Known)
 }
 
+// TestIdleConnectionsFillServer guards against entries that each keep a connection to a server that accepts few.
+func TestIdleConnectionsFillServer(t *testing.T) {
+	var names []string
+	for i := range 300 {
+		names = append(names, fmt.Sprint("front-", i))
+	}
+	sum := 0
+	for _, name := range names {
+		e := &Entry{peers: &PeerSet{}}
+		e.peers.entries.Store(&balance.EntrySet{Self: name, Alive: names, Known: len(names)})
+		sum += e.maxIdleConns(&routing.Server{ID: "i"}, routing.Service{MaxConnections: 100})
+	}
+	assert.Equal(t, 50, sum)
+}
+
 // coldService is a service whose servers accept 14 requests a second while cold.
 var coldService = routing.Service{Name: "s", ColdRate: 14}
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	e.conns.put(s.ID, conn, 0, e.maxIdleConns(c.service))
+	e.conns.put(s.ID, conn, 0, e.maxIdleConns(s, c.service))
 	return false
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,8 +10,10 @@
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"carawaypick/internal/balance"
 	"carawaypick/internal/routing"
 	"carawaypick/pkg/clock"
 )
@@ -145,16 +147,17 @@
 		return
 	}
 	x.detach()
-	e.conns.put(s.ID, x.conn, x.idleTimeout, e.maxIdleConns(c.service))
+	e.conns.put(s.ID, x.conn, x.idleTimeout, e.maxIdleConns(s, c.service))
 }
 
-// maxIdleConns returns the number of idle connections to keep per backend server, such that the idle connections of all
-// entries use at most half of the connections that it accepts.
-func (e *Entry) maxIdleConns(service routing.Service) int {
+// maxIdleConns returns the number of idle connections to keep to s. Those of all entries use at most half of the connections
+// that it accepts.
+func (e *Entry) maxIdleConns(s *routing.Server, service routing.Service) int {
 	if service.MaxConnections == 0 {
 		return maxIdlePerServer
 	}
-	return max(min(maxIdlePerServer, int(float64(service.MaxConnections)*e.peers.Share()/2)), 1)
+	idle := balance.ServerRate{Requests: service.MaxConnections / 2}
+	return min(maxIdlePerServer, idle.Part(xxhash.Sum64String(s.ID), e.peers.Entries()))
 }
 
 // keepAliveTimeout returns the timeout in ms of the Keep-Alive header, or 0.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -34,9 +34,7 @@
 	memberExpiry            = 10 * clock.Minute        // time without a sign of an entry after which no part of a server's rate is kept for it
 	settleTime              = clock.Second             // for an entry that starts to learn of all others
 	aloneTime               = 10 * clock.Second        // after which an entry that heard no other since its start counts as the only one
-	reservedShares          = 1.0                      // shares of a limit kept for entries not yet discovered
 	maxStoreReaders         = 3                        // entries that read the store, so that two of them may fail with hardly any effect
-	minEntries              = 3                        // least number of entries among which a limit is divided
 )
 
 // heartbeat is the UDP message in which an entry reports its state to the others; an agent's message sets only Ask.
@@ -111,7 +109,6 @@
 	targets  map[string]clock.Time // IP addresses to send to, with the time of the last heartbeat or discovery
 	pending  []string              // live targets that were not yet sent a heartbeat in the current round
 	seeds    []string              // IP addresses of the seeds but for this entry
-	maxAlive int                   // highest number of entries alive at one time, including this one
 	members  map[string]clock.Time // IP addresses of the other entries that were ever heard or relayed, with the time
 	heard    bool                  // a peer was heard since the start
 	start    clock.Time
@@ -126,7 +123,7 @@
 	p := &PeerSet{
 		clock: c, logger: logger, loads: loads, ip: s.IP, port: s.InternalPorts[0], self: self, memberList: memberList,
 		sendNow: make(chan struct{}, 1), Updates: make(chan struct{}, 1), Heard: make(chan struct{}, 1),
-		peers: make(map[string]*peerState), targets: make(map[string]clock.Time), maxAlive: 1,
+		peers: make(map[string]*peerState), targets: make(map[string]clock.Time),
 		members: make(map[string]clock.Time), start: c.Now(), name: s.Name,
 	}
 	p.AddSeeds(s)
@@ -345,7 +342,6 @@
 		p.updateEntries()
 	}
 	p.loads.SetPeerInFlight(hb.IP, hb.Flights)
-	p.maxAlive = max(p.maxAlive, p.countAlive()+1)
 	return true
 }
 
@@ -365,16 +361,6 @@
 	}
 }
 
-func (p *PeerSet) countAlive() int {
-	count := 0
-	for _, peer := range p.peers {
-		if peer.alive {
-			count++
-		}
-	}
-	return count
-}
-
 // expire marks peers that timed out as not alive and removes those without a heartbeat for peerExpiry, but never the
 // last target; mu is held.
 func (p *PeerSet) expire() {
--- a/internal/gateway/peerview.go
+++ b/internal/gateway/peerview.go
@@ -32,14 +32,6 @@
 	return addresses
 }
 
-// Share returns the fraction of a limit over all entries that this entry may use without coordination; it never grows
-// when peers time out.
-func (p *PeerSet) Share() float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return 1 / (float64(max(p.maxAlive, minEntries)) + reservedShares)
-}
-
 // Entries returns the entries among which limits are divided, as this entry knows them; it takes no lock.
 func (p *PeerSet) Entries() *balance.EntrySet {
 	return p.entries.Load()
