--- a/internal/balance/retrybudgetshare.go
+++ b/internal/balance/retrybudgetshare.go
@@ -15,22 +15,19 @@
 	Ratio   float64    // retries earned per request
 	Slack   float64    // additional retries per window, for all entries together
 	Window  clock.Span // ms
+	Start   clock.Time // of the entry, which does not know what it spent before
 
 	requests SendLog
 	retries  SendLog
-	started  bool
-	start    clock.Time
 }
 
 // RecordRequest records a first attempt.
 func (r *RetryBudgetShare) RecordRequest(now clock.Time) {
-	r.begin(now)
 	r.requests.Add(now, r.Window)
 }
 
 // TryWithdraw withdraws one retry, or returns false if the budget is used up; the slack is dealt to the entries.
 func (r *RetryBudgetShare) TryWithdraw(now clock.Time, entries *EntrySet) bool {
-	r.begin(now)
 	allowed := r.Ratio*float64(r.requests.Within(now, r.Window)) + float64(r.slack(now, entries))
 	if float64(r.retries.Within(now, r.Window)+1) > allowed {
 		return false
@@ -39,16 +36,9 @@
 	return true
 }
 
-func (r *RetryBudgetShare) begin(now clock.Time) {
-	if !r.started {
-		r.started, r.start = true, now
-	}
-}
-
-// slack returns the retries of the slack that this entry has in a window. It has none in its first window, since it does not
-// know what it spent before a restart.
+// slack returns the retries of the slack that this entry has in a window, none in its first one.
 func (r *RetryBudgetShare) slack(now clock.Time, entries *EntrySet) int {
-	if now.Sub(r.start) < r.Window || r.Slack < 1 {
+	if now.Sub(r.Start) < r.Window || r.Slack < 1 {
 		return 0
 	}
 	rate := ServerRate{Requests: int(r.Slack), Window: r.Window}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -14,21 +14,22 @@
 // retryBudget is this entry's share, by service, of the retries that all entries may make.
 type retryBudget struct {
 	settings Settings
+	start    clock.Time
 	entries  func() *balance.EntrySet // returns the entries among which the budget of all is divided
 
 	mu       sync.Mutex
 	services map[string]*balance.RetryBudgetShare
 }
 
-func newRetryBudget(s Settings, entries func() *balance.EntrySet) *retryBudget {
-	return &retryBudget{settings: s, entries: entries, services: make(map[string]*balance.RetryBudgetShare)}
+func newRetryBudget(s Settings, start clock.Time, entries func() *balance.EntrySet) *retryBudget {
+	return &retryBudget{settings: s, start: start, entries: entries, services: make(map[string]*balance.RetryBudgetShare)}
 }
 
 // budgetOf returns the budget of the service; mu is held.
 func (b *retryBudget) budgetOf(name string) *balance.RetryBudgetShare {
 	budget := b.services[name]
 	if budget == nil {
-		budget = &balance.RetryBudgetShare{Service: name, Ratio: b.settings.RetryRatio * usedRatio, Slack: b.settings.RetrySlack, Window: b.settings.RetryWindow}
+		budget = &balance.RetryBudgetShare{Service: name, Ratio: b.settings.RetryRatio * usedRatio, Slack: b.settings.RetrySlack, Window: b.settings.RetryWindow, Start: b.start}
 		b.services[name] = budget
 	}
 	return budget
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -99,7 +99,7 @@
 		Settings: func() Settings { return *e.settings.Load() },
 	}}
 	e.reader.lost.Store(true) // until the store answers
-	e.retries = newRetryBudget(s, e.peers.Entries)
+	e.retries = newRetryBudget(s, c.Now(), e.peers.Entries)
 	e.registerProgress()
 	return e
 }
