Keep the sum of the peers' requests in flight by backend server

Each admission and choice added up the counts of all peers for all servers, and the rates above need one more pass. The sums are kept as heartbeats arrive.

--- a/internal/gateway/coldrate_test.go
+++ b/internal/gateway/coldrate_test.go
@@ -172,3 +172,23 @@
 		assert.True(t, limited(e))
 	})
 }
+
+// BenchmarkAdmission measures the room and the choice for one request among 72 servers and 32 peers.
+func BenchmarkAdmission(b *testing.B) {
+	loads := NewLoadTracker(clock.New())
+	var servers []*routing.Server
+	inFlight := make(map[string]int)
+	for i := range 72 {
+		servers = append(servers, &routing.Server{ID: fmt.Sprint("i-", i), Slots: 10})
+		inFlight[servers[i].ID] = 1
+	}
+	for i := range 32 {
+		loads.SetPeerInFlight(fmt.Sprint("10.0.0.", i), inFlight)
+	}
+	for b.Loop() {
+		loads.Room(servers, coldService, func(slots int) float64 { return float64(slots) })
+		loads.TotalInFlight(servers)
+		i, _, _ := loads.Choose(servers, coldService, nil, "z")
+		loads.End(servers[i].ID, balance.Neutral)
+	}
+}
--- a/internal/gateway/loadtracker.go
+++ b/internal/gateway/loadtracker.go
@@ -22,6 +22,7 @@
 	servers      map[string]*serverLoad
 	breakers     map[string]*balance.CircuitBreaker // by service/group, for groups of ranks that rejected work
 	peerInFlight map[string]map[string]int          // by peer IP address and backend server id
+	peerTotals   map[string]int                     // sums of these over the peers, by backend server id
 	namedRates   map[string]namedRate               // by backend server id
 	nextReport   string                             // backend server id with which the next heartbeat's reports of these begin
 }
@@ -46,7 +47,7 @@
 
 // NewLoadTracker returns an empty tracker.
 func NewLoadTracker(c clock.Clock) *LoadTracker {
-	return &LoadTracker{clock: c, entries: func() *balance.EntrySet { return &balance.EntrySet{} }, servers: make(map[string]*serverLoad), breakers: make(map[string]*balance.CircuitBreaker), peerInFlight: make(map[string]map[string]int), namedRates: make(map[string]namedRate)}
+	return &LoadTracker{clock: c, entries: func() *balance.EntrySet { return &balance.EntrySet{} }, servers: make(map[string]*serverLoad), breakers: make(map[string]*balance.CircuitBreaker), peerInFlight: make(map[string]map[string]int), peerTotals: make(map[string]int), namedRates: make(map[string]namedRate)}
 }
 
 func (t *LoadTracker) serverLoad(id string) *serverLoad {
@@ -62,6 +63,14 @@
 func (t *LoadTracker) SetPeerInFlight(peer string, inFlight map[string]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for id, count := range t.peerInFlight[peer] {
+		if t.peerTotals[id] -= count; t.peerTotals[id] == 0 {
+			delete(t.peerTotals, id)
+		}
+	}
+	for id, count := range inFlight {
+		t.peerTotals[id] += count
+	}
 	if inFlight == nil {
 		delete(t.peerInFlight, peer)
 		return
@@ -168,9 +177,7 @@
 		if st := t.servers[s.ID]; st != nil {
 			total += st.inFlight
 		}
-		for _, inFlight := range t.peerInFlight {
-			total += inFlight[s.ID]
-		}
+		total += t.peerTotals[s.ID]
 	}
 	return total
 }
@@ -198,10 +205,7 @@
 // endpoint returns the state of a server; mu is held.
 func (t *LoadTracker) endpoint(s *routing.Server, service routing.Service, now clock.Time) (e balance.Endpoint) {
 	load := t.serverLoad(s.ID)
-	e = balance.Endpoint{Slots: s.Slots, OwnInFlight: load.inFlight, Zone: s.Zone, Ejected: load.health.Ejected(now)}
-	for _, inFlight := range t.peerInFlight {
-		e.PeerInFlight += inFlight[s.ID]
-	}
+	e = balance.Endpoint{Slots: s.Slots, OwnInFlight: load.inFlight, PeerInFlight: t.peerTotals[s.ID], Zone: s.Zone, Ejected: load.health.Ejected(now)}
 	for _, rate := range t.limits(s, service, now) {
 		part, sent := load.partOf(rate, s.ID, t.entries()), load.sent.Within(now, rate.Window)
 		if !e.Limited || part-sent < e.Part-e.Sent {
