--- a/internal/telemetry/requestlog.go
+++ b/internal/telemetry/requestlog.go
@@ -22,11 +22,11 @@
 )
 
 // contextMessages are the messages of the context lines, which RequestLog includes whatever their id: start and end of
-// processes, and changes of configuration, backend servers, peers, the store and expert maps.
+// processes, and changes of configuration, backend servers and their rates, peers, the store and expert maps.
 var contextMessages = map[string]bool{
 	"started": true, "leaving": true, "stopped": true, "settings reloaded": true, "new settings refused, the old ones stay": true,
 	"evacuation": true, "backend server": true, "backend server's entry is gone": true,
-	"backend server replaced": true, "backend server forgotten": true,
+	"backend server replaced": true, "backend server forgotten": true, "backend server limits its rate": true,
 	"peer silent": true, "peer heard": true, "belief taken from a peer": true, "map proposed": true, "map switch ended": true,
 	"this process directs the group": true, "lines left out": true, "record was not written again, following the store": true,
 	"configuration was written again": true, "joined": true,
