Wait for an agent where an attempt may have run

TestStreamsAreCompleteUnderFaults was red once beside a load average of 25: a call ended as unknown after 1.0 s ("none after 0 events, 1 sends") though it had 7 s left. Cause: its agent was paused before the first event, and when the attempt ended no other agent had a recent report. Only a call whose answer had started waited for one; this one gave up at once, and "unknown" is all that its caller got.

--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -109,12 +109,13 @@
 	return result
 }
 
-// choose picks the next agent. While none is available, it waits if the answer has already started or reports of agents
-// are pending, up to maxAgentWait per call. After a wait, agents that failed the call may be picked again.
+// choose picks the next agent. While none is available, it waits if an attempt may have run, which would leave the caller
+// with "unknown", or if reports of agents are pending, up to maxAgentWait per call. After a wait, agents that failed the call
+// may be picked again.
 func (r *callRun) choose(ctx context.Context) (t Target, ok bool) {
 	for {
 		t, ok = r.pick()
-		mayAppear := r.answer.forwarded > 0 || r.entry.tracker.ReportsPending(r.call.Service)
+		mayAppear := r.answer.forwarded > 0 || r.mayHaveRun || r.entry.tracker.ReportsPending(r.call.Service)
 		if ok || !mayAppear || r.waited >= maxAgentWait {
 			return t, ok
 		}
--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -22,11 +25,18 @@
 
 // awaitStream waits until an engine has sent an event of a request's stream and returns the name of the engine's agent.
 func (fx *fixture) awaitStream(id string) (name string) {
+	fx.t.Helper()
+	return fx.awaitEvents(id, 1)
+}
+
+// awaitEvents waits until an engine runs a request and has sent a number of its events, and returns the name of the engine's
+// agent.
+func (fx *fixture) awaitEvents(id string, count int) (name string) {
 	fx.t.Helper()
 	fx.eventually(id+" has started", func() bool {
 		for agentName, e := range fx.Engines {
 			for _, r := range e.Record().Requests {
-				if r.ID == id && r.Outcome == "running" && r.EventsSent > 0 {
+				if r.ID == id && r.Outcome == "running" && r.EventsSent >= count {
 					name = agentName
 					return true
 				}
@@ -165,3 +175,26 @@
 		})
 	}
 }
+
+// TestCallGivesUpAsAgentsAreSilent guards an idempotent call against an end as "unknown" where its agent is paused and the
+// reports of the others are late, though there is time left.
+func TestCallGivesUpAsAgentsAreSilent(t *testing.T) {
+	fx := startFixture(t, fixtureOptions{entries: 2, engines: 3, plainServers: 1})
+	c := fx.newCaller(modelService, "zone-a")
+	fx.setEngineFaults(func(f *standin.EngineFault) { f.Interval = 300 })
+	tc := newModelCall(basePrompt+", en pausa", 3)
+	result := async(func() testCall { return tc.send(t.Context(), c) })
+	chosen := fx.awaitEvents(tc.call.ID, 0)
+	names := slices.Collect(maps.Keys(fx.Engines))
+	for _, name := range names {
+		require.NoError(t, fx.agent(name).Pause())
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for _, name := range names {
+		if name != chosen {
+			require.NoError(t, fx.agent(name).Resume())
+		}
+	}
+	assertComplete(t, <-result)
+	require.NoError(t, fx.agent(chosen).Resume())
+}
