--- a/internal/caller/entry.go
+++ b/internal/caller/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +32,7 @@
 	defaultRetryAfter = 500 * clock.Millisecond // retry delay if no backend server can take the call
 	refreshInterval   = 200 * clock.Millisecond // time between two refreshes; a refresh updates the list of agents and polls those whose report is due
 	pollTimeout       = 1 * clock.Second        // timeout for the poll of one report
-	servingTimeout    = 300 * clock.Millisecond // timeout for the check of a starting entry, which holds up the polls after it
+	servingTimeout    = 300 * clock.Millisecond // timeout for the check of a starting entry
 	agentIdleFactor   = 2                       // agentIdleTimeout as a multiple of the agent's stall timeout
 )
 
@@ -154,10 +155,14 @@
 	return lifecycle.Start(ctx, func(ctx context.Context) error {
 		ticker := time.NewTicker(refreshInterval.Duration())
 		defer ticker.Stop()
+		var polls []<-chan error
 		for {
-			e.refresh(ctx)
+			polls = append(slices.DeleteFunc(polls, e.pollEnded), e.refresh(ctx)...)
 			select {
 			case <-ctx.Done():
+				for _, poll := range polls {
+					e.logPoll(<-poll)
+				}
 				return nil
 			case <-ticker.C:
 			}
@@ -165,24 +170,40 @@
 	})
 }
 
-// refresh updates the entry's agents from the instance list and polls those whose report is due.
-func (e *Entry) refresh(ctx context.Context) {
+// refresh updates the entry's agents from the instance list and starts the polls of those whose report is due. It does not wait
+// for them, so that an agent that does not answer delays no report of the others.
+func (e *Entry) refresh(ctx context.Context) (polls []<-chan error) {
 	if e.member.List().Version == 0 {
-		return
+		return nil
 	}
 	e.tracker.Update(e.agentSubset())
 	e.entries.update(e.member.List())
-	var polls []<-chan error
 	for _, i := range e.entries.startingEntries() {
 		polls = append(polls, lifecycle.Start(ctx, func(context.Context) error { return e.checkServing(i) }))
 	}
 	for _, t := range e.tracker.DuePolls() {
-		polls = append(polls, lifecycle.Start(ctx, func(ctx context.Context) error { return e.poll(ctx, t) }))
+		polls = append(polls, lifecycle.Start(ctx, func(ctx context.Context) error {
+			defer e.tracker.PollEnded(t)
+			return e.poll(ctx, t)
+		}))
 	}
-	for _, poll := range polls {
-		if err := <-poll; err != nil {
-			level.Debug(e.telemetry.Logger).Log("msg", "poll of an agent or a starting entry failed, polling it again", "err", err)
-		}
+	return polls
+}
+
+// pollEnded reports whether a poll has ended, and logs its failure.
+func (e *Entry) pollEnded(poll <-chan error) bool {
+	select {
+	case err := <-poll:
+		e.logPoll(err)
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *Entry) logPoll(err error) {
+	if err != nil {
+		level.Debug(e.telemetry.Logger).Log("msg", "poll of an agent or a starting entry failed, polling it again", "err", err)
 	}
 }
 
--- a/internal/caller/tracker.go
+++ b/internal/caller/tracker.go
@@ -39,6 +39,7 @@
 	addedAt     clock.Time // time of first listing at this address
 	reportedAt  clock.Time // time at which report was received
 	polledAt    clock.Time // time of the last poll
+	polling     bool       // that poll has not ended
 	avoidUntil  clock.Time // the agent is skipped until this time
 	failures    int        // consecutive attempts that could not reach the agent
 	outstanding uint32     // attempts in flight from this entry
@@ -120,6 +121,15 @@
 	s.failures = 0
 }
 
+// PollEnded records that the poll of an agent has ended, so that the next one may start.
+func (a *AgentTracker) PollEnded(t Target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s := a.agents[t.Name]; s != nil && s.target.Address == t.Address {
+		s.polling = false
+	}
+}
+
 // MarkUnreachable skips an agent for unreachableBackoff, doubled with each call until its next report.
 func (a *AgentTracker) MarkUnreachable(name string) {
 	a.mu.Lock()
@@ -287,10 +297,10 @@
 	for _, s := range a.agents {
 		recentlyPolled := s.polledAt != 0 && now.Sub(s.polledAt) < min(period, a.pollInterval)
 		fresh := s.report != nil && now.Sub(s.reportedAt) < period
-		if recentlyPolled || fresh {
+		if recentlyPolled || fresh || s.polling {
 			continue
 		}
-		s.polledAt = max(now, 1)
+		s.polledAt, s.polling = max(now, 1), true
 		due = append(due, s.target)
 	}
 	return due
