--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -281,7 +281,7 @@
 // receiveRateReports merges what a peer heard of the rates of backend servers.
 func (e *Entry) receiveRateReports(hb heartbeat) {
 	for _, r := range e.loads.MergeRateReports(hb.Rates) {
-		e.limitedLogger.Log("rate", "msg", "backend server limits its rate", "server", r.ID, "rate", r.PerSecond, "source", hb.Name, "age", r.Age)
+		e.limitedLogger.Log("rate", "msg", "backend server limits its rate", "server", r.ID, "rate", r.Rate, "source", hb.Name, "age", r.Age)
 	}
 }
 
--- a/internal/gateway/namedrate.go
+++ b/internal/gateway/namedrate.go
@@ -19,9 +19,9 @@
 
 // namedRate is what a backend server last said about the rate of requests that it takes from all entries together.
 type namedRate struct {
-	perSecond float64 // 0 if it names none any more
-	startedAt int64   // of the incarnation that said it
-	at        clock.Time
+	perSecond float64    // 0 if it names none any more
+	startedAt int64      // of the incarnation that said it
+	at        clock.Time // see newerThan
 	own       bool       // this entry heard it itself
 	reported  clock.Time // time of the last report of it, if another entry heard it
 }
@@ -36,12 +36,12 @@
 	return v.at > old.at
 }
 
-// RateReport is a rate that a backend server named, in the messages between entries.
-type RateReport struct {
-	ID        string
-	Born      int64   // start of the incarnation
-	PerSecond float64 // 0 if it names none any more
-	Age       clock.Span
+// rateReport is a rate that a backend server named, in the messages between entries.
+type rateReport struct {
+	ID   string
+	Born int64   // start of the incarnation
+	Rate float64 // requests per second; 0 if it names none any more
+	Age  clock.Span
 }
 
 // RecordNamedRate records the rate that s named in an answer, 0 for none, and reports whether it is another than before. The
@@ -74,13 +74,13 @@
 }
 
 // MergeRateReports adds what a peer heard from backend servers itself, and returns the reports that change a rate.
-func (t *LoadTracker) MergeRateReports(reports []RateReport) (changed []RateReport) {
+func (t *LoadTracker) MergeRateReports(reports []rateReport) (changed []rateReport) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range reports {
-		v := namedRate{perSecond: r.PerSecond, startedAt: r.Born, at: now.Add(-r.Age), reported: now}
-		if r.PerSecond == 0 {
+		v := namedRate{perSecond: r.Rate, startedAt: r.Born, at: now.Add(-r.Age), reported: now}
+		if r.Rate == 0 {
 			v.at = v.at.Add(-reportTravelTime) // the report was under way for an unknown time
 		}
 		if t.mergeNamedRate(r.ID, v) {
@@ -92,7 +92,7 @@
 
 // RateReports returns what this entry heard from backend servers itself, for a heartbeat; all of it in turn if it is much.
 // What others heard is not handed on, since it would look newer with each message.
-func (t *LoadTracker) RateReports() (reports []RateReport) {
+func (t *LoadTracker) RateReports() (reports []rateReport) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -105,7 +105,7 @@
 	for i := range min(len(ids), maxNamedRates) {
 		id := ids[(first+i)%len(ids)]
 		v := t.namedRates[id]
-		reports = append(reports, RateReport{ID: id, Born: v.startedAt, PerSecond: v.perSecond, Age: now.Sub(v.at)})
+		reports = append(reports, rateReport{ID: id, Born: v.startedAt, Rate: v.perSecond, Age: now.Sub(v.at)})
 		t.nextReport = id + "\x00" // the id after it
 	}
 	return reports
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,7 +53,7 @@
 	Version  int64              // of the configuration in force; 0 if none is known, and from an entry of an earlier release
 	Flights  map[string]int     // the sender's requests in flight by backend server
 	Costs    map[string]float64 // ms that a request adds to a pass, by service
-	Rates    []RateReport       // rates that backend servers named to the sender
+	Rates    []rateReport       // rates that backend servers named to the sender
 	Known    []peerAge          // peers from which the sender received a heartbeat within maxRelayAge
 
 	Crashes   []crashReport // news of crashes
