Send an unanswered prepare command to the local engine again at once

A map that six of 63 ranks had not acknowledged was resent only after the agents' time limit of 400 ms, once or twice, so all ranks kept the outdated map for 0.5 to 1 s, with passes of 165 to 175 ms where 150 are allowed. Change: with coordinated admission, an agent repeats a prepare command to its own engine each 60 ms until it is answered. A refusal after an unanswered try counts as no answer. The safety of the switch does not depend on how often a command is carried out, or when. The member list does not set the flag yet; that comes with coordinated admission.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -59,9 +59,12 @@
 
 // MemberList is the member list of an engine's group, with the shape of its maps, as an entry returns it.
 type MemberList struct {
-	Members []Member
-	Shape   Shape
+	Members     []Member
+	Shape       Shape
+	Coordinated bool // the deployment has coordinated admission
 }
 
-// engineTimeout is the time limit in ms of one call to an engine.
-const engineTimeout = 400 * clock.Millisecond
+const (
+	engineTimeout       = 400 * clock.Millisecond // time limit of one call to an engine
+	localPrepareTimeout = 60 * clock.Millisecond  // time limit of one try of a prepare command at the local engine, which answers within a few ms
+)
--- a/internal/engine/commands.go
+++ b/internal/engine/commands.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
 	"carawaypick/internal/lifecycle"
@@ -153,7 +154,7 @@
 	err := a.completeMap(ctx, address, &c)
 	r := expert.ReplyLost
 	if err == nil {
-		r, err = a.client.SendCommand(ctx, address, c)
+		r, err = a.sendWithRetries(ctx, address, c)
 	}
 	if err != nil {
 		level.Info(a.logger).Log("msg", "order not answered", "op", c.Op, "rank", c.Rank, "version", c.Version, "step", c.Step, "fence", c.Fence, "error", err)
@@ -163,6 +164,31 @@
 	return commandReply{ID: c.ID, Reply: r}
 }
 
+// sendWithRetries sends a command to the engine at the address. In a deployment with coordinated admission it sends a prepare
+// command to the local engine again until it is answered: all ranks wait for the last one to copy its experts, and the
+// coordinator resends only after the time that maps take on its link. A command may be carried out late and repeatedly.
+func (a *Agent) sendWithRetries(ctx context.Context, address string, c expert.Command) (r expert.Reply, err error) {
+	a.mu.Lock()
+	retries := a.group.Coordinated && c.Op == expert.OpPrepare && address == a.settings.Engine
+	a.mu.Unlock()
+	if !retries {
+		return a.client.SendCommand(ctx, address, c)
+	}
+	for unanswered := 0; ; unanswered++ {
+		try, cancel := context.WithTimeout(ctx, localPrepareTimeout.Duration())
+		r, err = a.client.SendCommand(try, address, c)
+		timedOut := errors.Is(try.Err(), context.DeadlineExceeded)
+		cancel()
+		switch {
+		case err != nil && timedOut && ctx.Err() == nil:
+			continue
+		case err == nil && r == expert.ReplyRefused && unanswered > 0:
+			return expert.ReplyLost, nil // an earlier try may be what the engine refuses to repeat
+		}
+		return r, err
+	}
+}
+
 // completeMap sets the map of a command that needs any valid map: one for which the engine at the address copies nothing.
 func (a *Agent) completeMap(ctx context.Context, address string, c *expert.Command) error {
 	if c.Op != expert.OpPrepare || c.Map != nil {
