Ask for missing group members each 250 ms

Cause: after a power loss of everything, the agents asked the entries for their group once before these had a configuration, and again 2 s later. Until then no agent coordinated the group's maps. Change: an agent asks each 250 ms while it knows no members, or while it may coordinate the group and some are missing.

--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -19,17 +19,18 @@
 )
 
 const (
-	pollInterval          = 60 * clock.Millisecond  // between two polling rounds at least; a pass takes about as long
-	switchPollInterval    = 30 * clock.Millisecond  // between two polling rounds during a switch at least
-	standbyInterval       = 250 * clock.Millisecond // between two reads of its engine by an agent that may coordinate the group later
-	idleInterval          = clock.Second            // between two reads of its engine by an agent that can't coordinate the group
-	membersInterval       = 2 * clock.Second        // between two requests for the group's members
-	idleMembersInterval   = 10 * clock.Second       // between two requests by an agent that can't coordinate the group and needs only the shape of its maps
-	coordinatorCandidates = 3                       // number of lowest ranks whose agents may coordinate the group
-	takeoverDelay         = 500 * clock.Millisecond // multiplied by an agent's rank: time without a poll by a lower rank after which the agent coordinates the group
-	minAgentTimeout       = 250 * clock.Millisecond // time without a poll reply after which an agent is unresponsive and its engine is read remotely, at least
-	minRemoteReadAge      = 200 * clock.Millisecond // between two remote reads of one engine, which slow down its other requests
-	remoteReportAge       = 500 * clock.Millisecond // assumed age of a report that is read from another instance
+	pollInterval           = 60 * clock.Millisecond  // between two polling rounds at least; a pass takes about as long
+	switchPollInterval     = 30 * clock.Millisecond  // between two polling rounds during a switch at least
+	standbyInterval        = 250 * clock.Millisecond // between two reads of its engine by an agent that may coordinate the group later
+	idleInterval           = clock.Second            // between two reads of its engine by an agent that can't coordinate the group
+	membersInterval        = 2 * clock.Second        // between two requests for the group's members
+	missingMembersInterval = 250 * clock.Millisecond // between two requests while members are missing, as after a start of all processes, when entries learn of them late
+	idleMembersInterval    = 10 * clock.Second       // between two requests by an agent that can't coordinate the group and needs only the shape of its maps
+	coordinatorCandidates  = 3                       // number of lowest ranks whose agents may coordinate the group
+	takeoverDelay          = 500 * clock.Millisecond // multiplied by an agent's rank: time without a poll by a lower rank after which the agent coordinates the group
+	minAgentTimeout        = 250 * clock.Millisecond // time without a poll reply after which an agent is unresponsive and its engine is read remotely, at least
+	minRemoteReadAge       = 200 * clock.Millisecond // between two remote reads of one engine, which slow down its other requests
+	remoteReportAge        = 500 * clock.Millisecond // assumed age of a report that is read from another instance
 )
 
 // Settings is the configuration of an agent.
@@ -141,7 +142,13 @@
 func (a *Agent) membersInterval() clock.Span {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.report.Group != "" && a.report.Rank >= coordinatorCandidates && a.group.Shape.Sets > 0 {
+	mayCoordinate := a.report.Rank < coordinatorCandidates
+	switch {
+	case a.report.Group == "":
+		return membersInterval
+	case len(a.group.Members) == 0, mayCoordinate && len(a.group.Members) < a.report.GroupSize:
+		return missingMembersInterval
+	case !mayCoordinate && a.group.Shape.Sets > 0:
 		return idleMembersInterval
 	}
 	return membersInterval
