Coordinate admission among the entries

The queue of each entry rejects by its own wait and the request's own time budget, so the most urgent requests, which have the shortest budget, are rejected first, and the entries reject unequal parts.

With coordinated admission, entries report their demand by level in the heartbeat and decide by the waiting requests and starts of all entries: random early detection on arrival, proportional parts of the free slots on start. A caller that returns is known by its remaining time and counts as late. Without it, every decision takes the path of before.

Peers' waiting requests are predicted from their reports, since these are older than a request may wait.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"carawaypick/internal/balance"
+	"carawaypick/internal/overload"
 	"carawaypick/internal/routing"
 	"carawaypick/pkg/clock"
 )
@@ -26,6 +27,7 @@
 type admission struct {
 	mu       sync.Mutex
 	services map[string]*serviceQueue
+	timeouts map[string]*balance.WindowedMax // longest remaining times in ms of the requests of a route, by its name
 }
 
 // serviceQueue holds the waiting requests and the concurrency limit of one service.
@@ -37,10 +39,13 @@
 	firstEvent balance.FirstEventEstimate
 	gapSum     float64 // ms of gaps between events since the last observation
 	gapCount   int
+
+	coordinated overload.Queue[turn] // replaces waiting with coordinated admission
+	shed        shedCounts
 }
 
 func newAdmission() *admission {
-	return &admission{services: make(map[string]*serviceQueue)}
+	return &admission{services: make(map[string]*serviceQueue), timeouts: make(map[string]*balance.WindowedMax)}
 }
 
 // queueOf returns the queue of the service and updates its limiter from the service's configuration; mu is held.
@@ -79,7 +84,7 @@
 // room returns what the service's servers have room for, and how many more requests its limit and their rates admit now; mu is
 // held.
 func (e *Entry) room(q *serviceQueue, servers []*routing.Server, now clock.Time) (room Room, free float64) {
-	cost, urgent := e.meanCost(q.service.Name, q, now), q.waiting.Urgent(now, urgentWithin)
+	cost, urgent := e.meanCost(q.service.Name, q, now), !q.limiter.KeepPeak && q.waiting.Urgent(now, urgentWithin)
 	room = e.loads.Room(servers, q.service, func(slots int) float64 { return q.limiter.Limit(cost, slots, urgent) })
 	if q.limiter.Saturated(now) {
 		return room, 0
@@ -123,6 +128,9 @@
 // waitForAdmission blocks until the request is admitted and a slot is reserved for it; otherwise it returns a rejection.
 func (e *Entry) waitForAdmission(ctx context.Context, c *call) *rejection {
 	servers := e.loads.Available(e.state.View().Services[c.service.Name])
+	if e.coordinated() {
+		return e.waitCoordinated(ctx, c, servers)
+	}
 	now := e.clock.Now()
 	e.admission.mu.Lock()
 	q := e.admission.queueOf(c.service)
@@ -149,7 +157,7 @@
 	if queued.Rejected {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "the wait would be too long", retryAfter: queued.RetryAfter}
 	}
-	rej, decided := e.waitForTurn(ctx, c, waiter)
+	rej, decided := e.waitForTurn(ctx, c, waiter.Value)
 	if !decided {
 		e.admission.mu.Lock()
 		defer e.admission.mu.Unlock()
@@ -166,14 +174,14 @@
 
 // waitForTurn waits until the request is admitted or rejected by dispatch, which it reports as decided, until its time is
 // over, or until news of a crash quarantine it.
-func (e *Entry) waitForTurn(ctx context.Context, c *call, waiter *balance.Waiter[chan *rejection]) (rej *rejection, decided bool) {
+func (e *Entry) waitForTurn(ctx context.Context, c *call, turn <-chan *rejection) (rej *rejection, decided bool) {
 	for {
 		news := e.suspects.nextCrash()
 		if rej := e.rejectQuarantined(c); rej != nil {
 			return rej, false
 		}
 		select {
-		case rej := <-waiter.Value:
+		case rej := <-turn:
 			return rej, true
 		case <-news:
 		case <-ctx.Done():
@@ -217,9 +225,14 @@
 func (e *Entry) dispatch() {
 	now := e.clock.Now()
 	view := e.state.View()
+	on := e.coordinated()
 	e.admission.mu.Lock()
 	defer e.admission.mu.Unlock()
 	for name, q := range e.admission.services {
+		q.limiter.KeepPeak = on
+		if on || q.coordinated.Len() > 0 {
+			e.dispatchCoordinated(q, e.loads.Available(view.Services[name]), now)
+		}
 		for _, w := range q.waiting.TakeExpired(now) {
 			w.Value <- &rejection{status: http.StatusServiceUnavailable, reason: "no place became free in time", retryAfter: queueRetryAfter}
 		}
--- /dev/null
+++ b/internal/gateway/coordinated.go
@@ -0,0 +1,315 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+
+	"carawaypick/internal/balance"
+	"carawaypick/internal/datagram"
+	"carawaypick/internal/overload"
+	"carawaypick/internal/routing"
+	"carawaypick/pkg/clock"
+)
+
+const (
+	maxDemandSize     = 200                      // bytes of the demand in one heartbeat
+	maxLateWait       = 2500 * clock.Millisecond // longest wait of a request that starts late
+	timeoutWindow     = clock.Minute             // in which the longest remaining time of a route's requests is found
+	returningFraction = 15.0 / 16                // of the longest remaining time: a request with less is of a returning caller
+	minRetryAfter     = 100 * clock.Millisecond
+	shedLogInterval   = clock.Second // between two log lines of a service that rejects
+	maxLoggedWait     = clock.Minute // stands for an infinite wait in logs and metrics
+)
+
+// turn is a request that waits for its turn.
+type turn struct {
+	call   *call
+	result chan *rejection // receives nil if the request is admitted
+}
+
+// shedCounts counts the requests of a service by priority since the last log line.
+type shedCounts struct {
+	arrived, rejected [overload.LateLevel]int
+	since             clock.Time
+}
+
+// coordinated reports whether coordinated admission is on.
+func (e *Entry) coordinated() bool {
+	config, known := e.state.View().Config, e.peers.Entries().Known
+	if last := e.coordination.Load(); last != nil && last.config == config && last.known == known {
+		return last.on
+	}
+	next := &coordination{config: config, known: known, on: overload.Coordinated(config, known)}
+	e.coordination.Store(next)
+	return next.on
+}
+
+// coordination is whether coordinated admission is on, for one configuration and number of entries.
+type coordination struct {
+	config *routing.Config
+	known  int
+	on     bool
+}
+
+// waitCoordinated blocks until the request is admitted and a slot is reserved for it; otherwise it returns a rejection, at once
+// if the request can't be served.
+func (e *Entry) waitCoordinated(ctx context.Context, c *call, servers []*routing.Server) *rejection {
+	now := e.clock.Now()
+	e.admission.mu.Lock()
+	q := e.admission.queueOf(c.service)
+	q.limiter.GapTarget, q.limiter.KeepPeak = c.route.GapTarget, true
+	used := e.admission.usedTime(now, c)
+	// Without servers the request is admitted at once, and pickServer rejects it.
+	if len(servers) == 0 {
+		q.coordinated.RecordStart(now)
+		e.hold(q, c)
+		e.admission.mu.Unlock()
+		return nil
+	}
+	room, free := e.coordinatedRoom(q, servers, now)
+	if room.Closed {
+		e.admission.mu.Unlock()
+		return rejectionOfRoom(room)
+	}
+	w := q.newWaiter(c, now, used)
+	if e.loads.AllTripped(servers, false) {
+		free = 0
+		w.LatestUseful = max(w.LatestUseful, c.deadline.Add(-typicalStreamDuration)) // a tripped group may recover at any time
+	}
+	decision := q.coordinated.Arrive(now, w, free, rand.Float64)
+	q.shed.arrived[overload.LevelOf(c.priority())]++
+	if decision == overload.Start {
+		e.hold(q, c)
+	}
+	if decision == overload.Reject {
+		e.countShed(q, c.priority())
+	}
+	e.admission.mu.Unlock()
+	switch decision {
+	case overload.Start:
+		return nil
+	case overload.Reject:
+		return &rejection{status: http.StatusServiceUnavailable, reason: "the service lacks capacity", retryAfter: e.retryAfter(now, c)}
+	}
+	return e.waitInQueue(ctx, c, q, w)
+}
+
+// waitInQueue waits until the request is admitted or rejected by dispatch.
+func (e *Entry) waitInQueue(ctx context.Context, c *call, q *serviceQueue, w *overload.Waiter[turn]) *rejection {
+	rej, decided := e.waitForTurn(ctx, c, w.Value.result)
+	if !decided {
+		e.admission.mu.Lock()
+		defer e.admission.mu.Unlock()
+		if !q.coordinated.Remove(e.clock.Now(), w) && <-w.Value.result == nil {
+			c.reservedIn = q
+		}
+		return rej
+	}
+	if rej == nil {
+		c.reservedIn = q // dispatch has reserved the slot
+	}
+	return rej
+}
+
+// hold reserves a slot for the request; mu is held.
+func (e *Entry) hold(q *serviceQueue, c *call) {
+	q.reserved++
+	c.reservedIn = q
+}
+
+// newWaiter returns the queue item of c, whose caller has used the given ms at earlier tries; mu is held.
+func (q *serviceQueue) newWaiter(c *call, now clock.Time, used clock.Span) *overload.Waiter[turn] {
+	w := &overload.Waiter[turn]{Priority: c.priority(), Team: c.team.Name, Value: turn{call: c, result: make(chan *rejection, 1)}}
+	usual := q.coordinated.MeanFlight(now)
+	if c.route.Kind == routing.Stream {
+		w.LatestOnTime = c.start.Add(c.route.LatencyTarget - used - callerLatency - q.firstEvent.Delay())
+		if usual == 0 {
+			usual = typicalStreamDuration
+		}
+	} else {
+		w.LatestOnTime = c.start.Add(c.route.LatencyTarget/2 - used)
+		if usual == 0 {
+			usual = c.deadline.Sub(now) / 2
+		}
+	}
+	w.LatestUseful = min(now.Add(maxLateWait), c.deadline.Add(-usual))
+	return w
+}
+
+// usedTime returns the ms that the caller of a request has used at earlier tries: a caller that returns has less time left than
+// the others of its route. The route's timeout doesn't tell it, as callers may wait for less. mu is held.
+func (a *admission) usedTime(now clock.Time, c *call) clock.Span {
+	if c.Timeout <= 0 {
+		return 0
+	}
+	longest := a.timeouts[c.route.Name]
+	if longest == nil {
+		longest = &balance.WindowedMax{Window: timeoutWindow}
+		a.timeouts[c.route.Name] = longest
+	}
+	longest.Add(now, float64(c.Timeout))
+	if most := longest.Max(now); float64(c.Timeout) < most*returningFraction {
+		return clock.Span(most) - c.Timeout
+	}
+	return 0
+}
+
+// retryAfter returns the ms after which the caller of a rejected request may return.
+func (e *Entry) retryAfter(now clock.Time, c *call) clock.Span {
+	left := float64(max(c.deadline.Sub(now), 0))
+	return max(clock.Span(left/6*(1+rand.Float64())), minRetryAfter)
+}
+
+// coordinatedRoom returns what the service's servers have room for and how many requests of all entries are free to start, which
+// is negative if too many run; mu is held.
+func (e *Entry) coordinatedRoom(q *serviceQueue, servers []*routing.Server, now clock.Time) (room Room, free float64) {
+	room, _ = e.room(q, servers, now)
+	alive := len(e.peers.Entries().Alive)
+	q.coordinated.Limit, q.coordinated.Entries, q.coordinated.MaxStarts = room.Requests, alive, room.Rate*float64(max(alive, 1))
+	free = room.Requests - float64(e.loads.TotalInFlight(servers)+q.reserved)
+	if q.limiter.Saturated(now) {
+		free = min(free, 0)
+	}
+	return room, free
+}
+
+// dispatchCoordinated rejects waiting requests whose latest useful start has passed and admits others into free slots; mu is
+// held.
+func (e *Entry) dispatchCoordinated(q *serviceQueue, servers []*routing.Server, now clock.Time) {
+	for _, w := range q.coordinated.TakeExpired(now) {
+		e.countShed(q, w.Priority)
+		w.Value.result <- &rejection{status: http.StatusServiceUnavailable, reason: "no place became free in time", retryAfter: e.retryAfter(now, w.Value.call)}
+	}
+	e.reportShed(q, now)
+	if len(servers) == 0 {
+		for w, ok := q.coordinated.TakeFirst(now); ok; w, ok = q.coordinated.TakeFirst(now) {
+			e.admitWaiter(q, w)
+		}
+		return
+	}
+	room, free := e.coordinatedRoom(q, servers, now)
+	switch {
+	case room.Closed:
+		for _, w := range q.coordinated.TakeAll() {
+			w.Value.result <- rejectionOfRoom(room)
+		}
+	case q.coordinated.Len() > 0 && e.loads.AllTripped(servers, false):
+		if !e.loads.AllTripped(servers, true) {
+			if w, ok := q.coordinated.TakeFirst(now); ok {
+				e.admitWaiter(q, w)
+			}
+		}
+	case !q.limiter.Saturated(now):
+		for _, w := range q.coordinated.Dispatch(now, free) {
+			e.admitWaiter(q, w)
+		}
+	}
+}
+
+// admitWaiter admits a request that waited; mu is held.
+func (e *Entry) admitWaiter(q *serviceQueue, w *overload.Waiter[turn]) {
+	q.reserved++
+	w.Value.result <- nil
+}
+
+// countShed counts a request that is rejected for lack of capacity; mu is held.
+func (e *Entry) countShed(q *serviceQueue, priority int) {
+	q.shed.rejected[overload.LevelOf(priority)]++
+	e.metrics.OverloadRejection(q.service.Name, priority)
+}
+
+// reportShed sets the metrics of the service's overload and logs it while it rejects; mu is held.
+func (e *Entry) reportShed(q *serviceQueue, now clock.Time) {
+	if now.Sub(q.shed.since) < shedLogInterval {
+		return
+	}
+	shed := q.shed
+	q.shed = shedCounts{since: now}
+	status := q.coordinated.Status(now)
+	wait := clock.Span(math.Min(status.Wait, float64(maxLoggedWait)))
+	e.metrics.OverloadWait.Get(q.service.Name).Set(float64(wait))
+	var rejecting, waiting []string
+	for priority, count := range shed.rejected {
+		if count > 0 {
+			rejecting = append(rejecting, fmt.Sprintf("%d:%.2f", priority, float64(count)/float64(max(shed.arrived[priority], count))))
+		}
+	}
+	for level, count := range status.Waiting {
+		if count >= 1 {
+			waiting = append(waiting, fmt.Sprintf("%d:%.0f", level, count))
+		}
+	}
+	if len(rejecting) > 0 {
+		e.limitedLogger.Log("overload", "msg", "overload", "service", q.service.Name, "waiting", strings.Join(waiting, " "), "wait", wait,
+			"rejecting", strings.Join(rejecting, " "), "starts", status.Starts, "peers", status.Peers, "age", status.Oldest)
+	}
+}
+
+// recordEnd counts the end of an admitted request.
+func (e *Entry) recordEnd(c *call) {
+	now := e.clock.Now()
+	flight := clock.Span(0)
+	if c.attempts > 0 {
+		flight = max(now.Sub(c.admittedAt), 1)
+	}
+	e.admission.mu.Lock()
+	defer e.admission.mu.Unlock()
+	if q := e.admission.services[c.service.Name]; q != nil {
+		q.coordinated.RecordEnd(now, flight)
+	}
+}
+
+// ownDemand returns this entry's demand by service, for heartbeats; nil without coordinated admission. The services with the
+// most arrivals go first if not all fit.
+func (e *Entry) ownDemand() map[string]overload.Demand {
+	if !e.coordinated() {
+		return nil
+	}
+	now := e.clock.Now()
+	e.admission.mu.Lock()
+	defer e.admission.mu.Unlock()
+	all, arrivals := make(map[string]overload.Demand), make(map[string]int)
+	for name, q := range e.admission.services {
+		d := q.coordinated.Demand(now)
+		all[name] = d
+		for _, l := range d.Levels {
+			arrivals[name] += l.Arrivals
+		}
+	}
+	names := slices.SortedFunc(maps.Keys(all), func(a, b string) int { return arrivals[b] - arrivals[a] })
+	demand, size := make(map[string]overload.Demand), 0
+	for _, name := range names {
+		content, err := datagram.Encode(map[string]overload.Demand{name: all[name]})
+		if err != nil || size+len(content) > maxDemandSize {
+			continue
+		}
+		size += len(content)
+		demand[name] = all[name]
+	}
+	return demand
+}
+
+// receiveDemand takes over the demand at a peer. A service that its report lacks is idle there.
+func (e *Entry) receiveDemand(hb heartbeat) {
+	config := e.state.View().Config
+	if config == nil || !e.coordinated() {
+		return
+	}
+	now := e.clock.Now()
+	e.admission.mu.Lock()
+	defer e.admission.mu.Unlock()
+	for name := range hb.Demand {
+		if service, known := config.Services[name]; known {
+			e.admission.queueOf(service)
+		}
+	}
+	for name, q := range e.admission.services {
+		q.coordinated.SetReport(now, hb.IP, hb.Demand[name])
+	}
+}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -43,6 +43,7 @@
 	retries       *retryBudget
 	suspects      *suspectSet
 	admission     *admission
+	coordination  atomic.Pointer[coordination]
 	unreachable   string // control address of the peer that the last pull of state failed at
 	// configUnreachable is the same for the last pull of a newer configuration, which another loop does.
 	configUnreachable string
@@ -106,6 +107,7 @@
 		return
 	}
 	c.admittedAt = e.clock.Now()
+	defer e.recordEnd(c)
 	if c.route.Kind == routing.Stream {
 		e.serveStream(ctx, w, c)
 		return
--- a/internal/gateway/heartbeat.go
+++ b/internal/gateway/heartbeat.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"net"
 
+	"carawaypick/internal/overload"
 	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
@@ -38,6 +39,8 @@
 
 	Confirmed confirmation // how old the sender's state is at most; none from an entry of an earlier release
 
+	Demand map[string]overload.Demand // by service, with coordinated admission; a service that it lacks is idle at the sender
+
 	Ask string // address of the engine whose group an agent asks for
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -66,6 +66,8 @@
 
 	OnConfirmation func(changed store.Position, c confirmation) // receives how old the state of each sender is; nil for none
 
+	OnDemand func(heartbeat) // receives each heartbeat with the demand at its sender; nil for none
+
 	mu       sync.Mutex
 	sequence uint64
 	peers    map[string]*peerState // by IP address
@@ -268,6 +270,9 @@
 	if p.OnLeaving != nil && len(hb.Leaving)+len(hb.Taking) > 0 {
 		p.OnLeaving(hb)
 	}
+	if p.OnDemand != nil && len(hb.Demand) > 0 {
+		p.OnDemand(hb)
+	}
 	if p.OnConfirmation != nil {
 		p.OnConfirmation(hb.position(), hb.Confirmed)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -89,11 +89,13 @@
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(), Rates: e.loads.RateReports(),
 			Leaving: e.loads.LeavingReports(), Taking: e.loads.RecoveredReports(),
+			Demand: e.ownDemand(),
 		}
 	}, func(address string) engine.MemberList { return memberList(e.state.View(), address, c.Now()) })
 	e.loads.entries, e.loads.drainTime = e.peers.Entries, s.DrainTime
 	e.peers.OnEvidence, e.peers.OnRates, e.peers.OnLeaving = e.receiveEvidence, e.receiveRateReports, e.receiveLeavingReports
 	e.peers.OnConfirmation = e.state.AdoptConfirmation
+	e.peers.OnDemand = e.receiveDemand
 	e.reader = &StoreReader{Protocol: protocol, State: e.state, Clock: c, Logger: logger, PeerSync: PeerSync{
 		ShouldRead: func(lost bool) bool { return e.peers.ShouldReadStore(lost, e.state.Position()) }, Pull: e.pullState, Updates: e.peers.Updates, Notify: e.peers.Notify,
 		Readers:  func(lost bool) (rank, count int) { return e.peers.StoreReaders(lost, e.state.Position()) },
--- /dev/null
+++ b/internal/overload/service_test.go
@@ -0,0 +1,97 @@
+package overload
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"carawaypick/internal/datagram"
+	"carawaypick/internal/testkit"
+	"carawaypick/pkg/clock"
+)
+
+// capacity returns a service that starts 100 requests per second by Little's law.
+func capacity() *Service {
+	s := &Service{Limit: 200, Entries: 2}
+	s.RecordEnd(0, 2*clock.Second)
+	return s
+}
+
+func TestExpectedWait(t *testing.T) {
+	s := capacity()
+	s.SetReport(1, "b", Demand{Levels: []LevelDemand{{Level: 0, Waiting: 4, Arrivals: 5000}, {Level: 1, Waiting: 5, Arrivals: 6000}, {Level: 2, Waiting: 6}}})
+	s.SetWaiting([Levels]int{1, 0, 3})
+	assert.InDelta(t, 1000*6/100.0, s.ExpectedWait(1, 0), 1e-6, "six wait or arrive, an idle period does not look like no capacity")
+	assert.InDelta(t, 1000*11/50.0, s.ExpectedWait(1, 1), 1e-6)
+	assert.True(t, math.IsInf(s.ExpectedWait(1, 2), 1), "more urgent requests use all starts")
+	s.SetReport(1, "b", Demand{Levels: []LevelDemand{{Level: 0, Waiting: -4, Arrivals: -1}, {Level: 99, Waiting: 4}, {Level: -1, Waiting: 4}}, Starts: -1, Flight: -1})
+	assert.InDelta(t, 1000*2/100.0, s.ExpectedWait(1, 0), 1e-6, "figures out of range")
+}
+
+func TestRejectProbability(t *testing.T) {
+	s := capacity()
+	s.SetWaiting([Levels]int{9}) // wait of 100 ms
+	assert.InDelta(t, 0, s.RejectProbability(1, 0, 300), 1e-6)
+	assert.InDelta(t, 0.5, s.RejectProbability(1, 0, 200), 1e-6)
+	assert.InDelta(t, 1-0.3, s.RejectProbability(1, 0, 150), 1e-6, "up to the starvation bound")
+	s.SetReport(1, "b", Demand{Levels: []LevelDemand{{Level: 0, Arrivals: 10000}, {Level: 1, Arrivals: 10000}}, Starts: 10000})
+	assert.InDelta(t, 1-0.3*0.5, s.RejectProbability(1, 1, 300), 1e-6, "no priority starves")
+}
+
+// TestDemand guards against reports that use up the heartbeat.
+func TestDemand(t *testing.T) {
+	s := capacity()
+	for l := range Levels {
+		for now := clock.Time(1); now < 1000; now += 20 {
+			s.RecordArrival(now, l, 300)
+			s.RecordStart(now)
+		}
+	}
+	s.SetWaiting([Levels]int{20, 20, 20, 20, 20, 20, 20, 20, 20})
+	d := s.Demand(1000)
+	content, err := datagram.Encode(map[string]Demand{"verifica-llm": d})
+	require.NoError(t, err)
+	assert.Less(t, len(content), 100)
+	var got map[string]Demand
+	require.NoError(t, datagram.Decode(content, &got))
+	assert.Equal(t, d, got["verifica-llm"])
+	assert.InDelta(t, 50, bounded(d.Levels[0].Arrivals), 5)
+}
+
+// TestSharesFitFreeSlots checks that entries with the same view of all start no more than there are slots, and that a slot
+// which a more urgent request waits for goes to no other.
+func TestSharesFitFreeSlots(t *testing.T) {
+	testkit.Property(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 5).Draw(t, "entries")
+		waiting := make([][Levels]int, count)
+		var total [Levels]int
+		for i := range waiting {
+			for l := range Levels {
+				waiting[i][l] = rapid.IntRange(0, 4).Draw(t, "waiting")
+				total[l] += waiting[i][l]
+			}
+		}
+		free := float64(rapid.IntRange(0, 60).Draw(t, "free"))
+		left := free
+		for l := range Levels {
+			sum := 0.0
+			for i := range waiting {
+				s := Service{Entries: count}
+				s.SetWaiting(waiting[i])
+				for j := range waiting {
+					if j != i {
+						other := Service{}
+						other.SetWaiting(waiting[j])
+						s.SetReport(1, string(rune('a'+j)), other.Demand(1))
+					}
+				}
+				sum += s.FreeShare(1, free, l)
+			}
+			assert.InDelta(t, min(left, float64(total[l])), sum, 1e-6)
+			left = max(0, left-float64(total[l]))
+		}
+	})
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,6 +23,7 @@
 	Retries           Counters   // attempts after the first, by reason; reason budget counts retries that the retry budget denied
 	Rejections        Counters   // requests rejected or not completed, by reason
 	Resumes           Counters   // streams resumed at another backend server, by reason
+	OverloadWait      Gauges     // expected wait in ms of the least urgent requests on time, with coordinated admission, by service
 	DroppedAnswers    Counters   // events or answers dropped because id, attempt or index did not match, by reason
 	Crashes           Counters   // crashes of the backend server, by evidence: alone if it ran one isolated request, otherwise shared
 
@@ -64,6 +66,7 @@
 	m.Retries = m.counters("retries_total", "reason")
 	m.Rejections = m.counters("refusals_total", "reason")
 	m.Resumes = m.counters("resumes_total", "reason")
+	m.OverloadWait = m.gauges("overload_wait_ms", "service")
 	m.DroppedAnswers = m.counters("dropped_answers_total", "reason")
 	m.Crashes = m.counters("backend_crashes_total", "evidence")
 }
@@ -106,6 +109,11 @@
 	m.Set.NewGauge(metricPrefix+name, value)
 }
 
+// OverloadRejection counts a request of the service and priority that coordinated admission rejected.
+func (m *Metrics) OverloadRejection(service string, priority int) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`%soverload_rejections_total{service="%s",priority="%d"}`, metricPrefix, sanitize(service), priority)).Inc()
+}
+
 func (m *Metrics) counters(name, label string) Counters {
 	return newFamily(metricPrefix+name, label, m.Set.NewCounter)
 }
