Tell agents whether admission is coordinated

The agents repeat unanswered prepare commands only in such deployments. The member list carries the flag; agents of an earlier release ignore it.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -91,7 +91,11 @@
 			Leaving: e.loads.LeavingReports(), Taking: e.loads.RecoveredReports(),
 			Demand: e.ownDemand(),
 		}
-	}, func(address string) engine.MemberList { return memberList(e.state.View(), address, c.Now()) })
+	}, func(address string) engine.MemberList {
+		list := memberList(e.state.View(), address, c.Now())
+		list.Coordinated = e.coordinated()
+		return list
+	})
 	e.loads.entries, e.loads.drainTime = e.peers.Entries, s.DrainTime
 	e.peers.OnEvidence, e.peers.OnRates, e.peers.OnLeaving = e.receiveEvidence, e.receiveRateReports, e.receiveLeavingReports
 	e.peers.OnConfirmation = e.state.AdoptConfirmation
