Tell returning callers by five sixths of the time, let late requests wait

Cause: callers' first deadlines differ by up to 1.2 s on one route, so over half of the requests counted as late without any rejection. Late requests were rejected though they would have been served a second later. A windowed maximum of the request cost kept the limit low long after a shift. Change: a caller counts as returning if at most five sixths of the time are left, since Retry-After is a sixth at least. Late requests wait as long as callers wait for a first event, and are rejected only if that is not enough.

--- a/internal/balance/concurrencylimiter.go
+++ b/internal/balance/concurrencylimiter.go
@@ -10,7 +10,6 @@
 	passFraction        = 0.90                    // fraction of the gap target that a pass may take; the rest is a margin for further prefill
 	urgentPassFraction  = 1.00                    // replaces passFraction while waiting requests would otherwise be late
 	peakCostHalfLife    = 15 * clock.Second       // time after which a peak of the request cost counts for half
-	peakCostWindow      = 40 * clock.Second       // for which KeepPeak keeps a peak, as shifts of the demand for experts recur every 3 to 4 s among about nine topics
 	priorCostFactor     = 3.0                     // assumed multiple of the configured request cost before one is observed
 	prefillFraction     = 0.15                    // fraction of the gap target that each pass is assumed to spend on prefill, whatever the load
 	minObservedFraction = 0.5                     // fraction of the gap target below which a mean gap is not used to estimate the request cost
@@ -31,10 +30,8 @@
 	PriorCostMs float64 // ms that each request adds to a pass while the ranks are evenly loaded
 
 	GapTarget clock.Span // target for the gap between stream events in ms; 0 for no limit
-	KeepPeak  bool       // the highest cost of peakCostWindow counts in full, rather than a peak that decays
 
-	highest   WindowedMax // request cost in ms
-	peakCost  float64     // highest recent request cost in ms, at peakAt
+	peakCost  float64 // highest recent request cost in ms, at peakAt
 	peakAt    clock.Time
 	lastGap   float64 // last gap between two stream events, in ms
 	lastGapAt clock.Time
@@ -50,10 +47,7 @@
 	if running < max(infeasibleFraction*float64(slots), minConcurrency) || gap < float64(l.GapTarget)*minObservedFraction {
 		return
 	}
-	cost := (gap - l.fixedTime()) / running
-	l.highest.Window = peakCostWindow
-	l.highest.Add(now, cost)
-	if cost > l.decayedCost(now) {
+	if cost := (gap - l.fixedTime()) / running; cost > l.RequestCost(now) {
 		l.peakCost, l.peakAt = cost, now
 	}
 }
@@ -74,16 +68,8 @@
 	return l.BasePassMs + float64(l.GapTarget)*prefillFraction
 }
 
-// RequestCost returns the ms that a request adds to a pass, from the highest recent cost; 0 if none was observed.
+// RequestCost returns the ms that a request adds to a pass, from the decayed peak; 0 if none was observed.
 func (l *ConcurrencyLimiter) RequestCost(now clock.Time) float64 {
-	if l.KeepPeak && l.highest.Window > 0 {
-		return l.highest.Max(now)
-	}
-	return l.decayedCost(now)
-}
-
-// decayedCost returns the decayed peak of the request cost in ms, 0 if none was observed.
-func (l *ConcurrencyLimiter) decayedCost(now clock.Time) float64 {
 	if l.peakCost == 0 {
 		return 0
 	}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -84,7 +84,7 @@
 // room returns what the service's servers have room for, and how many more requests its limit and their rates admit now; mu is
 // held.
 func (e *Entry) room(q *serviceQueue, servers []*routing.Server, now clock.Time) (room Room, free float64) {
-	cost, urgent := e.meanCost(q.service.Name, q, now), !q.limiter.KeepPeak && q.waiting.Urgent(now, urgentWithin)
+	cost, urgent := e.meanCost(q.service.Name, q, now), q.waiting.Urgent(now, urgentWithin)
 	room = e.loads.Room(servers, q.service, func(slots int) float64 { return q.limiter.Limit(cost, slots, urgent) })
 	if q.limiter.Saturated(now) {
 		return room, 0
@@ -229,7 +229,6 @@
 	e.admission.mu.Lock()
 	defer e.admission.mu.Unlock()
 	for name, q := range e.admission.services {
-		q.limiter.KeepPeak = on
 		if on || q.coordinated.Len() > 0 {
 			e.dispatchCoordinated(q, e.loads.Available(view.Services[name]), now)
 		}
--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -20,8 +20,10 @@
 const (
 	maxDemandSize     = 200                      // bytes of the demand in one heartbeat
 	maxLateWait       = 2500 * clock.Millisecond // longest wait of a request that starts late
+	minPatience       = 2 * clock.Second         // callers wait at least that long for the first event of a stream
+	patienceFactor    = 4                        // callers wait that multiple of the latency target for the first event of a stream if it is longer
 	timeoutWindow     = clock.Minute             // in which the longest remaining time of a route's requests is found
-	returningFraction = 15.0 / 16                // of the longest remaining time: a request with less is of a returning caller
+	returningFraction = 5.0 / 6                  // of the longest remaining time: a request with less is of a returning caller, as Retry-After is a sixth of the time at least
 	minRetryAfter     = 100 * clock.Millisecond
 	shedLogInterval   = clock.Second // between two log lines of a service that rejects
 	maxLoggedWait     = clock.Minute // stands for an infinite wait in logs and metrics
@@ -63,7 +65,7 @@
 	now := e.clock.Now()
 	e.admission.mu.Lock()
 	q := e.admission.queueOf(c.service)
-	q.limiter.GapTarget, q.limiter.KeepPeak = c.route.GapTarget, true
+	q.limiter.GapTarget = c.route.GapTarget
 	used := e.admission.usedTime(now, c)
 	// Without servers the request is admitted at once, and pickServer rejects it.
 	if len(servers) == 0 {
@@ -132,13 +134,16 @@
 		if usual == 0 {
 			usual = typicalStreamDuration
 		}
+		patience := max(minPatience, patienceFactor*c.route.LatencyTarget)
+		w.LatestUseful = c.start.Add(patience - 2*callerLatency - q.firstEvent.Delay())
 	} else {
+		w.LatestUseful = now.Add(maxLateWait)
 		w.LatestOnTime = c.start.Add(c.route.LatencyTarget/2 - used)
 		if usual == 0 {
 			usual = c.deadline.Sub(now) / 2
 		}
 	}
-	w.LatestUseful = min(now.Add(maxLateWait), c.deadline.Add(-usual))
+	w.LatestUseful = min(w.LatestUseful, now.Add(maxLateWait), c.deadline.Add(-usual))
 	return w
 }
 
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -7,15 +7,17 @@
 )
 
 const (
-	reportExpiry      = 2 * clock.Second         // age from which a peer's report does not count
-	expiryInterval    = 100 * clock.Millisecond  // between two removals of expired reports
-	flowStep          = 50 * clock.Millisecond   // step of the prediction of waiting requests
-	maxFlight         = 10 * clock.Minute        // longest time in flight that a report may claim
-	flightWeight      = 1.0 / 32                 // weight of one request in the mean time in flight
-	budgetWeight      = 1.0 / 8                  // weight of one request in the mean time budget of its level
-	defaultBudget     = 300 * clock.Millisecond  // time budget of a level without requests
-	acceptFraction    = 1.0 / 3                  // of the time budget: longest expected wait without rejections
-	rejectFraction    = 2.0 / 3                  // of the time budget: expected wait from which all are rejected
+	reportExpiry      = 2 * clock.Second        // age from which a peer's report does not count
+	expiryInterval    = 100 * clock.Millisecond // between two removals of expired reports
+	flowStep          = 50 * clock.Millisecond  // step of the prediction of waiting requests
+	maxFlight         = 10 * clock.Minute       // longest time in flight that a report may claim
+	flightWeight      = 1.0 / 32                // weight of one request in the mean time in flight
+	budgetWeight      = 1.0 / 8                 // weight of one request in the mean time budget of its level
+	defaultBudget     = 300 * clock.Millisecond // time budget of a level without requests
+	acceptFraction    = 1.0 / 3                 // of the time budget: longest expected wait without rejections
+	rejectFraction    = 2.0 / 3                 // of the time budget: expected wait from which all are rejected
+	acceptLate        = 2.0 / 3                 // the same for late requests, which lose nothing by waiting longer
+	rejectLate        = 1.0
 	minLateFraction   = 0.05                     // of the starts, for late requests
 	maxLateWait       = 2500 * clock.Millisecond // longest wait of a late request
 	starvationShare   = 0.3                      // of the admitted share of all requests, which each priority gets at least
@@ -233,13 +235,13 @@
 
 // reject returns the rejection probability of a request of the level with the time budget in ms.
 func (t *total) reject(level int, budget float64) float64 {
-	wait := t.wait(level)
+	wait, accept, full := t.wait(level), acceptFraction, rejectFraction
 	if level == LateLevel {
-		budget = min(budget, float64(maxLateWait))
+		budget, accept, full = min(budget, float64(maxLateWait)), acceptLate, rejectLate
 	}
 	probability := 1.0
 	if budget > 0 && !math.IsInf(wait, 1) {
-		probability = min(max((wait/budget-acceptFraction)/(rejectFraction-acceptFraction), 0), 1)
+		probability = min(max((wait/budget-accept)/(full-accept), 0), 1)
 	}
 	return probability
 }
