Spread callers over all entries in proportion to their cores

Cause: with 72 or 149 entries, those after the first 64 of the sorted addresses get no callers. Change: heartbeats say how many cores an entry may use, from the settings' limits, and whether it is full. Where more than 64 entries are known, the directory answers by directory.Choose. Up to 64 the answer is as before.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -77,6 +77,17 @@
 		}
 		assertProportional(t, entries, someAskers(8000, 0.5))
 	})
+	t.Run("cores that differ 20 times, without zones", func(t *testing.T) {
+		entries := someEntries(72, 0.8)
+		for i := range 36 {
+			entries[2*i].Cores = 0.04
+		}
+		askers := someAskers(8000, 0)
+		for i := range askers {
+			askers[i].Zone = ""
+		}
+		assertProportional(t, entries, askers)
+	})
 	t.Run("a zone with few cores", func(t *testing.T) {
 		entries := someEntries(72, 0.272)
 		for i := range 68 {
@@ -95,13 +106,23 @@
 			entries[i].Full = rapid.Float64Range(0, 1).Draw(t, "full") < 0.2
 			entries[i].Cores *= rapid.Float64Range(0, 100).Draw(t, "factor")
 		}
-		free := usable(entries)
+		free := 0
+		for _, e := range entries {
+			if !e.Full {
+				free++
+			}
+		}
+		named := free
+		if free == 0 {
+			named = len(entries)
+		}
 		answer := Choose(entries, asker, MaxAddresses)
-		assert.GreaterOrEqual(t, len(answer), min(minAddresses, len(free)))
-		assert.LessOrEqual(t, len(answer), min(MaxAddresses, len(free)))
+		assert.GreaterOrEqual(t, len(answer), min(minAddresses, named))
+		assert.LessOrEqual(t, len(answer), min(MaxAddresses, named))
 		assert.Len(t, slices.Compact(slices.Clone(answer)), len(answer))
+		assert.True(t, slices.IsSorted(answer))
 		for _, e := range entries {
-			assert.False(t, e.Full && len(free) < len(entries) && slices.Contains(answer, e.Address))
+			assert.False(t, e.Full && free > 0 && slices.Contains(answer, e.Address))
 		}
 		slices.Reverse(entries)
 		assert.Equal(t, answer, Choose(entries, asker, MaxAddresses))
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -50,6 +50,7 @@
 	draining          atomic.Bool
 	active            atomic.Int64
 	buffered          atomic.Int64 // bytes of response bodies that are buffered, beyond freeBodyBytes of each
+	full              atomic.Bool  // short of descriptors or memory
 }
 
 // call is the state of one caller request.
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -41,15 +41,12 @@
 func (e *Entry) directoryHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+e.protocol.DirectoryPath, func(w http.ResponseWriter, r *http.Request) {
-		addresses := e.peers.ReadyAddresses()
-		if e.ready() {
-			addresses = append(addresses, e.settings.Load().Front)
-		}
+		addresses := e.directoryAddresses(r)
 		if len(addresses) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		content, err := e.protocol.EncodeDirectory(addresses[:min(len(addresses), maxDirectoryAddresses)], min(maxDirectoryTTL, e.settings.Load().TTL))
+		content, err := e.protocol.EncodeDirectory(addresses, min(maxDirectoryTTL, e.settings.Load().TTL))
 		if err != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 			level.Error(e.limitedLogger.Logger).Log("msg", "directory response not encoded, answering with status 500", "error", err)
@@ -63,10 +60,7 @@
 	return mux
 }
 
-const (
-	maxDirectoryAddresses = 64               // addresses in one response
-	maxDirectoryTTL       = 2 * clock.Second // upper bound on the time that callers cache a response
-)
+const maxDirectoryTTL = 2 * clock.Second // upper bound on the time that callers cache a response
 
 // readyHandler answers the platform's readiness checks.
 func (e *Entry) readyHandler() http.Handler {
--- a/internal/gateway/heartbeat.go
+++ b/internal/gateway/heartbeat.go
@@ -38,6 +38,9 @@
 
 	Confirmed confirmation // how old the sender's state is at most; none from an entry of an earlier release
 
+	Cores float64 // processor cores that the sender may use; 0 if unknown
+	Full  bool    // the sender is short of descriptors or memory
+
 	Ask string // address of the engine whose group an agent asks for
 }
 
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,8 +56,9 @@
 		EncodeDirectory: func(addresses []string, _ clock.Span) ([]byte, error) {
 			return []byte(strings.Join(addresses, " ")), nil
 		},
-		ReadyPath:     "/ready",
-		DirectoryPath: "/resolve",
+		ParseDirectoryQuery: func(q url.Values) string { return q.Get("zone") },
+		ReadyPath:           "/ready",
+		DirectoryPath:       "/resolve",
 	}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -89,6 +89,7 @@
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(), Rates: e.loads.RateReports(),
 			Leaving: e.loads.LeavingReports(), Taking: e.loads.RecoveredReports(),
+			Cores: s.Cores, Full: e.full.Load(),
 		}
 	}, func(address string) engine.MemberList { return memberList(e.state.View(), address, c.Now()) })
 	e.loads.entries, e.loads.drainTime = e.peers.Entries, s.DrainTime
@@ -184,6 +185,7 @@
 			return nil
 		case <-ticker.C:
 			e.state.RemoveExpired()
+			e.updateFull()
 			view := e.state.View()
 			e.conns.closeExpired(func(id string) bool { return view.Servers[id] != nil && !e.loads.Leaves(view.Servers[id]) })
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -24,6 +24,8 @@
 	Store            string     // address of the metadata store
 	LinkMbps         float64    // throughput of the instance's link in Mbit/s; 0 if unknown
 	Memory           int64      // memory of the instance in bytes
+	Cores            float64    // processor cores that the process may use; 0 if unknown
+	Descriptors      int        // file descriptors that the process may open; 0 if unknown
 	ShutdownGrace    clock.Span // ms from the stop signal until the process is killed
 	TTL              clock.Span // upper bound in ms on the time that callers cache a directory response
 	RetryRatio       float64    // retries per request
