Don't reject for lack of a configuration that a peer has

Cause: an entry that gave up joining left out peers ahead of its position, so it rejected callers for lack of a configuration that it could pull. After a cold start, callers were all told 500 ms and came back together. Change: an entry without a configuration pulls it from any live peer, and requests wait for it, at most a second and a third of the caller's time. Where more than 64 entries are known, Retry-After is drawn from 0.3 to 2.5 s and is at most a third of the caller's time. Measured: TestRejectsThoughPeerHasConfig fails without the wait and without the pull; TestColdStartSpreadsCallers fails with 500 ms for all.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -120,9 +120,10 @@
 	case <-e.joined: // takes a heartbeat of a peer, at most joinTimeout
 	case <-c.request.Context().Done():
 	}
+	e.waitForConfig(c)
 	view := e.state.View()
 	if view.Config == nil {
-		return &rejection{status: http.StatusServiceUnavailable, reason: "no configuration is known", retryAfter: noConfigRetryAfter}
+		return &rejection{status: http.StatusServiceUnavailable, reason: "no configuration is known", retryAfter: e.noConfigRetryAfter(c)}
 	}
 	if rej := e.authorize(view, c); rej != nil {
 		return rej
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/directory"
 	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
 )
@@ -14,6 +16,7 @@
 	joinTimeout      = clock.Second            // for a starting entry to learn the newest configuration of its peers
 	configRetryPause = 100 * clock.Millisecond // after a failed pull of a newer configuration
 	configPullPause  = clock.Second            // after a pull that brought no newer configuration, since the peer has not noticed a restore
+	configPoll       = 10 * clock.Millisecond  // between two checks whether the configuration that a peer knows has arrived
 	greetInterval    = 50 * clock.Millisecond  // least interval between two heartbeats sent early because a peer starts
 )
 
@@ -62,7 +65,7 @@
 func (e *Entry) pullNewerConfig(ctx context.Context, joining bool) (pulled bool, err error) {
 	position := e.state.Position()
 	limit := position
-	if joining {
+	if joining || e.state.ConfigVersion() == 0 {
 		limit = store.Latest
 	}
 	control, ok := e.peers.WithNewerConfig(e.state.ConfigVersion(), limit, e.configUnreachable)
@@ -86,6 +89,39 @@
 	}
 }
 
+// waitForConfig waits until a configuration is known if a live peer knows one, since this entry pulls it. It waits at most
+// joinTimeout and a third of the caller's time, so that the caller can still go elsewhere.
+func (e *Entry) waitForConfig(c *call) {
+	limit := joinTimeout
+	if c.Timeout > 0 {
+		limit = min(limit, c.Timeout/3)
+	}
+	ctx, cancel := withDeadline(c.request.Context(), e.clock, c.start.Add(limit))
+	defer cancel()
+	for e.state.View().Config == nil && ctx.Err() == nil {
+		if _, ok := e.peers.WithNewerConfig(0, store.Latest, ""); !ok {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(configPoll.Duration()):
+		}
+	}
+}
+
+// noConfigRetryAfter returns the Retry-After in ms of a caller that is rejected before a configuration is known. Where there
+// are many entries, their callers come back apart.
+func (e *Entry) noConfigRetryAfter(c *call) clock.Span {
+	if e.peers.Entries().Known <= directory.MaxAddresses {
+		return noConfigRetryAfter
+	}
+	left := clock.Span(0)
+	if c.Timeout > 0 {
+		left = max(c.Timeout-e.clock.Since(c.start), 1)
+	}
+	return directory.ColdRetryAfter(left, rand.Float64())
+}
+
 // WithNewerConfig returns the control address of the live peer with the latest version of the configuration among those
 // whose position is not after limit; ok is false if none is above version. The peer with the control address avoid is
 // returned only if no other one is above.
--- a/internal/gateway/join_test.go
+++ b/internal/gateway/join_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -123,6 +124,31 @@
 	assert.NoError(t, <-done)
 }
 
+// TestRejectsThoughPeerHasConfig guards against an entry that joined without a configuration and rejects callers for the lack
+// of it, while a peer has one that the entry could pull.
+func TestRejectsThoughPeerHasConfig(t *testing.T) {
+	now := clock.Time(1)
+	peer := newTestState(&now)
+	require.True(t, peer.Replace([]Change{putChange("config", "\x05", 5).at(1)}, store.At(1, 7), "store"))
+	server := httptest.NewServer((&Entry{state: peer}).peerHandler())
+	defer server.Close()
+	e, url := newTestEntry(t)
+	e.state, e.joined = newTestState(&now), make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := lifecycle.Start(ctx, e.catchUpLoop)
+	<-e.joined // after joinTimeout, as no peer is heard
+	got, err := doRequest(t, t.Context(), http.MethodPost, url+"/safe/", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Equal(t, "500", got.header.Get("Retry-After"), "as no more than 64 entries are known")
+	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.9", Number: 1, Control: strings.TrimPrefix(server.URL, "http://"), Era: 1, Revision: 7, Version: 5})
+	got, err = doRequest(t, t.Context(), http.MethodPost, url+"/safe/", "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusNotFound, got.status, "by the configuration, which has no routes")
+	cancel()
+	assert.NoError(t, <-done)
+}
+
 // TestUnreachablePeerHidesNewerConfig guards against an entry that asks the one peer with the newest configuration again
 // and again, though it can't reach it and others have a newer one than its own.
 func TestUnreachablePeerHidesNewerConfig(t *testing.T) {
@@ -140,3 +166,23 @@
 	}
 	assert.EqualValues(t, 5, e.state.ConfigVersion())
 }
+
+// TestColdStartSpreadsCallers guards against callers that all come back at one time after a cold start of many entries.
+func TestColdStartSpreadsCallers(t *testing.T) {
+	now := clock.Time(1)
+	e, url := newTestEntry(t)
+	e.peers.clock = clock.Manual(&now)
+	hearPeers(e, 71)
+	e.state = newTestState(&now)
+	e.state.Replace(nil, store.At(1, 1), "store")
+	seen := make(map[string]bool)
+	for range 30 {
+		got, err := doRequest(t, t.Context(), http.MethodPost, url+"/safe/", "")
+		require.NoError(t, err)
+		after, err := strconv.Atoi(got.header.Get("Retry-After"))
+		require.NoError(t, err)
+		assert.InDelta(t, (300+5000/3)/2, after, (5000/3-300)/2+1)
+		seen[got.header.Get("Retry-After")] = true
+	}
+	assert.Greater(t, len(seen), 15)
+}
