Start no timer for requests once a configuration is known

Cause: each request made a context with a deadline to wait for a configuration. Change: the wait returns at once if one is known.

--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -66,8 +66,8 @@
 	})
 	t.Run("an entry that joins is named at once", func(t *testing.T) {
 		e, ask := peersEntry(t, &now, 71)
-		e.peers.handleHeartbeat(heartbeat{Name: "new", IP: "10.0.1.1", Front: "new:1", Number: 1, Ready: true})
-		assert.True(t, namedTo(ask)["new:1"])
+		e.peers.handleHeartbeat(heartbeat{Name: "q", IP: "10.0.1.1", Front: "q:1", Number: 1, Ready: true})
+		assert.True(t, namedTo(ask)["q:1"])
 	})
 	t.Run("full ones are not named", func(t *testing.T) {
 		e, ask := peersEntry(t, &now, 71)
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -92,6 +92,9 @@
 // waitForConfig waits until a configuration is known if a live peer knows one, since this entry pulls it. It waits at most
 // joinTimeout and a third of the caller's time, so that the caller can still go elsewhere.
 func (e *Entry) waitForConfig(c *call) {
+	if e.state.View().Config != nil {
+		return
+	}
 	limit := joinTimeout
 	if c.Timeout > 0 {
 		limit = min(limit, c.Timeout/3)
