Explain where an entry would send a request

Cause: operators can't see why a request would be rejected or where it would go without sending one. Change: GET /route on the metrics server runs the functions of a real request on a copy of the state that requests change, and answers with each stage, the candidates with their chances, and the likely order of attempts.

--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -77,6 +77,39 @@
 // pickChoices is the number of endpoints that PickEndpoint compares.
 const pickChoices = 4
 
+// PickChances returns the probability that PickEndpoint returns each of the endpoints.
+func PickChances(endpoints []Endpoint, zone string) (chances []float64) {
+	chances = make([]float64, len(endpoints))
+	var usable []int
+	for i := range endpoints {
+		if endpoints[i].Closed() == "" {
+			usable = append(usable, i)
+		}
+	}
+	drawn := min(pickChoices, len(usable))
+	allFrom := func(count int) float64 { // the probability that all drawn endpoints are among count of the usable ones
+		p := 1.0
+		for k := range drawn {
+			p *= float64(max(count-k, 0)) / float64(len(usable)-k)
+		}
+		return p
+	}
+	for _, i := range usable {
+		better, equal := 0, 0
+		for _, j := range usable {
+			switch {
+			case endpoints[j].preferredOver(&endpoints[i], zone):
+				better++
+			case !endpoints[i].preferredOver(&endpoints[j], zone):
+				equal++
+			}
+		}
+		left := len(usable) - better
+		chances[i] = (allFrom(left) - allFrom(left-equal)) / float64(equal)
+	}
+	return chances
+}
+
 func (e *Endpoint) preferredOver(o *Endpoint, zone string) bool {
 	a, b := e.InFlight()*max(o.Slots, 1), o.InFlight()*max(e.Slots, 1)
 	if a != b {
--- a/internal/balance/serverrate.go
+++ b/internal/balance/serverrate.go
@@ -83,6 +83,11 @@
 	l.times = append(l.times[len(l.times)-l.Within(now, window):], now)
 }
 
+// Clone returns an independent copy.
+func (l *SendLog) Clone() SendLog {
+	return SendLog{times: slices.Clone(l.times)}
+}
+
 // Within returns the number of requests in the window that ends now.
 func (l *SendLog) Within(now clock.Time, window clock.Span) int {
 	first, _ := slices.BinarySearch(l.times, now.Add(-window)+1)
--- a/internal/balance/waitqueue.go
+++ b/internal/balance/waitqueue.go
@@ -46,6 +46,13 @@
 	ExpectedWait clock.Span // expected time in ms until the request starts
 }
 
+// Clone returns a copy that can be changed without an effect on q; it shares the waiting requests themselves.
+func (q *WaitQueue[T]) Clone() WaitQueue[T] {
+	c := *q
+	c.waiting = slices.Clone(q.waiting)
+	return c
+}
+
 // RecordArrival counts a request that arrives, whether or not it has to wait.
 func (q *WaitQueue[T]) RecordArrival(now clock.Time) {
 	q.arrivals.add(now)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -22,6 +22,9 @@
 	dispatchesPerObservation = 2                        // number of dispatches for each observation of the load
 )
 
+// reasonTimeOver is the reason of the rejection of a request whose time ended while it waited.
+const reasonTimeOver = "the time is over"
+
 // admission holds the waiting requests of all services.
 type admission struct {
 	mu       sync.Mutex
@@ -177,7 +180,7 @@
 			return rej, true
 		case <-news:
 		case <-ctx.Done():
-			return &rejection{status: http.StatusServiceUnavailable, reason: "the time is over"}, false
+			return &rejection{status: http.StatusServiceUnavailable, reason: reasonTimeOver}, false
 		}
 	}
 }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -123,7 +123,7 @@
 	e.waitForConfig(c)
 	view := e.state.View()
 	if view.Config == nil {
-		return &rejection{status: http.StatusServiceUnavailable, reason: "no configuration is known", retryAfter: e.noConfigRetryAfter(c)}
+		return &rejection{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: e.noConfigRetryAfter(c)}
 	}
 	if rej := e.authorize(view, c); rej != nil {
 		return rej
@@ -206,13 +206,7 @@
 	if len(servers) == 0 {
 		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "the service has no usable backend server", retryAfter: noServerRetryAfter}
 	}
-	if available := e.loads.Available(servers); len(available) < len(servers) {
-		probes := e.loads.ProbeServers(servers)
-		servers = available
-		if len(probes) > 0 && c.attempts == 0 {
-			servers = probes
-		}
-	}
+	servers = e.eligibleServers(c, servers)
 	i, chosen, closed := e.loads.Choose(servers, c.service, c.tried, e.settings.Load().Zone)
 	if i < 0 {
 		c.closed = closed.Reasons
@@ -224,6 +218,19 @@
 	return servers[i], nil
 }
 
+// eligibleServers returns the servers that the next attempt may go to: those of a group that is probed now, or else those
+// outside groups with a tripped circuit breaker. It counts the probe.
+func (e *Entry) eligibleServers(c *call, servers []*routing.Server) []*routing.Server {
+	available := e.loads.Available(servers)
+	if len(available) == len(servers) {
+		return servers
+	}
+	if probes := e.loads.ProbeServers(servers); len(probes) > 0 && c.attempts == 0 {
+		return probes
+	}
+	return available
+}
+
 // rejectionOfClosed returns the rejection of a request that no backend server can get now.
 func rejectionOfClosed(closed ClosedServers) *rejection {
 	switch {
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -89,6 +89,9 @@
 	}
 }
 
+// reasonNoConfig is the reason of the rejection of a request before a configuration is known.
+const reasonNoConfig = "no configuration is known"
+
 // waitForConfig waits until a configuration is known if a live peer knows one, since this entry pulls it. It waits at most
 // joinTimeout and a third of the caller's time, so that the caller can still go elsewhere.
 func (e *Entry) waitForConfig(c *call) {
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -25,11 +25,7 @@
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	endpoints := make([]balance.Endpoint, len(servers))
-	for i, s := range servers {
-		endpoints[i] = t.endpoint(s, service, now)
-		endpoints[i].Tried = slices.Contains(tried, s.ID)
-	}
+	endpoints := t.endpoints(servers, service, tried, now)
 	i = balance.PickEndpoint(endpoints, zone, rand.Uint64)
 	if i < 0 && t.reopenLeaving(servers, endpoints, now) {
 		i = balance.PickEndpoint(endpoints, zone, rand.Uint64)
@@ -41,6 +37,16 @@
 	return i, endpoints[i], closed
 }
 
+// endpoints returns the states of the servers for a request that was already sent to those in tried; mu is held.
+func (t *LoadTracker) endpoints(servers []*routing.Server, service routing.Service, tried []string, now clock.Time) []balance.Endpoint {
+	endpoints := make([]balance.Endpoint, len(servers))
+	for i, s := range servers {
+		endpoints[i] = t.endpoint(s, service, now)
+		endpoints[i].Tried = slices.Contains(tried, s.ID)
+	}
+	return endpoints
+}
+
 // reopenLeaving lets the endpoints of leaving servers be chosen that still serve, and reports whether there are any; mu is
 // held.
 func (t *LoadTracker) reopenLeaving(servers []*routing.Server, endpoints []balance.Endpoint, now clock.Time) (any bool) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -123,7 +123,7 @@
 		{"ready", s.Ready, e.readyHandler()},
 		{"directory", s.Directory, e.directoryHandler()},
 		{"control", s.Control, e.peerHandler()},
-		{"metrics", net.JoinHostPort(s.IP, metricsPort), e.metricsHandler()},
+		{"metrics", net.JoinHostPort(s.IP, MetricsPort), e.metricsHandler()},
 	}
 	for _, h := range handlers {
 		listener, err := net.Listen("tcp", h.address)
@@ -212,6 +212,7 @@
 func (e *Entry) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+metricsRoute, func(w http.ResponseWriter, _ *http.Request) { e.metrics.Write(w) })
+	mux.HandleFunc("GET "+RoutePath, e.handleRoute)
 	return mux
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,8 +40,8 @@
 	Fencing          bool       // engines reject commands with a lower fence than one that they have seen
 }
 
-// metricsPort is the TCP port of the metrics server; it must match the deploy file.
-const metricsPort = "9464"
+// MetricsPort is the TCP port of the metrics server; it must match the deploy file.
+const MetricsPort = "9464"
 
 // Check returns an error for the first setting that is missing or invalid.
 func (s Settings) Check() error {
