--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -115,6 +115,7 @@
 		{"status", "show the status of each process", "Shows one row per process. It exits with 1 if some processes did not answer, and with 3 if none did.", &statusCommand{queryOptions: queryOptions{app: a}}},
 		{"wait", "wait until a ticket is in force", "Waits until ticket N is in force at every listed process.", &waitCommand{queryOptions: queryOptions{app: a}}},
 		{"explain", "show how a request was routed", "Shows the decisions on the request id KEY that the processes still store, or the log lines about it.", &explainCommand{queryOptions: queryOptions{app: a}}},
+		{"route", "show where a request would go now", "Shows where a running entry would send a request now, and why, without sending it. The API key is read from a file and never shown.", &routeCommand{app: a}},
 		{"settings", "show the settings and where they come from", "Shows each setting, its value and its source: file, environment, flag or default. Secrets are hidden. Without a file it shows the meaning, unit, allowed values and default of each field.", &settingsCommand{app: a}},
 		{"schema", "show the JSON schema of a settings file", "Shows the JSON schema that settings files are checked against, with units, ranges and defaults.", &schemaCommand{app: a}},
 		{"plan", "plan expert maps", "Reads reports of expert counts as JSON lines from standard input and writes one line per report to standard output.", &planCommand{app: a}},
