--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,6 +90,7 @@
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(), Rates: e.loads.RateReports(),
 			Leaving: e.loads.LeavingReports(), Taking: e.loads.RecoveredReports(),
 			Demand: e.ownDemand(),
+			Cores:  s.Cores, Full: e.full.Load(),
 		}
 	}, func(address string) engine.MemberList {
 		list := memberList(e.state.View(), address, c.Now())
@@ -128,7 +129,7 @@
 		{"ready", s.Ready, e.readyHandler()},
 		{"directory", s.Directory, e.directoryHandler()},
 		{"control", s.Control, e.peerHandler()},
-		{"metrics", net.JoinHostPort(s.IP, metricsPort), e.metricsHandler()},
+		{"metrics", net.JoinHostPort(s.IP, MetricsPort), e.metricsHandler()},
 	}
 	for _, h := range handlers {
 		listener, err := net.Listen("tcp", h.address)
@@ -190,6 +191,7 @@
 			return nil
 		case <-ticker.C:
 			e.state.RemoveExpired()
+			e.updateFull()
 			view := e.state.View()
 			e.conns.closeExpired(func(id string) bool { return view.Servers[id] != nil && !e.loads.Leaves(view.Servers[id]) })
 		}
@@ -216,6 +218,7 @@
 func (e *Entry) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+metricsRoute, func(w http.ResponseWriter, _ *http.Request) { e.metrics.Write(w) })
+	mux.HandleFunc("GET "+RoutePath, e.handleRoute)
 	return mux
 }
 
