Serve sooner after a cold start of everything

Cause: after a power loss most callers have used up their retries. Entries rejected them for lack of a configuration that came 0.5 s later, or of a part of the cold servers' rates that came within 1 s. The first expert map was planned 2 s after the group opened, as its coordinator waited for twelve long passes. The cost of requests under the initial map kept the concurrency limit low for 15 s. Change, with coordinated admission or many entries only: requests wait for the configuration at most 2 s and a third of the time, and for the parts while the entry settles. A coordinator plans at once in an incarnation of the group that began while its process ran: ranks refuse commands of earlier ones. Four fifths of the cost under the initial map count later.

--- a/internal/balance/concurrencylimiter.go
+++ b/internal/balance/concurrencylimiter.go
@@ -17,6 +17,7 @@
 	maxGapAge           = 300 * clock.Millisecond // age from which a gap no longer describes the present load
 	stallFactor         = 2.0                     // multiple of the gap target above which a gap is a stall, not an effect of load
 	infeasibleFraction  = 1.0 / 6                 // fraction of the slots below which a limit shows that the target is out of reach; all slots are then used for throughput
+	plannedFraction     = 0.8                     // of the request cost under the initial expert map that is assumed under planned maps
 	minConcurrency      = 1.0                     // minimum limit in requests per engine
 )
 
@@ -31,10 +32,15 @@
 
 	GapTarget clock.Span // target for the gap between stream events in ms; 0 for no limit
 
-	peakCost  float64 // highest recent request cost in ms, at peakAt
-	peakAt    clock.Time
-	lastGap   float64 // last gap between two stream events, in ms
-	lastGapAt clock.Time
+	// InitialUntil is the time until which the engines use the experts' initial map, 0 for unknown. Of the highest cost until
+	// then plannedFraction counts afterwards, since a planned map makes requests cheaper, also after a shift of demand.
+	InitialUntil clock.Time
+
+	peakCost    float64 // highest recent request cost in ms, at peakAt
+	peakAt      clock.Time
+	initialCost float64 // highest request cost in ms before InitialUntil
+	lastGap     float64 // last gap between two stream events, in ms
+	lastGapAt   clock.Time
 }
 
 // ObserveMeanGap records the mean gap in ms between stream events while each engine ran the given number of requests in its
@@ -47,8 +53,12 @@
 	if running < max(infeasibleFraction*float64(slots), minConcurrency) || gap < float64(l.GapTarget)*minObservedFraction {
 		return
 	}
-	if cost := (gap - l.fixedTime()) / running; cost > l.RequestCost(now) {
-		l.peakCost, l.peakAt = cost, now
+	cost := (gap - l.fixedTime()) / running
+	switch {
+	case now < l.InitialUntil:
+		l.initialCost = max(l.initialCost, cost)
+	case cost > l.RequestCost(now):
+		l.peakCost, l.peakAt, l.initialCost = cost, now, 0
 	}
 }
 
@@ -70,6 +80,12 @@
 
 // RequestCost returns the ms that a request adds to a pass, from the decayed peak; 0 if none was observed.
 func (l *ConcurrencyLimiter) RequestCost(now clock.Time) float64 {
+	if now < l.InitialUntil && l.initialCost > 0 {
+		return l.initialCost
+	}
+	if l.initialCost > 0 && l.initialCost*plannedFraction > l.peakCost {
+		return l.initialCost * plannedFraction
+	}
 	if l.peakCost == 0 {
 		return 0
 	}
--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -16,6 +16,7 @@
 	"carawaypick/internal/datagram"
 	"carawaypick/internal/lifecycle"
 	"carawaypick/pkg/clock"
+	"carawaypick/pkg/expert"
 )
 
 const (
@@ -65,13 +66,15 @@
 	large          chan largeMessage // messages that are sent at the pace of the link
 	replies        chan commandReply
 	statusReceived chan struct{} // signals a status that the coordinator waits for
+	firstEpoch     int64         // incarnation of the group in the first report that this process read, expert.None before
+	directedEpoch  int64         // newest incarnation of the group in which this process had a controller, expert.None for none
 	engineFailed   bool          // the last read of the engine failed
 	planError      string        // last error of the planner, empty for none
 }
 
 // New returns an agent that is not running yet.
 func New(s Settings, client Client, c clock.Clock, logger log.Logger) *Agent {
-	return &Agent{settings: s, client: client, clock: c, logger: logger, polledByLower: c.Now(), sentCounts: make(map[int]countSnapshot), maps: make(preparedMaps), large: make(chan largeMessage, maxLargeMessages), replies: make(chan commandReply, 256), statusReceived: make(chan struct{}, 1)}
+	return &Agent{settings: s, client: client, clock: c, logger: logger, polledByLower: c.Now(), sentCounts: make(map[int]countSnapshot), maps: make(preparedMaps), large: make(chan largeMessage, maxLargeMessages), replies: make(chan commandReply, 256), statusReceived: make(chan struct{}, 1), firstEpoch: expert.None, directedEpoch: expert.None}
 }
 
 // Run listens for messages, polls the group and sends commands until ctx ends, or returns an error if it can't listen.
@@ -392,4 +395,16 @@
 	}
 	a.engineFailed = false
 	a.report = r
+	if a.firstEpoch == expert.None && r.Group != "" {
+		a.firstEpoch = r.Epoch
+	}
+}
+
+// begunEpoch returns the incarnation of the group if it began while this process ran and this process has not coordinated it
+// in that incarnation, expert.None otherwise; mu is held.
+func (a *Agent) begunEpoch(epoch int64) int64 {
+	if !a.group.Coordinated || a.firstEpoch == expert.None || epoch == a.firstEpoch || epoch == a.directedEpoch {
+		return expert.None
+	}
+	return epoch
 }
--- a/internal/engine/controller.go
+++ b/internal/engine/controller.go
@@ -258,8 +258,10 @@
 	}
 	if a.controller == nil || len(a.controller.statuses) != a.report.GroupSize || a.controller.shape != a.group.Shape {
 		a.controller = newMapController(a.report.GroupSize, own.Rank, a.group.Shape, a.settings.LinkBytesPerMs)
+		a.controller.coordinator.BegunEpoch = a.begunEpoch(own.Epoch)
 		level.Info(a.logger).Log("msg", "this process directs the group", "group", own.Group, "rank", own.Rank, "ranks", a.report.GroupSize)
 	}
+	a.directedEpoch = own.Epoch
 	a.controller.receive(now, own)
 	for _, m := range a.group.Members {
 		if m.Rank != own.Rank {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -282,6 +282,9 @@
 		if q.gapCount < minGaps || len(servers) == 0 {
 			continue
 		}
+		if e.coordinated() {
+			q.limiter.InitialUntil = initialMapUntil(servers, now, clock.Wall())
+		}
 		running := float64(e.loads.TotalInFlight(servers)) / float64(len(servers))
 		gap := q.gapSum / float64(q.gapCount)
 		q.limiter.ObserveMeanGap(now, gap, running, servers[0].Slots)
@@ -292,6 +295,19 @@
 	}
 }
 
+// initialMapTime is the time in ms after the start of a group's last rank within which its first planned map is in use.
+const initialMapTime = 4 * clock.Second
+
+// initialMapUntil returns the time until which groups of the servers may use their initial expert map; wall is the time of day.
+func initialMapUntil(servers []*routing.Server, now clock.Time, wall int64) (until clock.Time) {
+	for _, s := range servers {
+		if age := clock.Span(wall - s.StartedAt); s.Group != "" && age < initialMapTime {
+			until = max(until, now.Add(initialMapTime-max(age, 0)))
+		}
+	}
+	return until
+}
+
 // priority returns the request's priority, 0 for the most urgent.
 func (c *call) priority() int {
 	if c.team.HasPriority {
--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -75,7 +75,7 @@
 		return nil
 	}
 	room, free := e.coordinatedRoom(q, servers, now)
-	if room.Closed {
+	if room.Closed && !e.settling() {
 		e.admission.mu.Unlock()
 		return rejectionOfRoom(room)
 	}
@@ -184,6 +184,12 @@
 	return room, free
 }
 
+// settling reports whether this entry has just started and gets its parts of the servers' rates as soon as it knows the other
+// entries. Until then requests wait: after a power loss the engines are cold, and most callers have used up their retries.
+func (e *Entry) settling() bool {
+	return len(e.peers.Entries().Alive) == 0
+}
+
 // dispatchCoordinated rejects waiting requests whose latest useful start has passed and admits others into free slots; mu is
 // held.
 func (e *Entry) dispatchCoordinated(q *serviceQueue, servers []*routing.Server, now clock.Time) {
@@ -200,6 +206,7 @@
 	}
 	room, free := e.coordinatedRoom(q, servers, now)
 	switch {
+	case room.Closed && e.settling():
 	case room.Closed:
 		for _, w := range q.coordinated.TakeAll() {
 			w.Value.result <- rejectionOfRoom(room)
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -50,8 +50,12 @@
 	return all
 }
 
-// updateFull records whether the entry uses more than three quarters of its descriptors or of the memory for bodies.
+// updateFull records whether the entry uses more than three quarters of its descriptors or of the memory for bodies, where
+// the directory asks for it.
 func (e *Entry) updateFull() {
+	if e.peers.Entries().Known <= directory.MaxAddresses {
+		return
+	}
 	s := e.settings.Load()
 	used, limit := descriptors()
 	if s.Descriptors > 0 && (limit == 0 || s.Descriptors < limit) {
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -16,6 +16,7 @@
 	joinTimeout      = clock.Second            // for a starting entry to learn the newest configuration of its peers
 	configRetryPause = 100 * clock.Millisecond // after a failed pull of a newer configuration
 	configPullPause  = clock.Second            // after a pull that brought no newer configuration, since the peer has not noticed a restore
+	coldStartWait    = 2 * clock.Second        // longest wait of a request for a configuration that no peer knows yet, after a start of many entries
 	configPoll       = 10 * clock.Millisecond  // between two checks whether the configuration that a peer knows has arrived
 	greetInterval    = 50 * clock.Millisecond  // least interval between two heartbeats sent early because a peer starts
 )
@@ -93,19 +94,24 @@
 const reasonNoConfig = "no configuration is known"
 
 // waitForConfig waits until a configuration is known if a live peer knows one, since this entry pulls it. It waits at most
-// joinTimeout and a third of the caller's time, so that the caller can still go elsewhere.
+// joinTimeout and a third of the caller's time, so that the caller can still go elsewhere. Where there are many entries it
+// waits for the store as well, at most coldStartWait: after a power loss most callers have used up their retries, and the
+// store answers soon after the entries have started.
 func (e *Entry) waitForConfig(c *call) {
 	if e.state.View().Config != nil {
 		return
 	}
-	limit := joinTimeout
+	limit, many := joinTimeout, e.peers.Entries().Known > directory.MaxAddresses
+	if many {
+		limit = coldStartWait
+	}
 	if c.Timeout > 0 {
 		limit = min(limit, c.Timeout/3)
 	}
 	ctx, cancel := withDeadline(c.request.Context(), e.clock, c.start.Add(limit))
 	defer cancel()
 	for e.state.View().Config == nil && ctx.Err() == nil {
-		if _, ok := e.peers.WithNewerConfig(0, store.Latest, ""); !ok {
+		if _, ok := e.peers.WithNewerConfig(0, store.Latest, ""); !ok && !many {
 			return
 		}
 		select {
--- a/pkg/expert/holdcoordinator.go
+++ b/pkg/expert/holdcoordinator.go
@@ -119,6 +119,10 @@
 	ResendAfter        clock.Span // time in ms that a command and its reply may take, after which it is sent again
 	ResendPrepareAfter clock.Span // the same for OpPrepare
 
+	// BegunEpoch is an incarnation of the group that began while this process ran and in which it has sent no command yet, None
+	// for none. Ranks refuse commands of earlier incarnations, so no step of an earlier switch must be waited for.
+	BegunEpoch int64
+
 	localRank  int // rank on the coordinator's instance
 	firstRank  int // local rank of the coordinator that proposed the map
 	witness    int // rank that is armed first
@@ -166,7 +170,7 @@
 
 // NewHoldCoordinator returns a coordinator for a group with the given number of ranks, whose status is unknown yet.
 func NewHoldCoordinator(ranks, localRank int) *HoldCoordinator {
-	h := &HoldCoordinator{localRank: localRank, ranks: make([]RankStatus, ranks), pending: make(map[uint64]Command), lastEpoch: None}
+	h := &HoldCoordinator{localRank: localRank, ranks: make([]RankStatus, ranks), pending: make(map[uint64]Command), lastEpoch: None, BegunEpoch: None}
 	for i := range h.ranks {
 		h.ranks[i] = RankStatus{Epoch: None, Prepared: None, Armed: None, Held: None, RequestedAt: -1}
 	}
@@ -253,7 +257,11 @@
 func (h *HoldCoordinator) earlierStepsBegun() bool {
 	limit := h.newestStep() + maxStepsAhead
 	if h.lastEpoch != h.ranks[0].Epoch || h.lastStep > limit { // first statuses, or the group has restarted
+		first := h.lastEpoch == None
 		h.lastEpoch, h.lastStep = h.ranks[0].Epoch, limit
+		if first && h.lastEpoch == h.BegunEpoch {
+			h.lastStep = h.newestStep()
+		}
 	}
 	return h.newestStep() >= h.lastStep
 }
--- a/pkg/expert/holdcoordinator_test.go
+++ b/pkg/expert/holdcoordinator_test.go
@@ -145,6 +145,8 @@
 	reports      []statusReport
 	fence        int64
 	behind       [maxSimCoordinators]int64 // by coordinator: how far its fences are behind, since its clock is
+	firstEpoch   [maxSimCoordinators]int64 // by coordinator: incarnation of the group in which its process started
+	directed     [maxSimCoordinators]int64 // by coordinator: newest incarnation in which its process coordinated
 	paused       int                       // coordinator whose instance is paused together with its local rank, or -1
 }
 
@@ -154,6 +156,7 @@
 	s := &holdSimulation{group: newSimGroup(ranks, fencing), paused: -1}
 	for i := range min(ranks, maxSimCoordinators) {
 		s.coordinators = append(s.coordinators, NewHoldCoordinator(ranks, i))
+		s.firstEpoch[i], s.directed[i] = s.group.epoch, None
 	}
 	return s
 }
@@ -163,6 +166,7 @@
 		return
 	}
 	s.fence += MaxCoordinators
+	s.directed[coordinator] = s.group.epoch
 	for _, c := range s.coordinators[coordinator].Tick(s.group.now, s.newFence(coordinator)) {
 		s.commands = append(s.commands, pendingCommand{coordinator: coordinator, command: c})
 	}
@@ -254,6 +258,19 @@
 	}
 	s.reports = slices.DeleteFunc(s.reports, func(r statusReport) bool { return r.coordinator == coordinator })
 	s.coordinators[coordinator] = NewHoldCoordinator(len(s.group.ranks), coordinator)
+	s.firstEpoch[coordinator], s.directed[coordinator] = s.group.epoch, None
+}
+
+// renewCoordinator replaces a coordinator within its process, which knows whether it has coordinated this incarnation of the
+// group and whether that began while it ran.
+func (s *holdSimulation) renewCoordinator(coordinator int) {
+	epoch := s.group.epoch
+	first, directed := s.firstEpoch[coordinator], s.directed[coordinator]
+	s.restartCoordinator(coordinator)
+	s.firstEpoch[coordinator], s.directed[coordinator] = first, directed
+	if epoch != first && epoch != directed {
+		s.coordinators[coordinator].BegunEpoch = epoch
+	}
 }
 
 // loseCommand drops command i without a reply.
@@ -545,6 +562,23 @@
 
 // TestDirectorKeepsOneMap checks that no pass begins with two maps and that no step stays held, under lost, late, repeated and
 // reordered commands, old reports, and paused and restarted coordinators and ranks.
+// TestBegunEpochStartsAtOnce guards against a group that uses its slow initial map for twelve long passes after a power loss.
+func TestBegunEpochStartsAtOnce(t *testing.T) {
+	propose := func(begun int64) bool {
+		s := newHoldSimulation(3, true)
+		s.coordinators[0].BegunEpoch = begun
+		s.readStatuses(0)
+		for range len(s.reports) {
+			s.deliverReport(0)
+		}
+		s.tick(0)
+		return s.coordinators[0].Propose(s.group.now, Map{}, MaxCoordinators)
+	}
+	t.Run("incarnation that began while the process ran", func(t *testing.T) { require.True(t, propose(1)) })
+	t.Run("another incarnation", func(t *testing.T) { require.False(t, propose(2)) })
+	t.Run("unknown", func(t *testing.T) { require.False(t, propose(None)) })
+}
+
 func TestDirectorKeepsOneMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newHoldSimulation(rapid.IntRange(2, 5).Draw(t, "ranks"), rapid.Bool().Draw(t, "fencing"))
@@ -558,7 +592,7 @@
 		for range rapid.IntRange(10, 250).Draw(t, "events") {
 			coordinator := rapid.IntRange(0, len(all)-1).Draw(t, "coordinator")
 			pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
-			switch event := rapid.IntRange(0, 44).Draw(t, "event"); {
+			switch event := rapid.IntRange(0, 46).Draw(t, "event"); {
 			case event < 6:
 				s.group.now += clock.Time(rapid.IntRange(1, 400).Draw(t, "ms"))
 			case event < 14:
@@ -585,6 +619,8 @@
 				s.repeatCommand(pick(len(s.commands)))
 			case event < 44:
 				s.restartCoordinator(coordinator)
+			case event < 46:
+				s.renewCoordinator(coordinator)
 			case rapid.IntRange(0, 3).Draw(t, "crash") == 0:
 				if rapid.Bool().Draw(t, "all ranks") {
 					s.restartAll()
