--- /dev/null
+++ b/internal/overload/doc.go
@@ -0,0 +1,2 @@
+// Package overload decides how the entries share insufficient capacity.
+package overload
