--- a/internal/overload/returns_test.go
+++ b/internal/overload/returns_test.go
@@ -149,6 +149,6 @@
 	t.Run("a gap whose appointment passed unused gets no second one", func(t *testing.T) {
 		var r Returns
 		r.RetryAfter(0, 0, 900, 0.1, 1, 0.2)
-		assert.Greater(t, r.RetryAfter(3000, 0, clock.Minute, 0.1, 1, 0.2), 7*clock.Second)
+		assert.Greater(t, r.RetryAfter(3000, 0, clock.Minute, 0.1, 1, 0.9), 10*clock.Second)
 	})
 }
