Reject by team and book Retry-After in coordinated admission

Coordinated admission rejected all teams of a level alike, and told rejected callers a random time. Each arrival now counts for its team, the rejection probability of a level is divided among its teams, and Retry-After is booked by the starts that are left at the level at which the caller returns. Team reports travel in the Demand field and share its 200 bytes among services.

The tests of overload and gateway pass. The new ones were seen red without the count of arrivals, without the reports and their bounds, without the division, and with twice the caller's time.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -42,6 +42,8 @@
 
 	coordinated overload.Queue[turn] // replaces waiting with coordinated admission
 	shed        shedCounts
+	teams       overload.TeamDemand
+	returns     overload.Returns
 }
 
 func newAdmission() *admission {
@@ -53,6 +55,7 @@
 	q := a.services[s.Name]
 	if q == nil {
 		q = &serviceQueue{}
+		q.coordinated.TeamReject = q.teams.RejectProbability
 		a.services[s.Name] = q
 	}
 	q.service = s
--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -22,9 +23,8 @@
 	maxLateWait       = 2500 * clock.Millisecond // longest wait of a request that starts late
 	timeoutWindow     = clock.Minute             // in which the longest remaining time of a route's requests is found
 	returningFraction = 15.0 / 16                // of the longest remaining time: a request with less is of a returning caller
-	minRetryAfter     = 100 * clock.Millisecond
-	shedLogInterval   = clock.Second // between two log lines of a service that rejects
-	maxLoggedWait     = clock.Minute // stands for an infinite wait in logs and metrics
+	shedLogInterval   = clock.Second             // between two log lines of a service that rejects
+	maxLoggedWait     = clock.Minute             // stands for an infinite wait in logs and metrics
 )
 
 // turn is a request that waits for its turn.
@@ -82,20 +82,23 @@
 		free = 0
 		w.LatestUseful = max(w.LatestUseful, c.deadline.Add(-typicalStreamDuration)) // a tripped group may recover at any time
 	}
+	q.teams.Record(now, w.Level(now), c.team.Name)
 	decision := q.coordinated.Arrive(now, w, free, rand.Float64)
 	q.shed.arrived[overload.LevelOf(c.priority())]++
 	if decision == overload.Start {
 		e.hold(q, c)
 	}
+	var retryAfter clock.Span
 	if decision == overload.Reject {
 		e.countShed(q, c.priority())
+		retryAfter = e.retryAfter(q, w, now)
 	}
 	e.admission.mu.Unlock()
 	switch decision {
 	case overload.Start:
 		return nil
 	case overload.Reject:
-		return &rejection{status: http.StatusServiceUnavailable, reason: "the service lacks capacity", retryAfter: e.retryAfter(now, c)}
+		return &rejection{status: http.StatusServiceUnavailable, reason: "the service lacks capacity", retryAfter: retryAfter}
 	}
 	return e.waitInQueue(ctx, c, q, w)
 }
@@ -160,10 +163,14 @@
 	return 0
 }
 
-// retryAfter returns the ms after which the caller of a rejected request may return.
-func (e *Entry) retryAfter(now clock.Time, c *call) clock.Span {
-	left := float64(max(c.deadline.Sub(now), 0))
-	return max(clock.Span(left/6*(1+rand.Float64())), minRetryAfter)
+// retryAfter returns the ms after which the caller of a rejected request may return; mu is held. A caller that can't be on time
+// any more when it returns gets what requests on time leave.
+func (e *Entry) retryAfter(q *serviceQueue, w *overload.Waiter[turn], now clock.Time) clock.Span {
+	left := w.Value.call.deadline.Sub(now)
+	spare := q.coordinated.Spare(now, w.Level(now.Add(left/3)))
+	entries := e.peers.Entries()
+	count := cmp.Or(len(entries.Alive), entries.Known) // an entry that starts knows only how many there were
+	return q.returns.RetryAfter(now, w.Priority, left, spare, count, rand.Float64())
 }
 
 // coordinatedRoom returns what the service's servers have room for and how many requests of all entries are free to start, which
@@ -184,7 +191,7 @@
 func (e *Entry) dispatchCoordinated(q *serviceQueue, servers []*routing.Server, now clock.Time) {
 	for _, w := range q.coordinated.TakeExpired(now) {
 		e.countShed(q, w.Priority)
-		w.Value.result <- &rejection{status: http.StatusServiceUnavailable, reason: "no place became free in time", retryAfter: e.retryAfter(now, w.Value.call)}
+		w.Value.result <- &rejection{status: http.StatusServiceUnavailable, reason: "no place became free in time", retryAfter: e.retryAfter(q, w, now)}
 	}
 	e.reportShed(q, now)
 	if len(servers) == 0 {
@@ -292,9 +299,26 @@
 		size += len(content)
 		demand[name] = all[name]
 	}
+	e.admission.addTeams(now, demand, names, maxDemandSize-size)
 	return demand
 }
 
+// addTeams adds the reports of teams to the demand, in at most the given bytes. The last service goes first, since it has the
+// fewest teams, and each leaves what it doesn't need to those before it; mu is held.
+func (a *admission) addTeams(now clock.Time, demand map[string]overload.Demand, names []string, size int) {
+	left := len(demand)
+	for _, name := range slices.Backward(names) {
+		d, reported := demand[name]
+		if !reported {
+			continue
+		}
+		d.Teams = a.services[name].teams.Report(now, size/left)
+		size -= d.Teams.Size()
+		left--
+		demand[name] = d
+	}
+}
+
 // receiveDemand takes over the demand at a peer. A service that its report lacks is idle there.
 func (e *Entry) receiveDemand(hb heartbeat) {
 	config := e.state.View().Config
@@ -311,5 +335,8 @@
 	}
 	for name, q := range e.admission.services {
 		q.coordinated.SetReport(now, hb.IP, hb.Demand[name])
+		if !q.teams.Merge(now, hb.IP, hb.Demand[name].Teams) {
+			e.limitedLogger.Log("teams", "msg", "demand of teams cannot be read, keeping the last", "peer", hb.Name, "service", name)
+		}
 	}
 }
--- a/internal/overload/demand.go
+++ b/internal/overload/demand.go
@@ -25,6 +25,7 @@
 	Starts int           // hundredths of requests that are started per second
 	Ends   int           // hundredths of requests that end per second
 	Flight clock.Span    // mean time in ms that a request is in flight; 0 if unknown
+	Teams  TeamReport
 }
 
 // LevelDemand is the demand of one level. The order of its fields is part of the protocol.
--- a/internal/overload/returns.go
+++ b/internal/overload/returns.go
@@ -7,7 +7,6 @@
 )
 
 const (
-	priorities    = 8                       // 0 is the most urgent
 	minRetryAfter = 100 * clock.Millisecond // unless a third of the caller's time is less
 	boundDivisor  = 3                       // callers ignore a Retry-After above this part of the time that they have left
 	maxSpareRate  = 1e6                     // per second
@@ -19,7 +18,7 @@
 // entry's part of the spare starts adds up to one. An appointment is no reservation: nobody checks it on return, so a caller
 // may come to another entry, and an entry that ends takes none with it.
 type Returns struct {
-	schedules [priorities]schedule
+	schedules [LateLevel]schedule
 }
 
 // schedule holds the next appointment of one priority. Positions are in gaps, so that appointments keep their distance when the
@@ -45,14 +44,14 @@
 		return 0
 	}
 	first := min(minRetryAfter, bound)
-	priority = min(max(priority, 0), priorities-1)
+	priority = min(max(priority, 0), LateLevel-1)
 	s := &r.schedules[priority]
 	s.advance(now, spareRate(spare, entries))
 	if s.rate > 0 {
 		s.skip(float64(first), random)
 		if wait := clock.Span(math.Ceil((s.gap + s.offset - s.present) / s.rate)); wait <= bound {
 			s.book(now.Add(wait), secondRandom(random))
-			for i := priority + 1; i < priorities; i++ {
+			for i := priority + 1; i < LateLevel; i++ {
 				r.schedules[i].yield(now.Add(wait))
 			}
 			return wait
@@ -61,6 +60,21 @@
 	return max(first, bound/2+clock.Span(random*float64(bound-bound/2)))
 }
 
+// Spare returns the starts per second of all entries that are left to requests that return at the level, after those that arrive
+// at it or a more urgent level; for late ones, which have come before, at least the part that is kept for them.
+func (s *Service) Spare(now clock.Time, level int) float64 {
+	s.expire(now)
+	t := s.total(now)
+	spare := t.starts
+	for l := range min(level+1, LateLevel) {
+		spare -= t.arrivals[l]
+	}
+	if level == LateLevel {
+		spare = max(spare, minLateFraction*t.starts)
+	}
+	return max(spare, 0)
+}
+
 // spareRate returns this entry's part of the spare starts, per ms.
 func spareRate(spare float64, entries int) float64 {
 	if !(spare > 0) { // NaN too
--- a/internal/overload/teamdemand.go
+++ b/internal/overload/teamdemand.go
@@ -17,6 +17,7 @@
 	maxTrackedTeams  = 512                    // of this entry, counted once for each level
 	maxReporters     = 1024                   // peers with a report
 	reportedTeamSize = 6                      // bytes: hash, level, rate
+	emptyReportSize  = Levels + 2             // bytes of the rest, and of the lengths of teams and rest
 	rateSteps        = 12                     // steps of the rates in a report for a factor of 2; each is within 3 % of its value
 	minReportedRate  = 0.01                   // per second; lower rates count as 0
 	teamRateTime     = clock.Second           // time constant of the rates
@@ -171,9 +172,13 @@
 	return demand
 }
 
-// Report returns this entry's report, with at most the given number of teams, which is at most 16.
-func (d *TeamDemand) Report(now clock.Time, most int) (r TeamReport) {
-	demand := d.ownDemand(now, most)
+// Report returns this entry's report, which takes at most the given number of bytes more than an empty one. Teams that don't
+// fit add to the rest; without room for the rest, the report is empty.
+func (d *TeamDemand) Report(now clock.Time, size int) (r TeamReport) {
+	if size < emptyReportSize {
+		return r
+	}
+	demand := d.ownDemand(now, (size-emptyReportSize)/reportedTeamSize)
 	for key, value := range demand.named {
 		r.Teams = binary.BigEndian.AppendUint32(r.Teams, key.team)
 		r.Teams = append(r.Teams, key.level, rateCode(value))
@@ -203,6 +208,18 @@
 	return minReportedRate * math.Exp2(float64(code-1)/rateSteps)
 }
 
+// Size returns by how many bytes r is larger than an empty report.
+func (r TeamReport) Size() int {
+	size := 0
+	if len(r.Teams) > 0 {
+		size += 1 + len(r.Teams)
+	}
+	if len(r.Rest) > 0 {
+		size += 1 + len(r.Rest)
+	}
+	return size
+}
+
 // valid reports whether r has the form of a report.
 func (r TeamReport) valid() bool {
 	if len(r.Teams)%reportedTeamSize != 0 || len(r.Teams) > maxReportedTeams*reportedTeamSize || len(r.Rest) > Levels {
@@ -296,3 +313,8 @@
 	}
 	return 1 - s.fraction(key, s.fill((1-overall)*s.demand))
 }
+
+// Level returns the level of w now.
+func (w *Waiter[T]) Level(now clock.Time) int {
+	return w.level(now)
+}
--- a/internal/overload/teamdemand_test.go
+++ b/internal/overload/teamdemand_test.go
@@ -67,7 +67,7 @@
 		if s.now%300 != 0 {
 			break
 		}
-		r := e.Report(s.now, maxReportedTeams)
+		r := e.Report(s.now, 200)
 		for to := range s.entries {
 			if to != from && s.random.Float64() >= 0.1 {
 				s.reports = append(s.reports, lateReport{s.now.Add(clock.Span(100 + s.random.IntN(500))), from, to, r})
@@ -142,7 +142,13 @@
 	}
 	assert.InDelta(t, 100, largest, 10, "the large team is reported")
 	assert.InDelta(t, 1100, total, 60, "all demand is reported")
-	assert.Len(t, d.Report(now, 3).Teams, 3*reportedTeamSize)
+	for size := range 120 {
+		r := d.Report(now, size)
+		content, err := datagram.Encode(r)
+		assert.NoError(t, err)
+		assert.LessOrEqual(t, r.Size(), size)
+		assert.Len(t, content, 3+r.Size())
+	}
 	for i := range 3000 {
 		d.Merge(now, fmt.Sprint(i), r)
 	}
