--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -126,19 +126,14 @@
 // newWaiter returns the queue item of c, whose caller has used the given ms at earlier tries; mu is held.
 func (q *serviceQueue) newWaiter(c *call, now clock.Time, used clock.Span) *overload.Waiter[turn] {
 	w := &overload.Waiter[turn]{Priority: c.priority(), Team: c.team.Name, Value: turn{call: c, result: make(chan *rejection, 1)}}
-	usual := q.coordinated.MeanFlight(now)
 	if c.route.Kind == routing.Stream {
 		w.LatestOnTime = c.start.Add(c.route.LatencyTarget - used - callerLatency - q.firstEvent.Delay())
-		if usual == 0 {
-			usual = typicalStreamDuration
-		}
+		q.coordinated.PriorFlight = typicalStreamDuration
 	} else {
 		w.LatestOnTime = c.start.Add(c.route.LatencyTarget/2 - used)
-		if usual == 0 {
-			usual = c.deadline.Sub(now) / 2
-		}
+		q.coordinated.PriorFlight = c.route.LatencyTarget / 2
 	}
-	w.LatestUseful = min(now.Add(maxLateWait), c.deadline.Add(-usual))
+	w.LatestUseful = min(now.Add(maxLateWait), c.deadline.Add(-q.coordinated.MeanFlight(now)))
 	return w
 }
 
--- /dev/null
+++ b/internal/gateway/coordinated_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"carawaypick/internal/datagram"
+	"carawaypick/internal/overload"
+	"carawaypick/internal/routing"
+	"carawaypick/pkg/clock"
+)
+
+// newCoordinatedEntry returns an entry whose service is used by routes of two priorities, and its URL for callers.
+func newCoordinatedEntry(t *testing.T, backends ...*fakeBackend) (e *Entry, url string) {
+	t.Helper()
+	e, url = newTestEntry(t, backends...)
+	require.False(t, e.coordinated())
+	assert.Nil(t, e.ownDemand(), "heartbeats stay as they are without coordinated admission")
+	view := *e.state.View()
+	config := *view.Config
+	config.Routes[1].Priority = 1
+	view.Config = &config
+	e.state.view.Store(&view)
+	require.True(t, e.coordinated())
+	return e, url
+}
+
+// TestCoordinatedAdmission guards against requests that wait before they are rejected, and against callers that are told to
+// return later than they do.
+func TestCoordinatedAdmission(t *testing.T) {
+	release := make(chan struct{})
+	backend := newFakeBackend(t, func(conn net.Conn, r *http.Request) {
+		<-release
+		respond(conn, r, "200 OK\nId: $ID\nSeal: s\nContent-Length: 18\n\nid: 1\ndata: a\n\n")
+	})
+	e, url := newCoordinatedEntry(t, backend)
+	var work sync.WaitGroup
+	var rejected atomic.Int64
+	send := func() {
+		work.Go(func() {
+			start := time.Now()
+			got, err := doRequest(t, t.Context(), http.MethodGet, url+"/stream/x", "")
+			if !assert.NoError(t, err) || got.status == http.StatusOK {
+				return
+			}
+			rejected.Add(1)
+			assert.Equal(t, http.StatusServiceUnavailable, got.status)
+			assert.Less(t, time.Since(start), 500*time.Millisecond, "it waited")
+			after, err := strconv.Atoi(got.header.Get("Retry-After"))
+			assert.NoError(t, err)
+			assert.GreaterOrEqual(t, after, 800)
+			assert.LessOrEqual(t, after, 5000/3, "a third of the time that the caller has")
+		})
+	}
+	for range 4 { // the slots of the server
+		send()
+	}
+	require.Eventually(t, func() bool { return backend.count() == 4 }, time.Second, time.Millisecond)
+	for range 40 {
+		send()
+	}
+	time.Sleep(time.Second)
+	close(release)
+	for done := false; !done; {
+		e.dispatch()
+		e.admission.mu.Lock()
+		done = e.admission.services["s"].coordinated.Len() == 0
+		e.admission.mu.Unlock()
+		time.Sleep(dispatchInterval.Duration())
+	}
+	work.Wait()
+	assert.GreaterOrEqual(t, rejected.Load(), int64(20))
+	q := e.admission.services["s"]
+	assert.Zero(t, q.reserved)
+	assert.True(t, q.limiter.KeepPeak)
+	assert.Positive(t, q.coordinated.MeanFlight(e.clock.Now()), "the end of requests is recorded")
+}
+
+// TestReturningCallerIsLate guards against a returning caller that counts as a new one, at a route whose timeout is longer than
+// its callers wait.
+func TestReturningCallerIsLate(t *testing.T) {
+	a := newAdmission()
+	q := a.queueOf(routing.Service{Name: "s"})
+	route := &routing.Route{Name: "r", Kind: routing.Stream, Timeout: 20 * clock.Second, LatencyTarget: 500}
+	arrive := func(now clock.Time, timeout clock.Span) (used clock.Span, late bool) {
+		c := &call{route: route, start: now, deadline: now.Add(timeout), RequestHeaders: RequestHeaders{Timeout: timeout}}
+		used = a.usedTime(now, c)
+		return used, q.newWaiter(c, now, used).LatestOnTime <= now
+	}
+	used, late := arrive(1000, 8000)
+	assert.Zero(t, used)
+	assert.False(t, late)
+	used, _ = arrive(1100, 7900)
+	assert.Zero(t, used, "time limits differ a little")
+	used, late = arrive(1200, 6000)
+	assert.Equal(t, 2*clock.Second, used)
+	assert.True(t, late)
+	used, _ = arrive(1300, 0)
+	assert.Zero(t, used, "the caller names no time")
+	used, _ = arrive(70_000, 6000)
+	assert.Zero(t, used, "the callers wait for less by now")
+}
+
+// TestDemandInHeartbeat guards against demand that does not reach the other entries, or that fills the heartbeat.
+func TestDemandInHeartbeat(t *testing.T) {
+	e, _ := newCoordinatedEntry(t)
+	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.2", Number: 1, Demand: map[string]overload.Demand{
+		"s":       {Levels: []overload.LevelDemand{{Level: 1, Waiting: 7, Arrivals: 100}}, Starts: 300},
+		"unknown": {Levels: []overload.LevelDemand{{Level: 1, Waiting: 7}}},
+	}})
+	require.Len(t, e.admission.services, 1, "a service that the configuration lacks is ignored")
+	status := e.admission.services["s"].coordinated.Status(e.clock.Now())
+	assert.Equal(t, 1, status.Peers)
+	assert.InDelta(t, 7, status.Waiting[1], 0.5)
+	e.peers.handleHeartbeat(heartbeat{IP: "10.0.0.2", Number: 2, Demand: map[string]overload.Demand{"other": {}}})
+	assert.InDelta(t, 0, e.admission.services["s"].coordinated.Status(e.clock.Now()).Waiting[1], 0.5, "it is idle at the peer")
+	for i := range 30 {
+		q := e.admission.queueOf(routing.Service{Name: fmt.Sprint("service-", i)})
+		for l := range overload.Levels {
+			q.coordinated.RecordArrival(e.clock.Now(), l, 300)
+		}
+	}
+	content, err := datagram.Encode(e.ownDemand())
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(content), maxDemandSize+3)
+	assert.NotEmpty(t, e.ownDemand())
+}
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -50,6 +50,8 @@
 
 	waiters      []*Waiter[T]
 	credit       [Levels]float64 // starts that the waiting requests of the level are due
+	rejections   [Levels]float64 // rejections that the requests of the level are due
+	rejecting    [Levels]bool    // rejections has its first, random value
 	dispatchedAt clock.Time
 }
 
@@ -62,6 +64,7 @@
 // request that is to wait is queued.
 func (q *Queue[T]) Arrive(now clock.Time, w *Waiter[T], free float64, draw func() float64) Decision {
 	q.count(now)
+	q.free = free
 	level, budget := w.level(now), w.LatestOnTime.Sub(now)
 	if level == LateLevel {
 		budget = w.LatestUseful.Sub(now)
@@ -78,7 +81,7 @@
 	if q.TeamReject != nil {
 		probability = q.TeamReject(now, level, w.Team, probability)
 	}
-	if draw() < probability {
+	if q.rejects(level, probability, draw) {
 		return Reject
 	}
 	q.waiters = append(q.waiters, w)
@@ -86,6 +89,20 @@
 	return Wait
 }
 
+// rejects reports whether a request is rejected with the probability. The probabilities of the requests of a level add up to
+// the number of rejections, rather than each request being drawn for, so that entries with few requests reject equal parts.
+func (q *Queue[T]) rejects(level int, probability float64, draw func() float64) bool {
+	if !q.rejecting[level] {
+		q.rejecting[level], q.rejections[level] = true, draw()
+	}
+	q.rejections[level] += probability
+	if q.rejections[level] < 1 {
+		return false
+	}
+	q.rejections[level]--
+	return true
+}
+
 // Dispatch removes and returns the requests that start now, while the given number of slots is free.
 func (q *Queue[T]) Dispatch(now clock.Time, free float64) (started []*Waiter[T]) {
 	q.predict(now)
@@ -94,7 +111,7 @@
 	if peers > 0 && elapsed < dispatchStep {
 		return nil
 	}
-	q.dispatchedAt = now
+	q.dispatchedAt, q.free = now, free
 	q.count(now)
 	elapsed = min(elapsed, maxDispatch)
 	slots := q.Slots(now, free, elapsed)
@@ -106,7 +123,7 @@
 	shares[LateLevel] += ownLate
 	for l := range Levels {
 		if q.waiting[l] == 0 {
-			q.credit[l] = 0
+			q.credit[l] = min(q.credit[l], 0)
 			continue
 		}
 		// The remainder is kept rather than drawn, so that requests at entries with few of them wait equally long.
@@ -114,6 +131,8 @@
 		count := int(math.Floor(q.credit[l] + roundingError))
 		if peers == 0 {
 			count = min(count, int(free)-len(started))
+		} else if count <= 0 && q.credit[l] > maxDebt && q.lastChance(now, l) {
+			count = 1
 		}
 		for range count {
 			started = append(started, q.take(now, l))
@@ -125,6 +144,13 @@
 	return started
 }
 
+// lastChance reports whether a request of the level will be late unless it starts before the next dispatch.
+func (q *Queue[T]) lastChance(now clock.Time, level int) bool {
+	return level != LateLevel && slices.ContainsFunc(q.waiters, func(w *Waiter[T]) bool {
+		return w.level(now) == level && w.LatestOnTime < now.Add(maxDispatch)
+	})
+}
+
 // TakeFirst removes and returns the request that must start first, to probe servers that may have failed.
 func (q *Queue[T]) TakeFirst(now clock.Time) (w *Waiter[T], ok bool) {
 	q.count(now)
@@ -139,6 +165,9 @@
 	return nil, false
 }
 
+// maxDebt is the credit below which no request starts before its turn so that it is on time.
+const maxDebt = -1.0
+
 // roundingError is the error of the sum of some shares.
 const roundingError = 1e-9
 
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -8,9 +8,10 @@
 
 const (
 	reportExpiry      = 2 * clock.Second         // age from which a peer's report does not count
-	expiryInterval    = 100 * clock.Millisecond  // between two removals of expired reports
 	flowStep          = 50 * clock.Millisecond   // step of the prediction of waiting requests
 	maxFlight         = 10 * clock.Minute        // longest time in flight that a report may claim
+	refillTime        = 0.25                     // seconds within which free slots are taken into account as starts
+	priorFlightFactor = 3.0                      // multiple of the assumed time in flight within which the measured one replaces it, as the first requests to end are the short ones
 	flightWeight      = 1.0 / 32                 // weight of one request in the mean time in flight
 	budgetWeight      = 1.0 / 8                  // weight of one request in the mean time budget of its level
 	defaultBudget     = 300 * clock.Millisecond  // time budget of a level without requests
@@ -27,24 +28,29 @@
 type Service struct {
 	Limit   float64 // requests that the servers may run at once for all entries; 0 if unknown
 	Entries int     // entries that are alive, with this one; 0 if unknown. Those without a report count as the mean of the others
+	// PriorFlight is the time in ms that a request is assumed to be in flight until some have ended; 0 if unknown.
+	PriorFlight clock.Span
 	// MaxStarts bounds the starts per second of all entries, because servers name rates; 0 for no bound.
 	MaxStarts float64
 	// TeamReject returns the rejection probability of a team, given that of its level; nil means that all teams have the same.
 	TeamReject func(now clock.Time, level int, team string, probability float64) float64
 
-	waiting  [Levels]int
-	arrivals [Levels]rate
-	starts   rate
-	ends     rate
-	flights  int
-	flight   float64 // mean time in ms that a request is in flight; 0 if unknown
-	budgets  [Levels]float64
-
-	reports   map[string]*report
-	sum       amounts    // of the reports
-	sumAt     clock.Time // sum of their times
-	expiredAt clock.Time
-
+	waiting   [Levels]int
+	arrivals  [Levels]rate
+	starts    rate
+	started   bool
+	startedAt clock.Time // of the first request
+	ends      rate
+	flights   int
+	flight    float64 // mean time in ms that a request is in flight; 0 if unknown
+	budgets   [Levels]float64
+
+	reports  map[string]*report
+	sum      amounts    // of the reports
+	sumAt    clock.Time // sum of their times
+	received []receipt  // of the reports and of those that later ones replaced, by time
+
+	free     float64         // free slots as last known
 	atOnce   float64         // probability with which a request started at once lately if none waited
 	flow     [Levels]float64 // predicted change of the waiting requests of all entries, up to flowAt
 	flowAt   clock.Time
@@ -57,8 +63,15 @@
 	at clock.Time
 }
 
+// receipt is the time at which a report of a peer was received.
+type receipt struct {
+	peer string
+	at   clock.Time
+}
+
 // RecordArrival counts a request that arrives with the time budget in ms, whether or not it has to wait.
 func (s *Service) RecordArrival(now clock.Time, level int, budget clock.Span) {
+	s.arrivals[level].time = arrivalTime
 	s.arrivals[level].add(now)
 	if s.budgets[level] == 0 {
 		s.budgets[level] = float64(budget)
@@ -68,11 +81,16 @@
 
 // RecordStart counts a request that is started, whether or not it waited.
 func (s *Service) RecordStart(now clock.Time) {
+	if !s.started {
+		s.started, s.startedAt = true, now
+	}
+	s.starts.time = startTime
 	s.starts.add(now)
 }
 
 // RecordEnd counts a request that ended after the given time in ms in flight, 0 if it was sent to no server.
 func (s *Service) RecordEnd(now clock.Time, flight clock.Span) {
+	s.ends.time = startTime
 	s.ends.add(now)
 	if flight <= 0 {
 		return
@@ -104,6 +122,8 @@
 	s.reports[peer] = r
 	s.sum.add(&r.amounts, 1)
 	s.sumAt += now
+	s.expire(now)
+	s.received = append(s.received, receipt{peer, now})
 }
 
 // RemoveReport removes the report of a peer that is silent.
@@ -122,24 +142,27 @@
 
 // expire removes reports that are too old to count.
 func (s *Service) expire(now clock.Time) {
-	if now.Sub(s.expiredAt) < expiryInterval && s.expiredAt > 0 {
-		return
-	}
-	s.expiredAt = now
-	for peer, r := range s.reports {
-		if now.Sub(r.at) > reportExpiry {
-			s.RemoveReport(peer)
+	old := 0
+	for ; old < len(s.received) && now.Sub(s.received[old].at) > reportExpiry; old++ {
+		if r := s.received[old]; s.reports[r.peer] != nil && s.reports[r.peer].at == r.at {
+			s.RemoveReport(r.peer)
 		}
 	}
+	s.received = s.received[old:]
 }
 
 // Reports returns the number of peers' reports in use and their mean age in ms.
 func (s *Service) Reports(now clock.Time) (count int, age clock.Span) {
 	s.expire(now)
+	return len(s.reports), s.age(now)
+}
+
+// age returns the mean age of the reports in ms.
+func (s *Service) age(now clock.Time) clock.Span {
 	if len(s.reports) == 0 {
-		return 0, 0
+		return 0
 	}
-	return len(s.reports), now.Sub(s.sumAt / clock.Time(len(s.reports)))
+	return now.Sub(s.sumAt / clock.Time(len(s.reports)))
 }
 
 // scale returns by how much the sums of the reports are multiplied for the peers that have none.
@@ -152,14 +175,15 @@
 
 // total is the demand of all entries.
 type total struct {
-	waiting  [Levels]float64
-	arrivals [Levels]float64 // per second
-	starts   float64         // per second; what the servers are able to start if that is more
-	ends     float64         // per second
-	flight   float64         // mean time in flight in ms
-	all      float64         // arrivals per second of all levels
-	started  float64         // starts per second as measured
-	promoted [Levels]float64 // arrivals per second that only the starvation bound admits
+	waiting   [Levels]float64
+	arrivals  [Levels]float64 // per second
+	starts    float64         // per second; what the servers are able to start if that is more
+	sustained float64         // of starts, without those that fill free slots
+	ends      float64         // per second
+	flight    float64         // mean time in flight in ms
+	all       float64         // arrivals per second of all levels
+	started   float64         // starts per second as measured
+	promoted  [Levels]float64 // arrivals per second that only the starvation bound admits
 }
 
 // total returns the demand of all entries. A peer's waiting requests are those that it reported and its part of the change that
@@ -182,13 +206,19 @@
 	} else if s.sum.flights > 0 {
 		t.flight = s.sum.flight / s.sum.flights
 	}
-	t.starts = t.started
-	if t.ends > 0 {
-		t.starts = min(t.starts, t.ends) // more start only while free slots are filled
+	if prior := float64(s.PriorFlight); prior > 0 {
+		weight := max(0, 1-float64(now.Sub(s.startedAt))/(priorFlightFactor*prior))
+		if t.flight == 0 {
+			weight = 1
+		}
+		t.flight = weight*prior + (1-weight)*t.flight
 	}
+	t.starts = min(t.started, t.ends) // more start only while free slots are filled
 	if t.flight > 0 {
 		t.starts = max(t.starts, s.Limit/t.flight*float64(clock.Second))
 	}
+	t.sustained = t.starts
+	t.starts += max(s.free-t.growth(s.age(now)), 0) / refillTime
 	if s.MaxStarts > 0 {
 		t.starts = min(t.starts, s.MaxStarts)
 	}
@@ -204,23 +234,27 @@
 // wait returns the expected wait in ms of a request that arrives at the level.
 func (t *total) wait(level int) float64 {
 	ahead, rate := 1.0, t.starts
+	urgent, soon := 0.0, 0.0 // more urgent requests that wait, and those that arrive between two dispatches and count by their rate
 	for l := range LateLevel {
 		switch {
-		case l <= level:
+		case l < level:
+			urgent += t.waiting[l]
+			rate -= t.arrivals[l]
+			soon += t.arrivals[l] * float64(flowStep) / float64(clock.Second)
+		case l == level:
 			ahead += t.waiting[l]
-			if l < level {
-				rate -= t.arrivals[l]
-			}
 		default:
 			rate -= t.promoted[l]
 		}
 	}
+	ahead += max(0, urgent-soon)
 	if level == LateLevel {
-		if t.starts <= 0 {
+		// Free slots are filled before a late request has waited.
+		if t.sustained <= 0 {
 			return math.Inf(1)
 		}
-		rate = max(rate, t.starts*minLateFraction)
-		return ((ahead-1)/t.starts + (t.waiting[LateLevel]+1)/rate) * float64(clock.Second)
+		rate = max(rate-(t.starts-t.sustained), t.sustained*minLateFraction)
+		return (ahead-1)/t.sustained*float64(clock.Second) + (t.waiting[LateLevel]+1)/rate*float64(clock.Second)
 	}
 	if t.arrivals[LateLevel] > 0 {
 		rate -= min(t.starts*minLateFraction, t.arrivals[LateLevel])
