--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -164,7 +164,7 @@
 	left := w.Value.call.deadline.Sub(now)
 	spare := q.coordinated.Spare(now, w.Level(now.Add(left/3)))
 	entries := e.peers.Entries()
-	count := cmp.Or(len(entries.Alive), entries.Known) // an entry that starts knows only how many there were
+	count := cmp.Or(len(entries.Alive), entries.Known) // an entry that starts does not know yet which are alive
 	return q.returns.RetryAfter(now, w.Priority, left, spare, count, rand.Float64())
 }
 
--- a/internal/gateway/fairness_test.go
+++ b/internal/gateway/fairness_test.go
@@ -12,8 +12,8 @@
 	"carawaypick/pkg/clock"
 )
 
-// newCoordinatedEntry returns an entry with coordinated admission that knows the services s and u.
-func newCoordinatedEntry(t *testing.T, backends ...*fakeBackend) (e *Entry, address string) {
+// newTwoServiceEntry returns an entry with coordinated admission that knows the services s and u.
+func newTwoServiceEntry(t *testing.T, backends ...*fakeBackend) (e *Entry, address string) {
 	t.Helper()
 	e, address = newTestEntry(t, backends...)
 	view := *e.state.View()
@@ -41,8 +41,8 @@
 
 // Guards against a team that gets the capacity of others by flooding another entry, and against reports that are too large.
 func TestTeamReportsReachPeers(t *testing.T) {
-	e, _ := newCoordinatedEntry(t)
-	peer, _ := newCoordinatedEntry(t)
+	e, _ := newTwoServiceEntry(t)
+	peer, _ := newTwoServiceEntry(t)
 	now := peer.clock.Now()
 	asks(peer, now, "s", 40)
 	asks(peer, now, "u", 30)
@@ -51,8 +51,8 @@
 	require.NoError(t, err)
 	assert.LessOrEqual(t, len(content), maxDemandSize)
 	require.Len(t, hb.Demand, 2)
-	assert.GreaterOrEqual(t, len(hb.Demand["s"].Teams.Teams), 30, "bytes for at least 5 teams")
-	assert.GreaterOrEqual(t, len(hb.Demand["u"].Teams.Teams), 30, "bytes for at least 5 teams")
+	assert.GreaterOrEqual(t, len(hb.Demand["s"].Teams.Teams), 6*10, "at least 10 teams of each service")
+	assert.GreaterOrEqual(t, len(hb.Demand["u"].Teams.Teams), 6*10, "at least 10 teams of each service")
 	e.receiveDemand(hb)
 	for _, team := range []string{"team0", "small"} {
 		e.admission.services["s"].teams.Record(e.clock.Now(), 1, team)
@@ -66,7 +66,7 @@
 
 // Guards against requests that are not counted for their team.
 func TestRequestCountsForTeam(t *testing.T) {
-	e, address := newCoordinatedEntry(t, newFakeBackend(t, respondOK))
+	e, address := newTwoServiceEntry(t, newFakeBackend(t, respondOK))
 	got, err := doRequest(t, t.Context(), "GET", address+"/safe/a", "")
 	require.NoError(t, err)
 	assert.Equal(t, 200, got.status)
@@ -75,7 +75,7 @@
 
 // Guards against callers that are told to return later than they accept, or all at once.
 func TestRetryAfterOfRejectedRequest(t *testing.T) {
-	e, _ := newCoordinatedEntry(t)
+	e, _ := newTwoServiceEntry(t)
 	q := e.admission.queueOf(routing.Service{Name: "s"})
 	told := make(map[clock.Span]bool)
 	for range 100 {
--- a/internal/overload/returns_test.go
+++ b/internal/overload/returns_test.go
@@ -152,3 +152,13 @@
 		assert.Greater(t, r.RetryAfter(3000, 0, clock.Minute, 0.1, 1, 0.9), 10*clock.Second)
 	})
 }
+
+// Guards against appointments at a rate that arrivals use up, and against late callers without any.
+func TestSpare(t *testing.T) {
+	var s Service
+	s.SetReport(0, "peer", Demand{Starts: 2000, Ends: 2000, Levels: []LevelDemand{{Level: 0, Arrivals: 500}, {Level: 1, Arrivals: 1000}, {Level: 2, Arrivals: 900}}})
+	for level, spare := range map[int]float64{0: 15, 1: 5, 2: 0, 7: 0, LateLevel: 20 * minLateFraction} {
+		assert.InDelta(t, spare, s.Spare(10, level), 1e-6, "level %d", level)
+	}
+	assert.Zero(t, s.Spare(clock.Time(reportExpiry+500), LateLevel), "old reports don't count")
+}
--- a/internal/overload/share_test.go
+++ b/internal/overload/share_test.go
@@ -10,9 +10,9 @@
 
 const tolerance = 1e-6 // relative, of sums of floats
 
-// assertFair asserts the max-min properties: nobody gets more than it asks, the sum fits into room, none of it stays unused
+// assertMaxMin asserts the max-min properties: nobody gets more than it asks, the sum fits into room, none of it stays unused
 // while somebody asks for more, and who asks for more has at least as much per weight as any other.
-func assertFair(t assert.TestingT, room float64, demand, weight, fractions map[string]float64) {
+func assertMaxMin(t assert.TestingT, room float64, demand, weight, fractions map[string]float64) {
 	sum, unmet := 0.0, false
 	for team, d := range demand {
 		f := fractions[team]
@@ -47,7 +47,7 @@
 				}
 			}
 			room := rapid.Float64Range(0, 5000).Draw(t, "room")
-			assertFair(t, room, demand, weight, FairFractions(room, demand, weight))
+			assertMaxMin(t, room, demand, weight, FairFractions(room, demand, weight))
 		})
 	})
 	t.Run("a team with little demand is served whole", func(t *testing.T) {
--- a/internal/overload/teamdemand.go
+++ b/internal/overload/teamdemand.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	maxReportedTeams = 16                     // in one report, counted once for each level
-	maxTrackedTeams  = 512                    // of this entry, counted once for each level
-	maxReporters     = 1024                   // peers with a report
-	reportedTeamSize = 6                      // bytes: hash, level, rate
-	emptyReportSize  = Levels + 2             // bytes of the rest, and of the lengths of teams and rest
-	rateSteps        = 12                     // steps of the rates in a report for a factor of 2; each is within 3 % of its value
-	minReportedRate  = 0.01                   // per second; lower rates count as 0
-	teamRateTime     = clock.Second           // time constant of the rates
-	refreshInterval  = 20 * clock.Millisecond // between two computations of the shares of a level
+	maxReportedTeams = 16                      // in one report, counted once for each level
+	maxTrackedTeams  = 512                     // of this entry, counted once for each level
+	maxReporters     = 1024                    // peers with a report
+	reportedTeamSize = 6                       // bytes: hash, level, rate
+	emptyReportSize  = Levels + 2              // bytes of the rest, and of the lengths of teams and rest
+	rateSteps        = 12                      // steps of the rates in a report for a factor of 2; each is within 3 % of its value
+	minReportedRate  = 0.01                    // per second; lower rates count as 0
+	teamRateTime     = clock.Second            // time constant of the rates
+	refreshInterval  = 100 * clock.Millisecond // between two computations of the shares of a level
 )
 
 // TeamReport is the demand of the teams of one service at one entry. The order of its fields is part of the protocol.
