Test the decisions that the replay does not single out

With the start probability, the growth since the reports, the scale for missing reports, the assumed time in flight or the even rejections off, the replay stays green, so each has a test of its own. The replay also bounds what the servers are overrun by.

--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -46,13 +46,19 @@
 	assert.LessOrEqual(t, float64(r.waited), 0.01*float64(sum(r.rejected)), "of %d rejections", sum(r.rejected))
 }
 
-// assertServed asserts that the servers are used and not overrun, and that the served requests are on time.
+// assertServed asserts that the servers are used, and that the served requests are on time.
 func assertServed(t *testing.T, r replayResult) {
 	t.Helper()
 	assert.GreaterOrEqual(t, float64(sum(r.served)), 0.95*min(r.possible, float64(sum(r.arrived))))
 	assert.GreaterOrEqual(t, float64(sum(r.onTime)), 0.85*float64(sum(r.served)))
 }
 
+// assertNotOverrun asserts that the servers get no more than the margin of the concurrency limit allows.
+func assertNotOverrun(t *testing.T, r replayResult) {
+	t.Helper()
+	assert.LessOrEqual(t, float64(sum(r.served)), r.possible/0.9)
+}
+
 // assertEqualEntries asserts that the entry at which a request arrives does not matter: each entry rejects the part that all
 // together reject of its mix of priorities, up to the chance variation of few requests.
 func assertEqualEntries(t *testing.T, r replayResult) {
@@ -92,6 +98,7 @@
 				assertFair(t, r)
 				assertEarly(t, r)
 				assertServed(t, r)
+				assertNotOverrun(t, r)
 				assertEqualEntries(t, r)
 			})
 		}
@@ -138,6 +145,7 @@
 	assertFair(t, r)
 	assertEarly(t, r)
 	assertServed(t, r)
+	assertNotOverrun(t, r)
 }
 
 // TestPausedEntries guards against entries that decide by an old view after a pause, and against requests that start at once
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -10,7 +10,7 @@
 	reportExpiry      = 2 * clock.Second         // age from which a peer's report does not count
 	flowStep          = 50 * clock.Millisecond   // step of the prediction of waiting requests
 	maxFlight         = 10 * clock.Minute        // longest time in flight that a report may claim
-	refillTime        = 0.25                     // seconds within which free slots are taken into account as starts
+	refillTime        = 0.5                      // seconds within which free slots are taken into account as starts
 	priorFlightFactor = 3.0                      // multiple of the assumed time in flight within which the measured one replaces it, as the first requests to end are the short ones
 	flightWeight      = 1.0 / 32                 // weight of one request in the mean time in flight
 	budgetWeight      = 1.0 / 8                  // weight of one request in the mean time budget of its level
--- a/internal/overload/service_test.go
+++ b/internal/overload/service_test.go
@@ -95,3 +95,59 @@
 		}
 	})
 }
+
+// busy returns a service of which a peer reported, at time 1, 4 waiting requests and the given rates per second.
+func busy(arrivals, starts, ends int) *Service {
+	s := capacity()
+	s.SetReport(1, "b", Demand{Levels: []LevelDemand{{Level: 0, Arrivals: 100 * arrivals}, {Level: 1, Waiting: 4}}, Starts: 100 * starts, Ends: 100 * ends})
+	return s
+}
+
+// TestStartProbability guards against entries that all start requests in the same free slots.
+func TestStartProbability(t *testing.T) {
+	assert.InDelta(t, 4.0/5, busy(125, 0, 0).StartProbability(41, 4, 0), 0.05, "four slots for five arrivals")
+	assert.InDelta(t, 1, busy(100, 0, 0).StartProbability(41, 100, 0), 1e-6)
+	assert.Zero(t, busy(100, 0, 0).StartProbability(41, 0.5, 0))
+	assert.Zero(t, busy(100, 0, 0).StartProbability(41, 100, 1), "another one waits")
+	assert.Less(t, busy(100, 400, 100).StartProbability(41, 12, 0), 0.1, "the others have started twelve since")
+}
+
+// TestSlots guards against free slots that all entries fill at each dispatch until they hear each other.
+func TestSlots(t *testing.T) {
+	assert.InDelta(t, 20, capacity().Slots(1, 20, 50), 1e-6, "no peers")
+	assert.InDelta(t, 50*(0.1+20.0/300), busy(0, 100, 100).Slots(201, 20, 50), 1.5)
+	assert.InDelta(t, 0, busy(0, 400, 100).Slots(201, 20, 50), 0.5, "the others have filled them")
+}
+
+// TestMissingReports guards against entries that count as idle because their reports were lost.
+func TestMissingReports(t *testing.T) {
+	s := busy(10, 10, 10)
+	s.Entries = 5
+	status := s.Status(1)
+	assert.InDelta(t, 16, status.Waiting[1], 1e-6)
+	assert.Equal(t, 1, status.Peers)
+}
+
+// TestFirstRequestsEndEarly guards against a capacity that is taken from the short requests, which end first.
+func TestFirstRequestsEndEarly(t *testing.T) {
+	s := Service{Limit: 200, PriorFlight: 2 * clock.Second}
+	s.RecordStart(1000)
+	assert.Equal(t, 2*clock.Second, s.MeanFlight(1001))
+	s.RecordEnd(1500, 500)
+	assert.Greater(t, s.MeanFlight(1501), 1800*clock.Millisecond)
+	assert.Equal(t, 500*clock.Millisecond, s.MeanFlight(7001))
+}
+
+// TestRejectionsAreEven guards against entries with few requests that reject unequal parts by chance.
+func TestRejectionsAreEven(t *testing.T) {
+	testkit.Property(t, func(t *rapid.T) {
+		var q Queue[int]
+		probability, first, rejected := rapid.Float64Range(0, 1).Draw(t, "probability"), rapid.Float64Range(0, 0.999).Draw(t, "first"), 0
+		for n := 1; n <= 50; n++ {
+			if q.rejects(0, probability, func() float64 { return first }) {
+				rejected++
+			}
+			assert.InDelta(t, probability*float64(n), float64(rejected), 1.001)
+		}
+	})
+}
