Count the ends of coordinated requests only

A request that was admitted before coordinated admission came on would count as an end without a start, so entries would take its slot for free twice. Longest remaining times of routes without requests are forgotten.

--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -61,6 +61,7 @@
 // if the request can't be served.
 func (e *Entry) waitCoordinated(ctx context.Context, c *call, servers []*routing.Server) *rejection {
 	now := e.clock.Now()
+	c.coordinated = true
 	e.admission.mu.Lock()
 	q := e.admission.queueOf(c.service)
 	q.limiter.GapTarget, q.limiter.KeepPeak = c.route.GapTarget, true
@@ -145,6 +146,7 @@
 	}
 	longest := a.timeouts[c.route.Name]
 	if longest == nil {
+		maps.DeleteFunc(a.timeouts, func(_ string, m *balance.WindowedMax) bool { return m.Max(now) == 0 }) // of routes without requests
 		longest = &balance.WindowedMax{Window: timeoutWindow}
 		a.timeouts[c.route.Name] = longest
 	}
@@ -242,12 +244,15 @@
 	}
 	if len(rejecting) > 0 {
 		e.limitedLogger.Log("overload", "msg", "overload", "service", q.service.Name, "waiting", strings.Join(waiting, " "), "wait", wait,
-			"rejecting", strings.Join(rejecting, " "), "starts", status.Starts, "peers", status.Peers, "age", status.Oldest)
+			"rejecting", strings.Join(rejecting, " "), "starts", math.Round(status.Starts), "peers", status.Peers, "age", status.Oldest)
 	}
 }
 
-// recordEnd counts the end of an admitted request.
+// recordEnd counts the end of a request that coordinated admission has admitted.
 func (e *Entry) recordEnd(c *call) {
+	if !c.coordinated {
+		return
+	}
 	now := e.clock.Now()
 	flight := clock.Span(0)
 	if c.attempts > 0 {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -71,6 +71,7 @@
 	maybeExecuted bool          // a backend server may have run the request
 	closed        string        // why no backend server could be chosen, empty if one could
 	lastFailure   string        // reason word of the last attempt, empty if it did not fail
+	coordinated   bool          // coordinated admission decided
 	reservedIn    *serviceQueue // queue in which a slot is reserved for the request; nil for none
 }
 
