--- a/internal/gateway/coordinated_test.go
+++ b/internal/gateway/coordinated_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -45,6 +47,8 @@
 		respond(conn, r, "200 OK\nId: $ID\nSeal: s\nContent-Length: 18\n\nid: 1\ndata: a\n\n")
 	})
 	e, url := newCoordinatedEntry(t, backend)
+	var logged, metrics bytes.Buffer
+	e.limitedLogger.Logger = log.NewLogfmtLogger(log.NewSyncWriter(&logged))
 	ctx, cancel := context.WithCancel(t.Context())
 	dispatched := lifecycle.Start(ctx, e.admissionLoop)
 	var work sync.WaitGroup
@@ -78,6 +82,10 @@
 	cancel()
 	require.NoError(t, <-dispatched)
 	assert.GreaterOrEqual(t, rejected.Load(), int64(20))
+	e.metrics.Write(&metrics)
+	assert.Contains(t, metrics.String(), fmt.Sprintf(`overload_rejections_total{service="s",priority="0"} %d`, rejected.Load()))
+	assert.Contains(t, metrics.String(), `overload_wait_ms{service="s"}`)
+	assert.Regexp(t, `msg=overload service=s waiting=\S+ wait=\d+ rejecting=0:0\.\d+ starts=\d+ peers=0 age=0`, logged.String())
 	q := e.admission.services["s"]
 	assert.Zero(t, q.reserved)
 	assert.True(t, q.limiter.KeepPeak)
