--- a/internal/balance/windowedmax_test.go
+++ b/internal/balance/windowedmax_test.go
@@ -19,15 +19,3 @@
 	assert.InDelta(t, 5, m.Max(42_000), 0)
 	assert.Zero(t, m.Max(90_000))
 }
-
-// TestKeptPeakOfRequestCost guards against a limit that rises again before the demand for experts shifts back.
-func TestKeptPeakOfRequestCost(t *testing.T) {
-	l := ConcurrencyLimiter{BasePassMs: 29, PriorCostMs: 2.2, GapTarget: 120}
-	l.ObserveMeanGap(1000, 125, 8, 12)
-	peak := l.RequestCost(1000)
-	assert.Less(t, l.RequestCost(31_000), peak/2, "it decays")
-	l.KeepPeak = true
-	l.ObserveMeanGap(20_000, 80, 8, 12)
-	assert.InDelta(t, peak, l.RequestCost(36_000), 1e-9)
-	assert.Less(t, l.RequestCost(50_000), peak)
-}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -23,6 +23,9 @@
 	dispatchesPerObservation = 2                        // number of dispatches for each observation of the load
 )
 
+// reasonTimeOver is the reason of the rejection of a request whose time ended while it waited.
+const reasonTimeOver = "the time is over"
+
 // admission holds the waiting requests of all services.
 type admission struct {
 	mu       sync.Mutex
@@ -84,7 +87,7 @@
 // room returns what the service's servers have room for, and how many more requests its limit and their rates admit now; mu is
 // held.
 func (e *Entry) room(q *serviceQueue, servers []*routing.Server, now clock.Time) (room Room, free float64) {
-	cost, urgent := e.meanCost(q.service.Name, q, now), !q.limiter.KeepPeak && q.waiting.Urgent(now, urgentWithin)
+	cost, urgent := e.meanCost(q.service.Name, q, now), q.waiting.Urgent(now, urgentWithin)
 	room = e.loads.Room(servers, q.service, func(slots int) float64 { return q.limiter.Limit(cost, slots, urgent) })
 	if q.limiter.Saturated(now) {
 		return room, 0
@@ -185,7 +188,7 @@
 			return rej, true
 		case <-news:
 		case <-ctx.Done():
-			return &rejection{status: http.StatusServiceUnavailable, reason: "the time is over"}, false
+			return &rejection{status: http.StatusServiceUnavailable, reason: reasonTimeOver}, false
 		}
 	}
 }
@@ -229,7 +232,6 @@
 	e.admission.mu.Lock()
 	defer e.admission.mu.Unlock()
 	for name, q := range e.admission.services {
-		q.limiter.KeepPeak = on
 		if on || q.coordinated.Len() > 0 {
 			e.dispatchCoordinated(q, e.loads.Available(view.Services[name]), now)
 		}
--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -20,8 +20,10 @@
 const (
 	maxDemandSize     = 200                      // bytes of the demand in one heartbeat
 	maxLateWait       = 2500 * clock.Millisecond // longest wait of a request that starts late
+	minPatience       = 2 * clock.Second         // callers wait at least that long for the first event of a stream
+	patienceFactor    = 4                        // callers wait that multiple of the latency target for the first event of a stream if it is longer
 	timeoutWindow     = clock.Minute             // in which the longest remaining time of a route's requests is found
-	returningFraction = 15.0 / 16                // of the longest remaining time: a request with less is of a returning caller
+	returningFraction = 5.0 / 6                  // of the longest remaining time: a request with less is of a returning caller, as Retry-After is a sixth of the time at least
 	minRetryAfter     = 100 * clock.Millisecond
 	shedLogInterval   = clock.Second // between two log lines of a service that rejects
 	maxLoggedWait     = clock.Minute // stands for an infinite wait in logs and metrics
@@ -64,7 +66,7 @@
 	c.coordinated = true
 	e.admission.mu.Lock()
 	q := e.admission.queueOf(c.service)
-	q.limiter.GapTarget, q.limiter.KeepPeak = c.route.GapTarget, true
+	q.limiter.GapTarget = c.route.GapTarget
 	used := e.admission.usedTime(now, c)
 	// Without servers the request is admitted at once, and pickServer rejects it.
 	if len(servers) == 0 {
@@ -130,11 +132,14 @@
 	if c.route.Kind == routing.Stream {
 		w.LatestOnTime = c.start.Add(c.route.LatencyTarget - used - callerLatency - q.firstEvent.Delay())
 		q.coordinated.PriorFlight = typicalStreamDuration
+		patience := max(minPatience, patienceFactor*c.route.LatencyTarget)
+		w.LatestUseful = c.start.Add(patience - 2*callerLatency - q.firstEvent.Delay())
 	} else {
+		w.LatestUseful = now.Add(maxLateWait)
 		w.LatestOnTime = c.start.Add(c.route.LatencyTarget/2 - used)
 		q.coordinated.PriorFlight = c.route.LatencyTarget / 2
 	}
-	w.LatestUseful = min(now.Add(maxLateWait), c.deadline.Add(-q.coordinated.MeanFlight(now)))
+	w.LatestUseful = min(w.LatestUseful, now.Add(maxLateWait), c.deadline.Add(-q.coordinated.MeanFlight(now)))
 	return w
 }
 
--- a/internal/gateway/coordinated_test.go
+++ b/internal/gateway/coordinated_test.go
@@ -69,10 +69,11 @@
 			assert.LessOrEqual(t, after, 5000/3, "a third of the time that the caller has")
 		})
 	}
-	for range 4 { // the slots of the server
+	for n := range 4 { // the slots of the server
 		send()
+		require.Eventually(t, func() bool { return backend.count() == n+1 }, 3*time.Second, time.Millisecond)
 	}
-	require.Eventually(t, func() bool { return backend.count() == 4 }, 3*time.Second, time.Millisecond)
+	time.Sleep(dispatchInterval.Duration()) // a request that is being sent counts twice for a moment
 	for range 40 {
 		send()
 	}
@@ -88,7 +89,6 @@
 	assert.Regexp(t, `msg=overload service=s waiting=\S+ wait=\d+ rejecting=0:0\.\d+ starts=\d+ peers=0 age=0`, logged.String())
 	q := e.admission.services["s"]
 	assert.Zero(t, q.reserved)
-	assert.True(t, q.limiter.KeepPeak)
 	assert.Positive(t, q.coordinated.Demand(e.clock.Now()).Ends)
 }
 
--- a/internal/gateway/heartbeat.go
+++ b/internal/gateway/heartbeat.go
@@ -40,6 +40,8 @@
 	Confirmed confirmation // how old the sender's state is at most; none from an entry of an earlier release
 
 	Demand map[string]overload.Demand // by service, with coordinated admission; a service that it lacks is idle at the sender
+	Cores  float64                    // processor cores that the sender may use; 0 if unknown
+	Full   bool                       // the sender is short of descriptors or memory
 
 	Ask string // address of the engine whose group an agent asks for
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -24,6 +24,8 @@
 	Store            string     // address of the metadata store
 	LinkMbps         float64    // throughput of the instance's link in Mbit/s; 0 if unknown
 	Memory           int64      // memory of the instance in bytes
+	Cores            float64    // processor cores that the process may use; 0 if unknown
+	Descriptors      int        // file descriptors that the process may open; 0 if unknown
 	ShutdownGrace    clock.Span // ms from the stop signal until the process is killed
 	TTL              clock.Span // upper bound in ms on the time that callers cache a directory response
 	RetryRatio       float64    // retries per request
@@ -38,8 +40,8 @@
 	Fencing          bool       // engines reject commands with a lower fence than one that they have seen
 }
 
-// metricsPort is the TCP port of the metrics server; it must match the deploy file.
-const metricsPort = "9464"
+// MetricsPort is the TCP port of the metrics server; it must match the deploy file.
+const MetricsPort = "9464"
 
 // Check returns an error for the first setting that is missing or invalid.
 func (s Settings) Check() error {
