--- a/internal/gateway/coordinated_test.go
+++ b/internal/gateway/coordinated_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,10 +12,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"carawaypick/internal/datagram"
+	"carawaypick/internal/lifecycle"
 	"carawaypick/internal/overload"
 	"carawaypick/internal/routing"
 	"carawaypick/pkg/clock"
@@ -43,6 +47,10 @@
 		respond(conn, r, "200 OK\nId: $ID\nSeal: s\nContent-Length: 18\n\nid: 1\ndata: a\n\n")
 	})
 	e, url := newCoordinatedEntry(t, backend)
+	var logged, metrics bytes.Buffer
+	e.limitedLogger.Logger = log.NewLogfmtLogger(log.NewSyncWriter(&logged))
+	ctx, cancel := context.WithCancel(t.Context())
+	dispatched := lifecycle.Start(ctx, e.admissionLoop)
 	var work sync.WaitGroup
 	var rejected atomic.Int64
 	send := func() {
@@ -61,27 +69,27 @@
 			assert.LessOrEqual(t, after, 5000/3, "a third of the time that the caller has")
 		})
 	}
-	for range 4 { // the slots of the server
+	for n := range 4 { // the slots of the server
 		send()
+		require.Eventually(t, func() bool { return backend.count() == n+1 }, 3*time.Second, time.Millisecond)
 	}
-	require.Eventually(t, func() bool { return backend.count() == 4 }, time.Second, time.Millisecond)
+	time.Sleep(dispatchInterval.Duration()) // a request that is being sent counts twice for a moment
 	for range 40 {
 		send()
 	}
 	time.Sleep(time.Second)
 	close(release)
-	for done := false; !done; {
-		e.dispatch()
-		e.admission.mu.Lock()
-		done = e.admission.services["s"].coordinated.Len() == 0
-		e.admission.mu.Unlock()
-		time.Sleep(dispatchInterval.Duration())
-	}
 	work.Wait()
+	cancel()
+	require.NoError(t, <-dispatched)
 	assert.GreaterOrEqual(t, rejected.Load(), int64(20))
+	e.metrics.Write(&metrics)
+	assert.Contains(t, metrics.String(), fmt.Sprintf(`overload_rejections_total{service="s",priority="0"} %d`, rejected.Load()))
+	assert.Contains(t, metrics.String(), `overload_wait_ms{service="s"}`)
+	assert.Regexp(t, `msg=overload service=s waiting=\S+ wait=\d+ rejecting=0:0\.\d+ starts=\d+ peers=0 age=0`, logged.String())
 	q := e.admission.services["s"]
 	assert.Zero(t, q.reserved)
-	assert.Positive(t, q.coordinated.MeanFlight(e.clock.Now()), "the end of requests is recorded")
+	assert.Positive(t, q.coordinated.Demand(e.clock.Now()).Ends)
 }
 
 // TestReturningCallerIsLate guards against a returning caller that counts as a new one, at a route whose timeout is longer than
