Add learned concurrency limits and placement by work

Cause: servers of one service differ in speed and slow down before they are full, and an engine's load is more than its count of requests. Change: with coordinated admission (LoadTracker.Coordinated, nil means off) plain services choose by learned capacity, which entries pool in the heartbeat field Capacity, and engines are chosen by work. Peers hear of servers that reject at once. Load headers that can't be used are ignored and logged.

--- /dev/null
+++ b/internal/balance/capacity.go
@@ -0,0 +1,364 @@
+package balance
+
+import (
+	"math"
+	"math/bits"
+	"slices"
+
+	"carawaypick/pkg/clock"
+)
+
+const (
+	levelMemory      = 500 * clock.Millisecond // time constant of a server's time level; a few probes must outweigh it within 2 s
+	shapeMemory      = 10 * clock.Second       // time constant with which an unvisited part of the curve is forgotten, so that limits rise again
+	failureMemory    = clock.Second            // time constant of the share of failures
+	reportMemory     = 500 * clock.Millisecond // time constant of the samples that an entry reports, which spans lost heartbeats
+	capacityProbe    = 250 * clock.Millisecond // time without a sample after which a server is probed
+	capacityMemory   = clock.Minute            // without a sample after which a server is forgotten
+	curvePoints      = 16                      // of the curve of time over load
+	maxTimeRise      = 1.5                     // ratio to the time at low load up to which a server counts as not slowed down by its load
+	maxSlowdown      = 4.0                     // ratio to the fastest server above which a server that misses the latency target loses capacity
+	minLearnedWeight = 0.01                    // of a server's capacity in a choice
+	minShapeGain     = 0.05                    // per sample
+	maxSampleTime    = float64(clock.Minute)   // ms
+	maxSampleCount   = 1024.0                  // samples in one report
+	maxConcurrency   = 1 << 16                 // requests at one server
+	sizeClasses      = 40                      // powers of two of a request's size in bytes
+	minSizeSamples   = 8                       // of a class before its times are corrected
+	sizeGain         = 1.0 / 32                // per sample
+)
+
+// CapacityBounds bounds the learned capacities. The zero value lets them range from one request to the server's slots.
+type CapacityBounds struct {
+	Fixed  bool    // the capacity of a server is its slots
+	Least  int     // requests, at least 1
+	Factor float64 // most requests as a multiple of the server's slots, 1 if 0
+}
+
+// Clamp returns the capacity within the bounds for a server with the given slots.
+func (b CapacityBounds) Clamp(capacity float64, slots int) float64 {
+	factor := b.Factor
+	if factor <= 0 {
+		factor = 1
+	}
+	most := max(factor*float64(slots), 1)
+	return min(max(capacity, float64(max(b.Least, 1))), most)
+}
+
+// CapacitySample summarizes the requests of one entry at one server.
+type CapacitySample struct {
+	Concurrency float64 // mean requests at the server, with the one itself
+	Time        float64 // geometric mean of the ms from the send to the first byte of the answer
+	Answered    float64 // requests that were answered
+	Failed      float64 // requests that were rejected or failed
+}
+
+// Valid reports whether the sample can be used.
+func (s CapacitySample) Valid() bool {
+	if !(s.Answered >= 0) || !(s.Failed >= 0) || s.Answered+s.Failed > maxSampleCount {
+		return false
+	}
+	if s.Answered == 0 {
+		return s.Failed > 0
+	}
+	return s.Time > 0 && s.Time <= maxSampleTime && s.Concurrency >= 0 && s.Concurrency <= maxConcurrency
+}
+
+// ServerCapacity learns from the samples of all entries how many concurrent requests one incarnation of a server takes well.
+//
+// The logarithm of the time of a request is taken as the sum of a level, which follows the server's speed at once, and a curve
+// over the load, which changes slowly. The level is compared with those of the service's other servers; the curve tells how
+// many requests slow each other down. The zero value has learned nothing.
+type ServerCapacity struct {
+	level     float64 // log ms at low load
+	weight    float64 // decayed count of samples in level
+	curve     [curvePoints]float64
+	points    [curvePoints]float64 // decayed count of samples by point
+	answered  float64              // decayed counts for the share of failures
+	failed    float64
+	sampledAt clock.Time
+	updatedAt clock.Time
+
+	own   ownSamples
+	peers map[string]clock.Time // time of the last report by peer
+}
+
+// ownSamples are the decayed sums of an entry's own samples.
+type ownSamples struct {
+	concurrency, logTime, answered, failed float64
+	at                                     clock.Time
+}
+
+// decay ages what was learned up to now.
+func (c *ServerCapacity) decay(now clock.Time) {
+	elapsed := float64(max(now.Sub(c.updatedAt), 0))
+	c.updatedAt = max(c.updatedAt, now)
+	c.weight *= math.Exp(-elapsed / float64(levelMemory))
+	failures := math.Exp(-elapsed / float64(failureMemory))
+	c.answered *= failures
+	c.failed *= failures
+	curve := math.Exp(-elapsed / float64(shapeMemory))
+	for i := range c.points {
+		c.curve[i] *= curve
+		c.points[i] *= curve
+	}
+}
+
+// Observe records a request of this entry: its time in ms, corrected for its size, and the concurrency at the send. Failed
+// requests have no time.
+func (c *ServerCapacity) Observe(now clock.Time, s CapacitySample, slots int) {
+	if !s.Valid() {
+		return
+	}
+	factor := math.Exp(-float64(max(now.Sub(c.own.at), 0)) / float64(reportMemory))
+	o := &c.own
+	o.concurrency, o.logTime, o.answered, o.failed = o.concurrency*factor, o.logTime*factor, o.answered*factor, o.failed*factor
+	o.at = now
+	o.failed += s.Failed
+	if s.Answered > 0 {
+		o.answered += s.Answered
+		o.concurrency += s.Answered * s.Concurrency
+		o.logTime += s.Answered * math.Log(s.Time)
+	}
+	c.merge(now, s, slots)
+}
+
+// Own returns the latest samples of this entry for the other entries; ok is false if there are none.
+func (c *ServerCapacity) Own(now clock.Time) (s CapacitySample, ok bool) {
+	const least = 1.0 / 64 // samples; fewer are rounded to none
+	factor := math.Exp(-float64(max(now.Sub(c.own.at), 0)) / float64(reportMemory))
+	s.Answered, s.Failed = c.own.answered*factor, c.own.failed*factor
+	if s.Answered >= least {
+		s.Concurrency, s.Time = c.own.concurrency/c.own.answered, math.Exp(c.own.logTime/c.own.answered)
+	}
+	return s, s.Answered+s.Failed >= least
+}
+
+// Hear records the latest samples of a peer. Successive reports of a peer overlap: each counts for the time since the one
+// before it.
+func (c *ServerCapacity) Hear(now clock.Time, peer string, s CapacitySample, slots int) {
+	if !s.Valid() {
+		return
+	}
+	if c.peers == nil {
+		c.peers = make(map[string]clock.Time)
+	}
+	share := 1.0
+	if last, heard := c.peers[peer]; heard {
+		share = min(max(float64(now.Sub(last)), 0)/float64(reportMemory), 1)
+	}
+	c.peers[peer] = now
+	s.Answered, s.Failed = s.Answered*share, s.Failed*share
+	c.merge(now, s, slots)
+}
+
+// merge adds samples to what was learned.
+func (c *ServerCapacity) merge(now clock.Time, s CapacitySample, slots int) {
+	c.decay(now)
+	c.answered += s.Answered
+	c.failed += s.Failed
+	if s.Answered == 0 {
+		return
+	}
+	i, logTime := curvePoint(s.Concurrency, slots), math.Log(s.Time)
+	if c.weight == 0 {
+		c.level = logTime - c.curve[i]
+	}
+	rest := logTime - c.level - c.curve[i]
+	c.weight += s.Answered
+	c.level += rest * s.Answered / c.weight
+	c.points[i] += s.Answered
+	if i > 0 {
+		gain := max(s.Answered/(c.points[i]+1), min(s.Answered*minShapeGain, 1))
+		c.curve[i] = max(c.curve[i]+gain*rest, 0)
+	}
+	c.sampledAt = now
+}
+
+// curvePoint returns the point of the curve for a number of requests at a server with the given slots.
+func curvePoint(concurrency float64, slots int) int {
+	share := (concurrency - 1) / float64(max(slots-1, 1))
+	return int(math.Round(min(max(share, 0), 1) * (curvePoints - 1)))
+}
+
+// knee returns the number of requests above which they slow each other down, at most the slots.
+func (c *ServerCapacity) knee(slots int) float64 {
+	limit := math.Log(maxTimeRise)
+	last, lastPoint := 0.0, 0
+	for i := range c.curve {
+		if c.points[i] < 1 && i > 0 {
+			continue // too few samples to tell
+		}
+		if c.curve[i] > limit {
+			point := float64(lastPoint) + float64(i-lastPoint)*(limit-last)/(c.curve[i]-last)
+			return 1 + point/(curvePoints-1)*float64(slots-1)
+		}
+		last, lastPoint = c.curve[i], i
+	}
+	return float64(slots)
+}
+
+// failureShare returns the share of the latest requests that were rejected or failed.
+func (c *ServerCapacity) failureShare() float64 {
+	if c.answered+c.failed < 1 {
+		return 0
+	}
+	return c.failed / (c.answered + c.failed)
+}
+
+// LearnedCapacity is what was learned of one server, compared with the other servers of its service.
+type LearnedCapacity struct {
+	Requests float64    // that the server takes well at once
+	Weight   float64    // requests that it answers in the time in which the fastest server answers one, with its failures
+	Age      clock.Span // ms since the last sample, -1 if there is none
+}
+
+// LearnCapacities returns what was learned of the servers of one service, nil for those of which nothing is known yet. Times
+// up to target ms are good, 0 if unknown.
+//
+// Levels are compared with the fastest server: if all servers slow down at once, none of them loses capacity.
+func LearnCapacities(now clock.Time, servers []*ServerCapacity, slots []int, target clock.Span, b CapacityBounds) []LearnedCapacity {
+	reference := math.Inf(1)
+	for _, c := range servers {
+		if c != nil && c.sampledAt > 0 && c.failureShare() < 0.5 {
+			reference = min(reference, c.level)
+		}
+	}
+	learned := make([]LearnedCapacity, len(servers))
+	for i, c := range servers {
+		full := b.Clamp(float64(slots[i]), slots[i])
+		learned[i] = LearnedCapacity{Requests: full, Weight: full, Age: -1}
+		if b.Fixed || c == nil {
+			continue
+		}
+		good := 1 - c.failureShare()
+		requests, speed := c.knee(slots[i]), 1.0
+		if c.sampledAt > 0 {
+			learned[i].Age = now.Sub(c.sampledAt)
+			if !math.IsInf(reference, 1) {
+				speed = min(math.Exp(reference-c.level), 1)
+				bound := max(float64(target), maxSlowdown*math.Exp(reference))
+				requests *= min(bound*math.Exp(-c.level), 1)
+			}
+		}
+		learned[i].Requests = b.Clamp(requests*good, slots[i])
+		learned[i].Weight = max(learned[i].Requests*speed*good*good, minLearnedWeight)
+	}
+	return learned
+}
+
+// Stale reports whether the server gets too few requests to notice a change.
+func (l LearnedCapacity) Stale() bool {
+	return l.Age < 0 || l.Age > capacityProbe
+}
+
+// ProbeChance returns the probability with which one request of an entry probes a server, elapsed ms after its last chance.
+// All entries together probe a server about once in each probe interval, whatever their number and rates.
+func ProbeChance(elapsed clock.Span, entries int) float64 {
+	return min(float64(max(elapsed, 0))/float64(capacityProbe*clock.Span(max(entries, 1))), 1)
+}
+
+// PickByCapacity returns the index of an endpoint for a request, or -1 if none is usable. It draws two endpoints by their
+// learned weights and takes the one with fewer requests for its weight, in the given zone among equals.
+//
+// The weights are drawn because counts of peers are older than most requests take: the least loaded endpoint would be the same
+// for all entries.
+func PickByCapacity(endpoints []Endpoint, zone string, random func() uint64) int {
+	first := drawByWeight(endpoints, random)
+	if first < 0 {
+		return -1
+	}
+	second := drawByWeight(endpoints, random)
+	a, b := &endpoints[first], &endpoints[second]
+	loadA, loadB := float64(a.InFlight()+1)/a.Weight, float64(b.InFlight()+1)/b.Weight
+	if loadB < loadA || (loadB == loadA && b.Zone == zone && a.Zone != zone) {
+		return second
+	}
+	return first
+}
+
+// drawByWeight returns a random usable endpoint by weight, -1 if there is none.
+func drawByWeight(endpoints []Endpoint, random func() uint64) int {
+	total, last := 0.0, -1
+	for i := range endpoints {
+		if endpoints[i].Closed() == "" {
+			total += max(endpoints[i].Weight, minLearnedWeight)
+		}
+	}
+	left := total * uniform(random)
+	for i := range endpoints {
+		if endpoints[i].Closed() != "" {
+			continue
+		}
+		last = i
+		if left -= max(endpoints[i].Weight, minLearnedWeight); left < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// uniform returns a random number in [0, 1).
+func uniform(random func() uint64) float64 {
+	return float64(random()>>11) / (1 << 53)
+}
+
+// Forgotten reports whether nothing was learned of the server lately.
+func (c *ServerCapacity) Forgotten(now clock.Time) bool {
+	return now.Sub(max(c.updatedAt, c.own.at)) > capacityMemory
+}
+
+// SizeCorrection learns how the time of a request depends on its size, so that large requests do not make a server look slow.
+type SizeCorrection struct {
+	mean    float64 // of the log time over the server's level, over all sizes
+	count   int
+	classes [sizeClasses]struct {
+		mean  float64
+		count int
+	}
+}
+
+// Correct returns the time in ms that a request of typical size would have taken, and learns from the request. The size is in
+// bytes; the server's usual time is 0 if unknown.
+func (s *SizeCorrection) Correct(ms float64, size int, usual float64) float64 {
+	class := &s.classes[min(bits.Len(uint(max(size, 0))), sizeClasses-1)]
+	corrected := ms
+	if class.count >= minSizeSamples {
+		corrected = ms * math.Exp(s.mean-class.mean)
+	}
+	if usual > 0 {
+		rest := math.Log(ms / usual)
+		s.count++
+		s.mean += (rest - s.mean) * max(1/float64(s.count), sizeGain)
+		class.count++
+		class.mean += (rest - class.mean) * max(1/float64(class.count), sizeGain)
+	}
+	return corrected
+}
+
+// Usual returns the time in ms of a request at low load, 0 if unknown.
+func (c *ServerCapacity) Usual() float64 {
+	if c.sampledAt == 0 {
+		return 0
+	}
+	return math.Exp(c.level)
+}
+
+// WorstServers returns the indices of the count servers with the least learned part of their slots, the worst first.
+func WorstServers(learned []LearnedCapacity, slots []int, count int) []int {
+	order := make([]int, len(learned))
+	for i := range order {
+		order[i] = i
+	}
+	part := func(i int) float64 { return learned[i].Weight / float64(max(slots[i], 1)) }
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch {
+		case part(a) < part(b):
+			return -1
+		case part(a) > part(b):
+			return 1
+		}
+		return 0
+	})
+	return order[:min(count, len(order))]
+}
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -17,6 +17,9 @@
 	AskedUntil   clock.Time // end of the time for which the server asked for no requests, 0 for none
 	TurnsAway    bool       // the server rejects requests at once and isn't to be tried again yet
 	Tried        bool       // this request was already sent to the server
+	Weight       float64    // see LearnedCapacity.Weight and PickByCapacity
+	Load         float64    // of all requests at an engine, see Work.Load
+	Owned        bool       // this entry prefers the server, see Owns
 }
 
 // Closed returns why the server gets no request of this entry now, empty if it may get one.
--- a/internal/balance/turnaway.go
+++ b/internal/balance/turnaway.go
@@ -3,11 +3,12 @@
 import "carawaypick/pkg/clock"
 
 const (
-	firstTurnAwayPause = 50 * clock.Millisecond  // after a rejection that names no time, and after each one of a server that is busy: it may be full for a moment
-	busyTurnAwayPause  = 400 * clock.Millisecond // after further ones, while the server runs requests of other entries
-	turnAwayPause      = 400 * clock.Millisecond // after further ones, multiplied by the entries, which all try the server
-	maxTurnAwayPause   = 5 * clock.Second        // short requests of others at a server that is back are hardly ever seen
-	trialTimeout       = 300 * clock.Millisecond // without an answer after which the server counts as having accepted the request that tries it
+	firstTurnAwayPause  = 50 * clock.Millisecond  // after a rejection that names no time, and after each one of a server that is busy: it may be full for a moment
+	busyTurnAwayPause   = 400 * clock.Millisecond // after further ones, while the server runs requests of other entries
+	turnAwayPause       = 400 * clock.Millisecond // after further ones, multiplied by the entries, which all try the server
+	maxTurnAwayPause    = 5 * clock.Second        // short requests of others at a server that is back are hardly ever seen
+	rejectionReportTime = 50 * clock.Millisecond  // within which reports of rejections are taken for one
+	trialTimeout        = 300 * clock.Millisecond // without an answer after which the server counts as having accepted the request that tries it
 )
 
 // TurnAway tracks how one backend server turns requests away. A server that rejects requests at once has nothing in flight
@@ -19,6 +20,8 @@
 	rejections  int        // since the last answer to a request that was sent after them
 	rejectedAt  clock.Time // time of the last rejection
 	triedAt     clock.Time // time of the request that tries the server, 0 for none
+	answeredAt  clock.Time // time of the last request that the server took
+	ownAt       clock.Time // time of the last rejection of a request of this entry that names no time
 }
 
 // Reject records a rejection that asks for no requests for the given ms, 0 if it names no time, by a server that the given
@@ -33,6 +36,12 @@
 		a.askedUntil = max(a.askedUntil, now.Add(wait))
 		return
 	}
+	a.ownAt = now
+	a.pause(now, entries)
+}
+
+// pause closes the server for a time after a rejection.
+func (a *TurnAway) pause(now clock.Time, entries int) {
 	if a.rejections == 1 {
 		a.closedUntil, a.busyUntil = now.Add(firstTurnAwayPause), now.Add(firstTurnAwayPause)
 		return
@@ -43,6 +52,7 @@
 
 // Answer records that the server took a request that was sent at sentAt, and reports whether it had rejected the last one.
 func (a *TurnAway) Answer(sentAt clock.Time) (recovered bool) {
+	a.answeredAt = max(a.answeredAt, sentAt)
 	if sentAt < a.rejectedAt || a.rejections == 0 {
 		return false
 	}
@@ -50,6 +60,26 @@
 	return true
 }
 
+// Rejected returns the time of the last rejection of a request of this entry that names no time; ok is false if the server has
+// taken a request since.
+func (a *TurnAway) Rejected() (at clock.Time, ok bool) {
+	return a.ownAt, a.ownAt > 0 && a.answeredAt < a.ownAt
+}
+
+// HearRejection records that the server rejected a request of another entry at the given time and has taken none of that entry
+// since. The reports of one rejection differ by the time that they were under way.
+func (a *TurnAway) HearRejection(now, at clock.Time, entries int, busy bool) {
+	if at <= a.answeredAt || at < a.rejectedAt.Add(rejectionReportTime) {
+		return
+	}
+	a.rejections++
+	if busy {
+		a.rejections = 1
+	}
+	a.rejectedAt = at
+	a.pause(now, entries)
+}
+
 // Recover records that the server took a request of another entry at the given time, so that it may be tried at once.
 func (a *TurnAway) Recover(at clock.Time) {
 	if at > a.rejectedAt {
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -149,6 +149,7 @@
 		}
 		e.releaseConn(c, s, x, clean)
 	}
+	e.loads.EndWork(c.placement, x.outcome == outcomeAnswered && c.attempts == 1)
 	e.loads.End(s.ID, signal)
 	crashed := e.recordEvidence(c, s, x)
 	e.recordCold(c, s, x, crashed)
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -70,6 +70,7 @@
 	maybeExecuted bool          // a backend server may have run the request
 	closed        string        // why no backend server could be chosen, empty if one could
 	lastFailure   string        // reason word of the last attempt, empty if it did not fail
+	placement     *placement    // of the last attempt at an engine; nil for none
 	reservedIn    *serviceQueue // queue in which a slot is reserved for the request; nil for none
 }
 
@@ -216,6 +217,7 @@
 		c.closed = closed.Reasons
 		return nil, rejectionOfClosed(closed)
 	}
+	c.placement = e.loads.AddWork(servers[i], c.service.Name, c.requestSize())
 	if chosen.Limited {
 		e.logLimitedSend(c, servers[i], chosen)
 	}
@@ -277,6 +279,7 @@
 		e.recordNamedRate(c, s, x.headers, sentAt)
 		e.recordAvailability(c, s, &x, sentAt)
 	}
+	e.recordCapacity(c, s, &x, sentAt)
 	if x.outcome == outcomeUnknown {
 		c.maybeExecuted = true
 	}
@@ -315,6 +318,9 @@
 		e.loads.RecordTaken(s, sentAt)
 	case x.outcome == outcomeNotExecuted && s.Group == "":
 		e.loads.RecordTurnedAway(s, 0)
+		if e.loads.RejectionIsNews(s) {
+			e.peers.Notify()
+		}
 	}
 }
 
--- a/internal/gateway/heartbeat.go
+++ b/internal/gateway/heartbeat.go
@@ -30,6 +30,8 @@
 	Known    []peerAge          // peers from which the sender received a heartbeat within maxRelayAge, from an entry of an earlier release
 	Heard    []heardPeer        // the same from others
 
+	Capacity []capacityReport // the sender's latest samples of backend servers of plain services
+
 	Crashes   []crashReport // news of crashes
 	Completed []completion  // completed runs of the contents that were in flight at them
 	Evidence  uint64        // digest of all that the sender knows of crashes
--- a/internal/gateway/loadtracker.go
+++ b/internal/gateway/loadtracker.go
@@ -16,6 +16,9 @@
 	clock   clock.Clock
 	entries func() *balance.EntrySet // returns the entries among which the rates of servers are divided
 
+	Coordinated func() bool            // reports whether coordinated admission is on, and takes no lock; nil means that it is off
+	Bounds      balance.CapacityBounds // of learned capacities
+
 	mu           sync.Mutex
 	servers      map[string]*serverLoad
 	breakers     map[string]*balance.CircuitBreaker // by service/group, for groups of ranks that rejected work
@@ -26,6 +29,7 @@
 	drainTime    clock.Span                         // see Settings.DrainTime
 	recovered    map[string]clock.Time              // by backend server id: when it took a request again after it had rejected some
 	nextReport   string                             // backend server id with which the next heartbeat's reports of these begin
+	learning     capacityLearning
 }
 
 const (
@@ -46,11 +50,19 @@
 
 	parts    map[balance.ServerRate]int // of rates, for this entry among the entries
 	entrySet *balance.EntrySet          // that these are for
+
+	capacity      balance.ServerCapacity
+	capacityStart int64             // of the incarnation that capacity is for
+	logged        float64           // learned capacity at the last log line, 0 for none
+	loggedAt      clock.Time        // time of that line
+	work          float64           // of the requests of this entry, see balance.Work
+	owned         bool              // see balance.Owns
+	ownedIn       *balance.EntrySet // that owned is for
 }
 
 // NewLoadTracker returns an empty tracker.
 func NewLoadTracker(c clock.Clock) *LoadTracker {
-	return &LoadTracker{clock: c, entries: func() *balance.EntrySet { return &balance.EntrySet{} }, servers: make(map[string]*serverLoad), breakers: make(map[string]*balance.CircuitBreaker), peerInFlight: make(map[string]map[string]int), peerTotals: make(map[string]int), namedRates: make(map[string]namedRate), leaving: make(map[string]leavingServer), recovered: make(map[string]clock.Time)}
+	return &LoadTracker{clock: c, entries: func() *balance.EntrySet { return &balance.EntrySet{} }, servers: make(map[string]*serverLoad), breakers: make(map[string]*balance.CircuitBreaker), peerInFlight: make(map[string]map[string]int), peerTotals: make(map[string]int), namedRates: make(map[string]namedRate), leaving: make(map[string]leavingServer), recovered: make(map[string]clock.Time), learning: newCapacityLearning()}
 }
 
 func (t *LoadTracker) serverLoad(id string) *serverLoad {
@@ -269,6 +281,9 @@
 	defer t.mu.Unlock()
 	s := t.serverLoad(id)
 	s.inFlight--
+	if s.inFlight <= 0 {
+		s.work = 0
+	}
 	s.health.Record(now, signal)
 }
 
@@ -292,6 +307,7 @@
 		}
 	}
 	maps.DeleteFunc(t.namedRates, func(id string, _ namedRate) bool { return v.Servers[id] == nil })
+	t.indexCapacities(v)
 	now := t.clock.Now() // an incarnation that leaves never returns, so one that is registered is not forgotten
 	maps.DeleteFunc(t.leaving, func(id string, l leavingServer) bool {
 		return v.Servers[id] == nil && now.Sub(l.heardAt) > leavingMemory
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,6 +64,8 @@
 	OnRates   func(heartbeat) // receives each heartbeat with rates of backend servers; nil for none
 	OnLeaving func(heartbeat) // receives each heartbeat with backend servers that leave or take requests again; nil for none
 
+	OnCapacity func(heartbeat) // receives each heartbeat with samples of backend servers; nil for none
+
 	OnConfirmation func(changed store.Position, c confirmation) // receives how old the state of each sender is; nil for none
 
 	mu       sync.Mutex
@@ -268,6 +270,9 @@
 	if p.OnLeaving != nil && len(hb.Leaving)+len(hb.Taking) > 0 {
 		p.OnLeaving(hb)
 	}
+	if p.OnCapacity != nil && len(hb.Capacity) > 0 {
+		p.OnCapacity(hb)
+	}
 	if p.OnConfirmation != nil {
 		p.OnConfirmation(hb.position(), hb.Confirmed)
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -70,6 +70,7 @@
 	Misdirected bool       // the address belongs to another backend server than the intended one
 	Running     int        // requests that the backend server runs, -1 if not sent
 	Waiting     int        // requests in the backend server's queue
+	BadLoad     string     // header of the load if it can't be used, quoted and shortened; empty for none
 	Cold        clock.Span // warm-up time in ms, 0 if not sent
 
 	Leaving      bool       // the backend server leaves, whatever its registration says
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -30,9 +29,9 @@
 		endpoints[i] = t.endpoint(s, service, now)
 		endpoints[i].Tried = slices.Contains(tried, s.ID)
 	}
-	i = balance.PickEndpoint(endpoints, zone, rand.Uint64)
+	i = t.pick(servers, service, endpoints, zone, now)
 	if i < 0 && t.reopenLeaving(servers, endpoints, now) {
-		i = balance.PickEndpoint(endpoints, zone, rand.Uint64)
+		i = t.pick(servers, service, endpoints, zone, now)
 	}
 	if i < 0 {
 		return i, chosen, closedServers(endpoints, now)
@@ -89,9 +88,13 @@
 	defer t.mu.Unlock()
 	up, limited := 0, 0
 	down := 0.0 // requests that the servers which are down would run
-	for _, s := range servers {
+	learned := t.learnedCapacities(servers, service.Name, now)
+	for i, s := range servers {
 		e := t.endpoint(s, service, now)
 		size := limit(s.Slots)
+		if learned != nil {
+			size *= learned[i].Requests / float64(max(s.Slots, 1))
+		}
 		if e.Ejected || e.Leaving {
 			running := min(size, float64(e.InFlight()))
 			room.Requests += running
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -88,11 +88,12 @@
 			Crashes:   news.Crashes, Completed: news.Completed, CompletedParts: news.CompletedParts, Evidence: e.suspects.digest(),
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(), Rates: e.loads.RateReports(),
-			Leaving: e.loads.LeavingReports(), Taking: e.loads.RecoveredReports(),
+			Leaving: e.loads.LeavingReports(), Taking: e.loads.RecoveredReports(), Capacity: e.loads.CapacityReports(),
 		}
 	}, func(address string) engine.MemberList { return memberList(e.state.View(), address, c.Now()) })
 	e.loads.entries, e.loads.drainTime = e.peers.Entries, s.DrainTime
 	e.peers.OnEvidence, e.peers.OnRates, e.peers.OnLeaving = e.receiveEvidence, e.receiveRateReports, e.receiveLeavingReports
+	e.loads.Bounds, e.peers.OnCapacity = s.Capacity, e.receiveCapacityReports
 	e.peers.OnConfirmation = e.state.AdoptConfirmation
 	e.reader = &StoreReader{Protocol: protocol, State: e.state, Clock: c, Logger: logger, PeerSync: PeerSync{
 		ShouldRead: func(lost bool) bool { return e.peers.ShouldReadStore(lost, e.state.Position()) }, Pull: e.pullState, Updates: e.peers.Updates, Notify: e.peers.Notify,
@@ -202,6 +203,7 @@
 			e.dispatch()
 			if tick%dispatchesPerObservation == 0 {
 				e.observeLoad()
+				e.observeCapacities()
 			}
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -245,6 +245,7 @@
 		cs.maxGap = max(cs.maxGap, now.Sub(t.last))
 	}
 	t.last = now
+	e.loads.RecordWorkEvent(c.placement)
 	if t.first == 0 {
 		t.first = now
 	}
