Learn limits by additive increase and multiplicative decrease

Change: the limit falls while requests take more than half of the latency target, unless they are about as slow at low load; the weight in a choice follows the time, the limit and the share of failures.

--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -9,20 +9,23 @@
 )
 
 const (
-	levelMemory      = 500 * clock.Millisecond // time constant of a server's time level; a few probes must outweigh it within 2 s
-	shapeMemory      = 10 * clock.Second       // time constant with which an unvisited part of the curve is forgotten, so that limits rise again
+	levelMemory      = 500 * clock.Millisecond // time constant of a server's time; a few probes must outweigh it within 2 s
+	lowMemory        = 500 * clock.Millisecond // time constant of the time at low load
+	recentMemory     = 200 * clock.Millisecond // time constant of the time that the limit follows
 	failureMemory    = clock.Second            // time constant of the share of failures
 	reportMemory     = 500 * clock.Millisecond // time constant of the samples that an entry reports, which spans lost heartbeats
+	limitInterval    = 200 * clock.Millisecond // between two changes of a limit, in which the effect of the last one is seen
 	capacityProbe    = 250 * clock.Millisecond // time without a sample after which a server is probed
-	capacityMemory   = clock.Minute            // without a sample after which a server is forgotten
-	curvePoints      = 16                      // of the curve of time over load
-	maxTimeRise      = 1.5                     // ratio to the time at low load up to which a server counts as not slowed down by its load
+	limitDecrease    = 0.75                    // factor
+	limitIncrease    = 1.0 / 12                // of the slots
+	slowShare        = 0.5                     // of the latency target, above which a limit falls; the rest is for waiting
+	maxTimeRise      = 2.0                     // ratio to the server's time at low load up to which its limit does not fall
 	maxSlowdown      = 4.0                     // ratio to the fastest server above which a server that misses the latency target loses capacity
 	minLearnedWeight = 0.01                    // of a server's capacity in a choice
-	minShapeGain     = 0.05                    // per sample
 	maxSampleTime    = float64(clock.Minute)   // ms
 	maxSampleCount   = 1024.0                  // samples in one report
 	maxConcurrency   = 1 << 16                 // requests at one server
+	capacityChoices  = 5                       // endpoints drawn by weight
 	sizeClasses      = 40                      // powers of two of a request's size in bytes
 	minSizeSamples   = 8                       // of a class before its times are corrected
 	sizeGain         = 1.0 / 32                // per sample
@@ -66,16 +69,17 @@
 
 // ServerCapacity learns from the samples of all entries how many concurrent requests one incarnation of a server takes well.
 //
-// The logarithm of the time of a request is taken as the sum of a level, which follows the server's speed at once, and a curve
-// over the load, which changes slowly. The level is compared with those of the service's other servers; the curve tells how
-// many requests slow each other down. The zero value has learned nothing.
+// The limit follows the time of requests by additive increase and multiplicative decrease. The bound on the time is the larger
+// one of a part of the latency target and of a multiple of the server's time at low load, so that a limit does not fall if fewer
+// requests would not help. The zero value has learned nothing.
 type ServerCapacity struct {
-	level     float64 // log ms at low load
-	weight    float64 // decayed count of samples in level
-	curve     [curvePoints]float64
-	points    [curvePoints]float64 // decayed count of samples by point
-	answered  float64              // decayed counts for the share of failures
+	level     decayedTime // at any load, for the choice of a server
+	low       decayedTime // at no more than half of the slots
+	recent    decayedTime // at any load, for the limit
+	answered  float64     // decayed counts for the share of failures
 	failed    float64
+	cut       float64    // part of the slots that the limit leaves out
+	cutAt     clock.Time // time of the last change of the limit
 	sampledAt clock.Time
 	updatedAt clock.Time
 
@@ -83,27 +87,25 @@
 	peers map[string]clock.Time // time of the last report by peer
 }
 
+// decayedTime is a geometric mean of times, in which a sample counts less with its age.
+type decayedTime struct {
+	mean   float64 // log ms
+	weight float64 // decayed count of samples
+	at     clock.Time
+}
+
+func (d *decayedTime) add(now clock.Time, logTime, count float64, memory clock.Span) {
+	d.weight = d.weight*math.Exp(-float64(max(now.Sub(d.at), 0))/float64(memory)) + count
+	d.at = now
+	d.mean += (logTime - d.mean) * min(count/d.weight, 1)
+}
+
 // ownSamples are the decayed sums of an entry's own samples.
 type ownSamples struct {
 	concurrency, logTime, answered, failed float64
 	at                                     clock.Time
 }
 
-// decay ages what was learned up to now.
-func (c *ServerCapacity) decay(now clock.Time) {
-	elapsed := float64(max(now.Sub(c.updatedAt), 0))
-	c.updatedAt = max(c.updatedAt, now)
-	c.weight *= math.Exp(-elapsed / float64(levelMemory))
-	failures := math.Exp(-elapsed / float64(failureMemory))
-	c.answered *= failures
-	c.failed *= failures
-	curve := math.Exp(-elapsed / float64(shapeMemory))
-	for i := range c.points {
-		c.curve[i] *= curve
-		c.points[i] *= curve
-	}
-}
-
 // Observe records a request of this entry: its time in ms, corrected for its size, and the concurrency at the send. Failed
 // requests have no time.
 func (c *ServerCapacity) Observe(now clock.Time, s CapacitySample, slots int) {
@@ -154,48 +156,41 @@
 
 // merge adds samples to what was learned.
 func (c *ServerCapacity) merge(now clock.Time, s CapacitySample, slots int) {
-	c.decay(now)
-	c.answered += s.Answered
-	c.failed += s.Failed
+	decay := math.Exp(-float64(max(now.Sub(c.updatedAt), 0)) / float64(failureMemory))
+	c.updatedAt = max(c.updatedAt, now)
+	c.answered, c.failed = c.answered*decay+s.Answered, c.failed*decay+s.Failed
 	if s.Answered == 0 {
 		return
 	}
-	i, logTime := curvePoint(s.Concurrency, slots), math.Log(s.Time)
-	if c.weight == 0 {
-		c.level = logTime - c.curve[i]
-	}
-	rest := logTime - c.level - c.curve[i]
-	c.weight += s.Answered
-	c.level += rest * s.Answered / c.weight
-	c.points[i] += s.Answered
-	if i > 0 {
-		gain := max(s.Answered/(c.points[i]+1), min(s.Answered*minShapeGain, 1))
-		c.curve[i] = max(c.curve[i]+gain*rest, 0)
+	logTime := math.Log(s.Time)
+	c.level.add(now, logTime, s.Answered, levelMemory)
+	c.recent.add(now, logTime, s.Answered, recentMemory)
+	if s.Concurrency <= max(float64(slots)/2, 1) {
+		c.low.add(now, logTime, s.Answered, lowMemory)
 	}
 	c.sampledAt = now
 }
 
-// curvePoint returns the point of the curve for a number of requests at a server with the given slots.
-func curvePoint(concurrency float64, slots int) int {
-	share := (concurrency - 1) / float64(max(slots-1, 1))
-	return int(math.Round(min(max(share, 0), 1) * (curvePoints - 1)))
-}
-
-// knee returns the number of requests above which they slow each other down, at most the slots.
-func (c *ServerCapacity) knee(slots int) float64 {
-	limit := math.Log(maxTimeRise)
-	last, lastPoint := 0.0, 0
-	for i := range c.curve {
-		if c.points[i] < 1 && i > 0 {
-			continue // too few samples to tell
-		}
-		if c.curve[i] > limit {
-			point := float64(lastPoint) + float64(i-lastPoint)*(limit-last)/(c.curve[i]-last)
-			return 1 + point/(curvePoints-1)*float64(slots-1)
-		}
-		last, lastPoint = c.curve[i], i
+// updateLimit changes the limit, at least the given part of the slots: it falls while requests are slow by the latency target in
+// ms, and ends if they are as slow at low load.
+func (c *ServerCapacity) updateLimit(now clock.Time, target clock.Span, least float64) {
+	bound, low := slowShare*float64(target), 0.0
+	if c.low.weight > 0 {
+		low = math.Exp(c.low.mean)
+	}
+	if (bound == 0 && low == 0) || now.Sub(c.cutAt) < limitInterval {
+		return
+	}
+	slow := c.recent.at > c.cutAt && math.Exp(c.recent.mean) > max(bound, maxTimeRise*low)
+	switch {
+	case slow:
+		c.cut = min(1-(1-c.cut)*limitDecrease, 1-least)
+	case low > bound && bound > 0:
+		c.cut = 0
+	default:
+		c.cut = max(c.cut-limitIncrease, 0)
 	}
-	return float64(slots)
+	c.cutAt = now
 }
 
 // failureShare returns the share of the latest requests that were rejected or failed.
@@ -213,35 +208,40 @@
 	Age      clock.Span // ms since the last sample, -1 if there is none
 }
 
-// LearnCapacities returns what was learned of the servers of one service, nil for those of which nothing is known yet. Times
-// up to target ms are good, 0 if unknown.
+// LearnCapacities returns what was learned of the servers of one service, and updates their limits; servers are nil if nothing
+// may be known of them. The latency target is in ms, 0 if unknown.
 //
-// Levels are compared with the fastest server: if all servers slow down at once, none of them loses capacity.
+// Times are compared with the fastest server: if all servers slow down at once, none of them loses capacity.
 func LearnCapacities(now clock.Time, servers []*ServerCapacity, slots []int, target clock.Span, b CapacityBounds) []LearnedCapacity {
-	reference := math.Inf(1)
+	fastest, fastestLow := math.Inf(1), math.Inf(1)
 	for _, c := range servers {
-		if c != nil && c.sampledAt > 0 && c.failureShare() < 0.5 {
-			reference = min(reference, c.level)
+		if c == nil || c.sampledAt == 0 || c.failureShare() >= 0.5 {
+			continue
+		}
+		fastest = min(fastest, c.level.mean)
+		if c.low.weight > 0 {
+			fastestLow = min(fastestLow, c.low.mean)
 		}
 	}
 	learned := make([]LearnedCapacity, len(servers))
 	for i, c := range servers {
-		full := b.Clamp(float64(slots[i]), slots[i])
+		full := b.Clamp(math.Inf(1), slots[i])
 		learned[i] = LearnedCapacity{Requests: full, Weight: full, Age: -1}
 		if b.Fixed || c == nil {
 			continue
 		}
-		good := 1 - c.failureShare()
-		requests, speed := c.knee(slots[i]), 1.0
+		good, speed, slow := 1-c.failureShare(), 1.0, 1.0
 		if c.sampledAt > 0 {
 			learned[i].Age = now.Sub(c.sampledAt)
-			if !math.IsInf(reference, 1) {
-				speed = min(math.Exp(reference-c.level), 1)
-				bound := max(float64(target), maxSlowdown*math.Exp(reference))
-				requests *= min(bound*math.Exp(-c.level), 1)
+			c.updateLimit(now, target, b.Clamp(0, slots[i])/full)
+			if c.low.weight > 0 && !math.IsInf(fastestLow, 1) {
+				slow = min(max(float64(target), maxSlowdown*math.Exp(fastestLow))*math.Exp(-c.low.mean), 1)
+			}
+			if !math.IsInf(fastest, 1) {
+				speed = min(math.Exp(fastest-c.level.mean), 1)
 			}
 		}
-		learned[i].Requests = b.Clamp(requests*good, slots[i])
+		learned[i].Requests = b.Clamp(full*(1-c.cut)*good*slow, slots[i])
 		learned[i].Weight = max(learned[i].Requests*speed*good*good, minLearnedWeight)
 	}
 	return learned
@@ -258,8 +258,8 @@
 	return min(float64(max(elapsed, 0))/float64(capacityProbe*clock.Span(max(entries, 1))), 1)
 }
 
-// PickByCapacity returns the index of an endpoint for a request, or -1 if none is usable. It draws two endpoints by their
-// learned weights and takes the one with fewer requests for its weight, in the given zone among equals.
+// PickByCapacity returns the index of an endpoint for a request, or -1 if none is usable. It draws a few endpoints by their
+// learned weights and takes the one with the fewest requests for its weight, in the given zone among equals.
 //
 // The weights are drawn because counts of peers are older than most requests take: the least loaded endpoint would be the same
 // for all entries.
@@ -268,11 +268,13 @@
 	if first < 0 {
 		return -1
 	}
-	second := drawByWeight(endpoints, random)
-	a, b := &endpoints[first], &endpoints[second]
-	loadA, loadB := float64(a.InFlight()+1)/a.Weight, float64(b.InFlight()+1)/b.Weight
-	if loadB < loadA || (loadB == loadA && b.Zone == zone && a.Zone != zone) {
-		return second
+	for range capacityChoices - 1 {
+		second := drawByWeight(endpoints, random)
+		a, b := &endpoints[first], &endpoints[second]
+		loadA, loadB := float64(a.InFlight()+1)/a.Weight, float64(b.InFlight()+1)/b.Weight
+		if loadB < loadA || (loadB == loadA && b.Zone == zone && a.Zone != zone) {
+			first = second
+		}
 	}
 	return first
 }
@@ -303,11 +305,6 @@
 	return float64(random()>>11) / (1 << 53)
 }
 
-// Forgotten reports whether nothing was learned of the server lately.
-func (c *ServerCapacity) Forgotten(now clock.Time) bool {
-	return now.Sub(max(c.updatedAt, c.own.at)) > capacityMemory
-}
-
 // SizeCorrection learns how the time of a request depends on its size, so that large requests do not make a server look slow.
 type SizeCorrection struct {
 	mean    float64 // of the log time over the server's level, over all sizes
@@ -336,12 +333,12 @@
 	return corrected
 }
 
-// Usual returns the time in ms of a request at low load, 0 if unknown.
+// Usual returns the usual time in ms of a request, 0 if unknown.
 func (c *ServerCapacity) Usual() float64 {
 	if c.sampledAt == 0 {
 		return 0
 	}
-	return math.Exp(c.level)
+	return math.Exp(c.level.mean)
 }
 
 // WorstServers returns the indices of the count servers with the least learned part of their slots, the worst first.
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -170,29 +170,46 @@
 	return l.owned
 }
 
-// RecordSample records how s served a request of the given size in bytes that was sent at sentAt; running is the number of
-// requests that it reports, negative if unknown.
-func (t *LoadTracker) RecordSample(s *routing.Server, target clock.Span, sentAt clock.Time, running, size int, failed bool) {
+// sentRequest is a request whose time tells how well its server takes its load.
+type sentRequest struct {
+	target  clock.Span // latency target of its route
+	at      clock.Time // at which it was sent
+	before  int        // requests at the server then, with this one
+	running int        // requests that the server reports in its answer, negative if unknown
+	size    int        // bytes
+	failed  bool       // it was rejected or failed
+}
+
+// InFlightAt returns the requests in flight at a server from all entries.
+func (t *LoadTracker) InFlightAt(s *routing.Server) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.serverLoad(s.ID).inFlight + t.peerTotals[s.ID]
+}
+
+// RecordSample records how s served a request. Its concurrency is the mean of that at the send and that at the answer, as the
+// time depends on both.
+func (t *LoadTracker) RecordSample(s *routing.Server, r sentRequest) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	load := t.serverLoad(s.ID)
 	capacity := load.capacityOf(s)
-	if failed {
+	if r.failed {
 		capacity.Observe(now, balance.CapacitySample{Failed: 1}, s.Slots)
 		return
 	}
-	if running < 0 {
-		running = load.inFlight + t.peerTotals[s.ID]
+	if r.running < 0 {
+		r.running = load.inFlight + t.peerTotals[s.ID]
 	}
-	t.learning.targets[s.Service] = target
+	t.learning.targets[s.Service] = r.target
 	correction := t.learning.sizes[s.Service]
 	if correction == nil {
 		correction = &balance.SizeCorrection{}
 		t.learning.sizes[s.Service] = correction
 	}
-	ms := correction.Correct(max(float64(now.Sub(sentAt)), minSampleTime), size, capacity.Usual())
-	capacity.Observe(now, balance.CapacitySample{Concurrency: float64(max(running, 1)), Time: ms, Answered: 1}, s.Slots)
+	ms := correction.Correct(max(float64(now.Sub(r.at)), minSampleTime), r.size, capacity.Usual())
+	capacity.Observe(now, balance.CapacitySample{Concurrency: max(float64(r.before+r.running)/2, 1), Time: ms, Answered: 1}, s.Slots)
 }
 
 // CapacityReports returns the latest samples of this entry for a heartbeat: those of servers that reject requests first, and
@@ -369,7 +386,7 @@
 
 // recordCapacity records how a server of a plain service served an attempt. A server that asks for a pause or is not the
 // intended one tells nothing about its capacity.
-func (e *Entry) recordCapacity(c *call, s *routing.Server, x *exchange, sentAt clock.Time) {
+func (e *Entry) recordCapacity(c *call, s *routing.Server, x *exchange, sentAt clock.Time, before int) {
 	if !e.loads.coordinated() || s.Group != "" || x.reason == "left" || x.reason == "dial" {
 		return
 	}
@@ -381,7 +398,7 @@
 		running = e.reportedLoad(c, s, h)
 	}
 	failed := x.outcome != outcomeAnswered || x.response.StatusCode >= http.StatusInternalServerError
-	e.loads.RecordSample(s, c.route.LatencyTarget, sentAt, running, len(c.body), failed)
+	e.loads.RecordSample(s, sentRequest{target: c.route.LatencyTarget, at: sentAt, before: before, running: running, size: len(c.body), failed: failed})
 }
 
 // reportedLoad returns the requests at s by its answer, -1 if it does not tell them or tells those of another server.
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -273,13 +273,13 @@
 	})
 	e.suspects.addSend(c.SharedParts)
 	e.releaseReservation(c)
-	sentAt := e.clock.Now()
+	sentAt, before := e.clock.Now(), e.loads.InFlightAt(s)
 	x := e.send(ctx, s, out, c.ID, c.route.Kind == routing.NonIdempotent)
 	if x.response != nil && !x.headers.Misdirected {
 		e.recordNamedRate(c, s, x.headers, sentAt)
 		e.recordAvailability(c, s, &x, sentAt)
 	}
-	e.recordCapacity(c, s, &x, sentAt)
+	e.recordCapacity(c, s, &x, sentAt, before)
 	if x.outcome == outcomeUnknown {
 		c.maybeExecuted = true
 	}
