--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -15,11 +15,11 @@
 	failureMemory    = 400 * clock.Millisecond // time constant of the share of failures; a few answered probes must outweigh it within 2 s
 	reportMemory     = 500 * clock.Millisecond // time constant of the samples that an entry reports, which spans lost heartbeats
 	limitInterval    = 200 * clock.Millisecond // between two changes of a limit, in which the effect of the last one is seen
-	capacityProbe    = 250 * clock.Millisecond // time without a sample after which a server is probed
+	capacityProbe    = 150 * clock.Millisecond // time without a sample after which a server is probed
 	limitDecrease    = 0.75                    // factor
 	limitIncrease    = 1.0 / 12                // of the slots
 	slowShare        = 0.5                     // of the latency target, above which a limit falls; the rest is for waiting
-	maxTimeRise      = 2.0                     // ratio to the server's time at low load up to which its limit does not fall
+	maxTimeRise      = 2.5                     // ratio to the server's time at low load up to which its limit does not fall
 	maxSlowdown      = 4.0                     // ratio to the fastest server above which a server that misses the latency target loses capacity
 	minLearnedWeight = 0.01                    // of a server's capacity in a choice
 	maxSampleTime    = float64(clock.Minute)   // ms
@@ -174,22 +174,18 @@
 }
 
 // updateLimit changes the limit, at least the given part of the slots: it falls while requests are slow by the latency target in
-// ms, and ends if they are as slow at low load.
+// ms and much slower than at low load.
 func (c *ServerCapacity) updateLimit(now clock.Time, target clock.Span, least float64) {
-	bound, low := slowShare*float64(target), 0.0
+	bound := slowShare * float64(target)
 	if c.low.weight > 0 {
-		low = math.Exp(c.low.mean)
+		bound = max(bound, maxTimeRise*math.Exp(c.low.mean))
 	}
-	if (bound == 0 && low == 0) || now.Sub(c.cutAt) < limitInterval {
+	if bound == 0 || now.Sub(c.cutAt) < limitInterval {
 		return
 	}
-	slow := c.recent.at > c.cutAt && math.Exp(c.recent.mean) > max(bound, maxTimeRise*low)
-	switch {
-	case slow:
+	if c.recent.at > c.cutAt && math.Exp(c.recent.mean) > bound {
 		c.cut = min(1-(1-c.cut)*limitDecrease, 1-least)
-	case low > bound && bound > 0:
-		c.cut = 0
-	default:
+	} else {
 		c.cut = max(c.cut-limitIncrease, 0)
 	}
 	c.cutAt = now
--- a/internal/balance/capacity_test.go
+++ b/internal/balance/capacity_test.go
@@ -434,6 +434,24 @@
 	})
 }
 
+// TestCapacityFollowsProbes guards against a memory so long that the few probes of a slow server do not show its recovery.
+func TestCapacityFollowsProbes(t *testing.T) {
+	now, servers, slots := clock.Time(1), []*ServerCapacity{{}, {}}, []int{capacitySlots, capacitySlots}
+	sample := func(ms float64) CapacitySample { return CapacitySample{Concurrency: 1, Time: ms, Answered: 1} }
+	observe := func(ms float64, pause clock.Span, until clock.Time) float64 {
+		for now < until {
+			now = now.Add(pause)
+			servers[0].Observe(now, sample(baseMs), capacitySlots)
+			servers[1].Observe(now, sample(ms), capacitySlots)
+		}
+		learned := LearnCapacities(now, servers, slots, targetMs, CapacityBounds{})
+		return learned[1].Weight / learned[0].Weight
+	}
+	assert.InDelta(t, 1, observe(baseMs, 10, 60_000), 0.01)
+	assert.Less(t, observe(12*baseMs, 10, 64_000), 0.2)
+	assert.Greater(t, observe(baseMs, capacityProbe, clock.Time(64_000).Add(maxFindTime)), 0.5)
+}
+
 func TestSizeCorrection(t *testing.T) {
 	var s SizeCorrection
 	usual, large, small := 40.0, 0.0, 0.0
--- a/internal/balance/turnaway_test.go
+++ b/internal/balance/turnaway_test.go
@@ -40,6 +40,37 @@
 		a.Send(1060)
 		assert.False(t, a.Closed(clock.Time(1060).Add(trialTimeout), false))
 	})
+	t.Run("is closed by rejections of requests of other entries, each of which counts once", func(t *testing.T) {
+		var a TurnAway
+		a.HearRejection(1000, 990, 9, false)
+		assert.True(t, a.Closed(1001, false))
+		for now := clock.Time(1001); now < 1040; now++ {
+			a.HearRejection(now, 995, 9, false)
+		}
+		assert.False(t, a.Closed(clock.Time(1000).Add(firstTurnAwayPause), false), "one rejection")
+		a.HearRejection(1100, 1090, 9, false)
+		assert.True(t, a.Closed(1200, false), "two rejections")
+		_, own := a.Rejected()
+		assert.False(t, own, "a rejection is not handed on")
+	})
+	t.Run("is not closed by a rejection that is older than its last answer", func(t *testing.T) {
+		var a TurnAway
+		a.Answer(1000)
+		a.HearRejection(1010, 999, 9, false)
+		assert.False(t, a.Closed(1011, false))
+		a.Reject(1020, 0, 9, false)
+		_, own := a.Rejected()
+		assert.True(t, own)
+		a.Answer(1021)
+		_, own = a.Rejected()
+		assert.False(t, own, "an answer ends what is told to others")
+	})
+	t.Run("does not hear of a rejection that names a time", func(t *testing.T) {
+		var a TurnAway
+		a.Reject(1000, 3000, 9, false)
+		_, own := a.Rejected()
+		assert.False(t, own)
+	})
 	t.Run("is not closed for long while it is busy", func(t *testing.T) {
 		var a TurnAway
 		for now := clock.Time(1000); now < 3000; now += 100 {
--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/assert"
@@ -273,3 +276,63 @@
 	assert.Len(t, lines, worstServers)
 	assert.Contains(t, text.String(), `worst_capacity{server="i-004"} 3`)
 }
+
+// TestEntryLearns guards against answers that reach no part of what an entry learns: samples of plain services, and the work and
+// the hints of engines.
+func TestEntryLearns(t *testing.T) {
+	started := func(e *Entry) { // the time 0 stands for none
+		assert.Eventually(t, func() bool { return e.clock.Now() > 1 }, time.Second, time.Millisecond)
+	}
+	get := func(t *testing.T, url string) {
+		response, err := doRequest(t, t.Context(), "GET", url, "")
+		require.NoError(t, err)
+		assert.Equal(t, 200, response.status)
+	}
+	t.Run("samples of a plain service", func(t *testing.T) {
+		e, url := newTestEntry(t, newFakeBackend(t, respondOK))
+		e.loads.Coordinated = func() bool { return true }
+		e.loads.Prune(e.state.View())
+		started(e)
+		get(t, url+"/safe/x")
+		reports := e.loads.CapacityReports()
+		require.Len(t, reports, 1)
+		assert.Positive(t, reports[0].Answered)
+		assert.Zero(t, reports[0].Failed)
+	})
+	t.Run("failures of a plain service", func(t *testing.T) {
+		e, url := newTestEntry(t, newFakeBackend(t, func(conn net.Conn, r *http.Request) {
+			respond(conn, r, "503 Unavailable\nId: $ID\nNotrun: 1\nContent-Length: 0\n\n")
+		}))
+		e.loads.Coordinated = func() bool { return true }
+		e.loads.Prune(e.state.View())
+		started(e)
+		response, err := doRequest(t, t.Context(), "GET", url+"/safe/x", "")
+		require.NoError(t, err)
+		assert.Equal(t, 503, response.status)
+		reports := e.loads.CapacityReports()
+		require.Len(t, reports, 1)
+		assert.Positive(t, reports[0].Failed)
+		assert.Positive(t, reports[0].Rejected)
+		assert.Zero(t, reports[0].Answered)
+	})
+	t.Run("work and hints of an engine", func(t *testing.T) {
+		e, url := newTestEntry(t, newFakeBackend(t, streamEvents("4", true)))
+		e.loads.Coordinated = func() bool { return true }
+		parse := e.protocol.ParseRequest
+		e.protocol.ParseRequest = func(h http.Header) RequestHeaders {
+			r := parse(h)
+			r.PromptTokens, r.ExpectedOutputTokens = 800, 20
+			return r
+		}
+		e.state.View().Servers["i0"].Group = "g"
+		for range 5 {
+			get(t, url+"/stream/x")
+		}
+		assert.Eventually(t, func() bool {
+			e.loads.mu.Lock()
+			defer e.loads.mu.Unlock()
+			return e.loads.serverLoad("i0").work == 0 && e.loads.workEstimator("s").PerEvent() == 0.25
+		}, 2*time.Second, 5*time.Millisecond)
+		assert.Empty(t, e.loads.CapacityReports(), "engines are not learned one by one")
+	})
+}
