Log loads of engines that can't be right as well

Cause: such a load was logged for plain services only. Change: it is checked for every answer of the intended server, with coordinated admission. The test of the heartbeat's size has samples of three servers.

--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -384,19 +384,22 @@
 	return balance.RequestSize{PromptTokens: c.PromptTokens, ExpectedOutputTokens: c.ExpectedOutputTokens, MaxOutputTokens: c.MaxOutputTokens}
 }
 
-// recordCapacity records how a server of a plain service served an attempt. A server that asks for a pause or is not the
+// recordCapacity records how a server of a plain service served an attempt, and logs loads that can't be right. A server that asks for a pause or is not the
 // intended one tells nothing about its capacity.
 func (e *Entry) recordCapacity(c *call, s *routing.Server, x *exchange, sentAt clock.Time, before int) {
-	if !e.loads.coordinated() || s.Group != "" || x.reason == "left" || x.reason == "dial" {
+	if !e.loads.coordinated() || x.reason == "left" || x.reason == "dial" {
 		return
 	}
 	h, running := x.headers, -1
 	if x.response != nil {
-		if h.Misdirected || h.RetryAfter > 0 || (h.RateLimit > 0 && x.outcome == outcomeNotExecuted) {
+		if h.Misdirected {
 			return
 		}
 		running = e.reportedLoad(c, s, h)
 	}
+	if s.Group != "" || h.RetryAfter > 0 || (h.RateLimit > 0 && x.outcome == outcomeNotExecuted) {
+		return
+	}
 	failed := x.outcome != outcomeAnswered || x.response.StatusCode >= http.StatusInternalServerError
 	e.loads.RecordSample(s, sentRequest{target: c.route.LatencyTarget, at: sentAt, before: before, running: running, size: len(c.body), failed: failed})
 }
--- a/internal/gateway/heartbeat_test.go
+++ b/internal/gateway/heartbeat_test.go
@@ -26,6 +26,9 @@
 	for i := range 10 {
 		hb.Flights[fmt.Sprintf("i-%010x", i)] = 1
 	}
+	for i := range 3 { // servers of plain services, of which there are few
+		hb.Capacity = append(hb.Capacity, capacityReport{Server: 1<<32 - 1 - uint(i), Concurrency: 24, Time: 1500, Answered: 64, Failed: 64, Rejected: 900})
+	}
 	content, err := datagram.Encode(hb)
 	require.NoError(t, err)
 	assert.Less(t, len(content), largest)
