Keep the fields of learned capacities apart

Cause: the formatter had aligned the neighbours of the new fields anew, which conflicts with other changes of these lists. Change: the new fields are paragraphs of their own.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,22 +22,23 @@
 	Directory        string // listen address for callers that look up entries
 	InternalPorts    []int  // first and last port of the system's internal traffic
 	Seeds            []string
-	Store            string                 // address of the metadata store
-	LinkMbps         float64                // throughput of the instance's link in Mbit/s; 0 if unknown
-	Memory           int64                  // memory of the instance in bytes
-	ShutdownGrace    clock.Span             // ms from the stop signal until the process is killed
-	TTL              clock.Span             // upper bound in ms on the time that callers cache a directory response
-	RetryRatio       float64                // retries per request
-	RetryWindow      clock.Span             // window in ms of the retry budget
-	RetrySlack       float64                // retries per window in addition to the ratio
-	BackendHeartbeat clock.Span             // ms between two heartbeats by which a backend server keeps its registration; 0 if unknown
-	ConfigTime       clock.Span             // ms within which an acknowledged configuration is in force; 0 if unknown
-	DrainTime        clock.Span             // ms for which a backend server serves on after it has said that it leaves; 0 if unknown
-	EvacuationTime   clock.Span             // ms within which an evacuation takes effect, also while the store is unstable; 0 if unknown
-	Engine           string                 // for agents: address of the engine on the same instance
-	EngineService    string                 // for agents: service that the engine runs
-	Capacity         balance.CapacityBounds // bounds of learned capacities, or that they are fixed
-	Fencing          bool                   // engines reject commands with a lower fence than one that they have seen
+	Store            string     // address of the metadata store
+	LinkMbps         float64    // throughput of the instance's link in Mbit/s; 0 if unknown
+	Memory           int64      // memory of the instance in bytes
+	ShutdownGrace    clock.Span // ms from the stop signal until the process is killed
+	TTL              clock.Span // upper bound in ms on the time that callers cache a directory response
+	RetryRatio       float64    // retries per request
+	RetryWindow      clock.Span // window in ms of the retry budget
+	RetrySlack       float64    // retries per window in addition to the ratio
+	BackendHeartbeat clock.Span // ms between two heartbeats by which a backend server keeps its registration; 0 if unknown
+	ConfigTime       clock.Span // ms within which an acknowledged configuration is in force; 0 if unknown
+	DrainTime        clock.Span // ms for which a backend server serves on after it has said that it leaves; 0 if unknown
+	EvacuationTime   clock.Span // ms within which an evacuation takes effect, also while the store is unstable; 0 if unknown
+	Engine           string     // for agents: address of the engine on the same instance
+	EngineService    string     // for agents: service that the engine runs
+	Fencing          bool       // engines reject commands with a lower fence than one that they have seen
+
+	Capacity balance.CapacityBounds // bounds of learned capacities, or that they are fixed
 }
 
 // metricsPort is the TCP port of the metrics server; it must match the deploy file.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -13,19 +13,20 @@
 type Metrics struct {
 	Set *metrics.Set
 
-	Calls             Counters     // ended calls, by outcome: whole and failed; at an entry also notrun and unknown; at a gateway also refused, broken and left
-	Latency           Histograms   // ms from a call's start to its end, by service
-	FirstEventLatency Histograms   // ms from a call's start to its first event, by service
-	Choices           Counters     // backend servers chosen, by availability zone
-	LimitedSends      Counters     // requests sent to backend servers with a limited rate, by service
-	ChoiceLoad        Histograms   // requests in flight at the chosen backend server, by service
-	Retries           Counters     // attempts after the first, by reason; reason budget counts retries that the retry budget denied
-	Rejections        Counters     // requests rejected or not completed, by reason
-	Resumes           Counters     // streams resumed at another backend server, by reason
-	DroppedAnswers    Counters     // events or answers dropped because id, attempt or index did not match, by reason
-	WorstCapacities   *NamedGauges // learned capacities in requests of the worst backend servers, by server
-	Capacity          Histograms   // learned capacities in requests of the other ones, by service
-	Crashes           Counters     // crashes of the backend server, by evidence: alone if it ran one isolated request, otherwise shared
+	Calls             Counters   // ended calls, by outcome: whole and failed; at an entry also notrun and unknown; at a gateway also refused, broken and left
+	Latency           Histograms // ms from a call's start to its end, by service
+	FirstEventLatency Histograms // ms from a call's start to its first event, by service
+	Choices           Counters   // backend servers chosen, by availability zone
+	LimitedSends      Counters   // requests sent to backend servers with a limited rate, by service
+	ChoiceLoad        Histograms // requests in flight at the chosen backend server, by service
+	Retries           Counters   // attempts after the first, by reason; reason budget counts retries that the retry budget denied
+	Rejections        Counters   // requests rejected or not completed, by reason
+	Resumes           Counters   // streams resumed at another backend server, by reason
+	DroppedAnswers    Counters   // events or answers dropped because id, attempt or index did not match, by reason
+	Crashes           Counters   // crashes of the backend server, by evidence: alone if it ran one isolated request, otherwise shared
+
+	WorstCapacities *NamedGauges // learned capacities in requests of the worst backend servers, by server
+	Capacity        Histograms   // learned capacities in requests of the other ones, by service
 
 	SlowStartWindow *metrics.Gauge // concurrency limit of the backend server in requests
 	Running         *metrics.Gauge // requests at the backend server or in progress at the entry
