--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -73,6 +73,7 @@
 	closed        string        // why no backend server could be chosen, empty if one could
 	lastFailure   string        // reason word of the last attempt, empty if it did not fail
 	coordinated   bool          // coordinated admission decided
+	placement     *placement    // of the last attempt at an engine; nil for none
 	reservedIn    *serviceQueue // queue in which a slot is reserved for the request; nil for none
 }
 
@@ -215,6 +216,7 @@
 		c.closed = closed.Reasons
 		return nil, rejectionOfClosed(closed)
 	}
+	c.placement = e.loads.AddWork(servers[i], c.service.Name, c.requestSize())
 	if chosen.Limited {
 		e.logLimitedSend(c, servers[i], chosen)
 	}
@@ -283,12 +285,13 @@
 	})
 	e.suspects.addSend(c.SharedParts)
 	e.releaseReservation(c)
-	sentAt := e.clock.Now()
+	sentAt, before := e.clock.Now(), e.loads.InFlightAt(s)
 	x := e.send(ctx, s, out, c.ID, c.route.Kind == routing.NonIdempotent)
 	if x.response != nil && !x.headers.Misdirected {
 		e.recordNamedRate(c, s, x.headers, sentAt)
 		e.recordAvailability(c, s, &x, sentAt)
 	}
+	e.recordCapacity(c, s, &x, sentAt, before)
 	if x.outcome == outcomeUnknown {
 		c.maybeExecuted = true
 	}
@@ -327,6 +330,9 @@
 		e.loads.RecordTaken(s, sentAt)
 	case x.outcome == outcomeNotExecuted && s.Group == "":
 		e.loads.RecordTurnedAway(s, 0)
+		if e.loads.RejectionIsNews(s) {
+			e.peers.Notify()
+		}
 	}
 }
 
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -26,9 +25,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	endpoints := t.endpoints(servers, service, tried, now)
-	i = balance.PickEndpoint(endpoints, zone, rand.Uint64)
+	i = t.pick(servers, service, endpoints, zone, now)
 	if i < 0 && t.reopenLeaving(servers, endpoints, now) {
-		i = balance.PickEndpoint(endpoints, zone, rand.Uint64)
+		i = t.pick(servers, service, endpoints, zone, now)
 	}
 	if i < 0 {
 		return i, chosen, closedServers(endpoints, now)
@@ -95,9 +94,13 @@
 	defer t.mu.Unlock()
 	up, limited := 0, 0
 	down := 0.0 // requests that the servers which are down would run
-	for _, s := range servers {
+	learned := t.learnedCapacities(servers, service.Name, now)
+	for i, s := range servers {
 		e := t.endpoint(s, service, now)
 		size := limit(s.Slots)
+		if learned != nil {
+			size *= learned[i].Requests / float64(max(s.Slots, 1))
+		}
 		if e.Ejected || e.Leaving {
 			running := min(size, float64(e.InFlight()))
 			room.Requests += running
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -88,7 +88,7 @@
 			Crashes:   news.Crashes, Completed: news.Completed, CompletedParts: news.CompletedParts, Evidence: e.suspects.digest(),
 			Name: s.Name, Zone: s.Zone, IP: s.IP, Front: s.Front, Control: s.Control, Born: born,
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(), Rates: e.loads.RateReports(),
-			Leaving: e.loads.LeavingReports(), Taking: e.loads.RecoveredReports(),
+			Leaving: e.loads.LeavingReports(), Taking: e.loads.RecoveredReports(), Capacity: e.loads.CapacityReports(),
 			Demand: e.ownDemand(),
 			Cores:  s.Cores, Full: e.full.Load(),
 		}
@@ -99,6 +99,7 @@
 	})
 	e.loads.entries, e.loads.drainTime = e.peers.Entries, s.DrainTime
 	e.peers.OnEvidence, e.peers.OnRates, e.peers.OnLeaving = e.receiveEvidence, e.receiveRateReports, e.receiveLeavingReports
+	e.loads.Bounds, e.loads.Coordinated, e.peers.OnCapacity = s.Capacity, e.coordinated, e.receiveCapacityReports
 	e.peers.OnConfirmation = e.state.AdoptConfirmation
 	e.peers.OnDemand = e.receiveDemand
 	e.reader = &StoreReader{Protocol: protocol, State: e.state, Clock: c, Logger: logger, PeerSync: PeerSync{
@@ -210,6 +211,7 @@
 			e.dispatch()
 			if tick%dispatchesPerObservation == 0 {
 				e.observeLoad()
+				e.observeCapacities()
 			}
 		}
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"carawaypick/internal/balance"
 	"carawaypick/pkg/clock"
 )
 
@@ -38,6 +39,8 @@
 	Engine           string     // for agents: address of the engine on the same instance
 	EngineService    string     // for agents: service that the engine runs
 	Fencing          bool       // engines reject commands with a lower fence than one that they have seen
+
+	Capacity balance.CapacityBounds // bounds of learned capacities, or that they are fixed
 }
 
 // MetricsPort is the TCP port of the metrics server; it must match the deploy file.
@@ -51,6 +54,9 @@
 	if len(s.InternalPorts) != 2 || s.InternalPorts[0] <= 0 || s.InternalPorts[1] < s.InternalPorts[0] {
 		return errors.Newf("two ports in order are needed for the system's own traffic, got %v", s.InternalPorts)
 	}
+	if s.Capacity.Least < 0 || !(s.Capacity.Factor >= 0) {
+		return errors.Newf("bounds of learned capacities can't be negative, got %d and %v", s.Capacity.Least, s.Capacity.Factor)
+	}
 	named := []struct{ field, address string }{
 		{"front", s.Front},
 		{"ready", s.Ready},
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,9 @@
 	DroppedAnswers    Counters   // events or answers dropped because id, attempt or index did not match, by reason
 	Crashes           Counters   // crashes of the backend server, by evidence: alone if it ran one isolated request, otherwise shared
 
+	WorstCapacities *NamedGauges // learned capacities in requests of the worst backend servers, by server
+	Capacity        Histograms   // learned capacities in requests of the other ones, by service
+
 	SlowStartWindow *metrics.Gauge // concurrency limit of the backend server in requests
 	Running         *metrics.Gauge // requests at the backend server or in progress at the entry
 	Queued          *metrics.Gauge // requests waiting in the queue
@@ -68,6 +71,8 @@
 	m.Resumes = m.counters("resumes_total", "reason")
 	m.OverloadWait = m.gauges("overload_wait_ms", "service")
 	m.DroppedAnswers = m.counters("dropped_answers_total", "reason")
+	m.WorstCapacities = &NamedGauges{set: m.Set, name: metricPrefix + "worst_capacity", label: "server", registered: make(map[string]string)}
+	m.Capacity = m.histograms("learned_capacity", "service")
 	m.Crashes = m.counters("backend_crashes_total", "evidence")
 }
 
