Send the coordinated condition with the member list

The agents beside the engines need to know whether coordinated admission is on before their planner may use spare expert places differently. MemberList has the field Coordinated, which an entry fills from Entry.coordinated; nothing sets that function yet, so the field stays false.

Tests of internal/engine and internal/gateway pass.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -59,8 +59,9 @@
 
 // MemberList is the member list of an engine's group, with the shape of its maps, as an entry returns it.
 type MemberList struct {
-	Members []Member
-	Shape   Shape
+	Members     []Member
+	Shape       Shape
+	Coordinated bool // coordinated admission is on for the deployment; false also from entries that do not know it
 }
 
 // engineTimeout is the time limit in ms of one call to an engine.
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -43,7 +43,8 @@
 	retries       *retryBudget
 	suspects      *suspectSet
 	admission     *admission
-	unreachable   string // control address of the peer that the last pull of state failed at
+	coordinated   func() bool // reports whether coordinated admission is on, nil if it never is; set before start
+	unreachable   string      // control address of the peer that the last pull of state failed at
 	// configUnreachable is the same for the last pull of a newer configuration, which another loop does.
 	configUnreachable string
 	joined            chan struct{} // closed when this entry knows what its peers know of the configuration
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,7 +90,11 @@
 			Ready: e.ready(), Lost: e.reader.Lost(), Era: era, Revision: revision, Version: e.state.ConfigVersion(), Flights: e.loads.InFlight(), Costs: e.ownCosts(), Rates: e.loads.RateReports(),
 			Leaving: e.loads.LeavingReports(), Taking: e.loads.RecoveredReports(),
 		}
-	}, func(address string) engine.MemberList { return memberList(e.state.View(), address, c.Now()) })
+	}, func(address string) engine.MemberList {
+		r := memberList(e.state.View(), address, c.Now())
+		r.Coordinated = len(r.Members) > 0 && e.coordinated != nil && e.coordinated()
+		return r
+	})
 	e.loads.entries, e.loads.drainTime = e.peers.Entries, s.DrainTime
 	e.peers.OnEvidence, e.peers.OnRates, e.peers.OnLeaving = e.receiveEvidence, e.receiveRateReports, e.receiveLeavingReports
 	e.peers.OnConfirmation = e.state.AdoptConfirmation
