Plan expert maps for the demand regimes that may return

A map was fitted to the present demand alone, so that each shift of the topics cost a full misfit until the next map. The planner now clusters the reports into at most Settings.MaxRegimes regimes, and the search minimises the highest of the present skew and 0.6 times the skew under each of the six worst known regimes. In the first two reports of a known regime it plans on the remembered shares. It is off by default; internal/engine switches it on if the member list says so and the maps have spare places. The search is faster as well, with the same result: loads of replicas are cached, the lightest ranks are selected instead of sorted, and exchanges that can't beat the best are dropped early.

Tests of pkg/expert, internal/engine and the tests of internal/skew pass.

--- a/internal/engine/controller.go
+++ b/internal/engine/controller.go
@@ -36,6 +36,8 @@
 	plannerVersion int64        // version and epoch of the planner's map in one number, or expert.None if the planner must adopt the map in use
 	deferredGain   float64      // gain of the plan that was deferred in the last round, 0 for none
 	deferrals      int          // consecutive rounds with a deferred plan
+	coordinated    bool         // coordinated admission is on
+	regimesEpoch   int64        // incarnation of the group whose demand the planner remembers
 }
 
 const (
@@ -46,6 +48,7 @@
 	maxDeferTime     = 3 * pollInterval // for which a plan may be deferred in consecutive rounds
 	minCopiesPerRank = 2                // experts that one plan may add per rank over all sets at least, because all ranks wait for the one that copies longest
 	setsPerCopy      = 2                // number of sets for each expert that one plan may add per rank beyond that
+	maxRegimes       = 12               // demand regimes that the planner remembers, which are more than the topics of a group's requests
 	minPlanGain      = 0.3              // least reduction of the mean skew by a plan, because a small switch delays the next, larger one
 )
 
@@ -139,6 +142,15 @@
 	return s
 }
 
+// maxRegimes returns the number of demand regimes that the planner remembers: none unless admission is coordinated and the
+// maps have spare places.
+func (c *mapController) maxRegimes() int {
+	if !c.coordinated || len(c.statuses)*c.shape.SlotsPerRank <= c.shape.Experts {
+		return 0
+	}
+	return maxRegimes
+}
+
 // syncPlanner makes the planner adopt the map in use if it has another one. It returns false if that map is not known.
 func (c *mapController) syncPlanner() (ready bool, err error) {
 	m := c.currentMap()
@@ -195,6 +207,11 @@
 	if !ready || err != nil {
 		return false, 0, err
 	}
+	c.planner.SetMaxRegimes(c.maxRegimes())
+	if epoch := c.statuses[0].Epoch; epoch != c.regimesEpoch {
+		c.planner.ForgetRegimes()
+		c.regimesEpoch = epoch
+	}
 	r, ok := c.takeReport()
 	if !ok {
 		return false, 0, nil
@@ -260,6 +277,7 @@
 		a.controller = newMapController(a.report.GroupSize, own.Rank, a.group.Shape, a.settings.LinkBytesPerMs)
 		level.Info(a.logger).Log("msg", "this process directs the group", "group", own.Group, "rank", own.Rank, "ranks", a.report.GroupSize)
 	}
+	a.controller.coordinated = a.group.Coordinated
 	a.controller.receive(now, own)
 	for _, m := range a.group.Members {
 		if m.Rank != own.Rank {
--- a/internal/engine/controller_test.go
+++ b/internal/engine/controller_test.go
@@ -278,3 +278,52 @@
 	}
 	assert.Equal(t, int64(5), g.ranks[2].Prepared)
 }
+
+// planRounds passes the counts of eight rounds to the planner of the controller.
+func planRounds(t *testing.T, c *mapController, firstRound, epoch int64) {
+	for round := firstRound; round < firstRound+8; round++ {
+		now := clock.Time(round * 60)
+		for _, v := range pollReplies(int64(now), 1) {
+			v.Epoch = epoch
+			c.receive(now, v)
+		}
+		_, _, err := c.plan(now, round*expert.MaxCoordinators, func(r expert.Report) (expert.Plan, error) { return expert.Plan{Unchanged: true}, c.planner.Observe(r) })
+		require.NoError(t, err)
+	}
+}
+
+// TestControllerRegimes guards against maps for more than the present demand where the deployment does not call for them,
+// and against regimes of an earlier incarnation of the group.
+func TestControllerRegimes(t *testing.T) {
+	full := testShape
+	full.SlotsPerRank = 2
+	newController := func(s Shape, coordinated bool) *mapController {
+		c := newMapController(4, 0, s, 0)
+		c.coordinated = coordinated
+		return c
+	}
+	t.Run("are remembered only with coordinated admission and spare places", func(t *testing.T) {
+		assert.Zero(t, newController(testShape, false).maxRegimes())
+		assert.Zero(t, newController(full, true).maxRegimes())
+		assert.Equal(t, maxRegimes, newController(testShape, true).maxRegimes())
+		for _, coordinated := range []bool{false, true} {
+			c := newController(testShape, coordinated)
+			planRounds(t, c, 1, 1)
+			assert.Equal(t, coordinated, c.planner.Regimes() > 0)
+		}
+	})
+	t.Run("are kept while the condition changes", func(t *testing.T) {
+		c := newController(testShape, true)
+		planRounds(t, c, 1, 1)
+		c.coordinated = false
+		planRounds(t, c, 20, 1)
+		assert.Equal(t, 1, c.planner.Regimes())
+	})
+	t.Run("are forgotten when the group restarts", func(t *testing.T) {
+		c := newController(testShape, true)
+		planRounds(t, c, 1, 1)
+		c.coordinated = false
+		planRounds(t, c, 20, 2)
+		assert.Zero(t, c.planner.Regimes())
+	})
+}
--- a/pkg/expert/imbalance.go
+++ b/pkg/expert/imbalance.go
@@ -13,8 +13,9 @@
 type imbalance struct {
 	layer      int
 	shares     []float64
-	targetSkew float64 // skew at which the search stops
-	minGain    float64 // least reduction of skew by the whole plan for the layer
+	targetSkew float64      // skew at which the search stops
+	others     []regimeCase // regimes that may return
+	minGain    float64      // least reduction of skew by the whole plan for the layer
 }
 
 func (p *Planner) imbalances() []imbalance {
@@ -24,7 +25,15 @@
 		if shares == nil {
 			continue
 		}
+		var others []regimeCase
+		if p.settings.MaxRegimes > 0 {
+			shares = p.regimes.presentShares(l, shares)
+			others = p.regimes.returning(l, p.current[l])
+		}
 		skew := LayerSkew(p.current[l], shares)
+		if len(others) > 0 {
+			skew = max(skew, returnFraction*others[0].skew)
+		}
 		if skew < 1+p.settings.MinLayerGain {
 			continue
 		}
@@ -32,7 +41,7 @@
 		lowerBound := LayerSkewLowerBound(p.shape, shares)
 		minGain := max(p.settings.MinLayerGain, p.requiredSigma()*stdDev*e.caution())
 		if skew-lowerBound >= minGain {
-			found = append(found, imbalance{layer: l, shares: shares, targetSkew: lowerBound + max(p.settings.TargetMargin, stdDev/2), minGain: minGain})
+			found = append(found, imbalance{layer: l, shares: shares, targetSkew: lowerBound + max(p.settings.TargetMargin, stdDev/2), minGain: minGain, others: others})
 		}
 	}
 	return found
@@ -42,6 +51,7 @@
 func (p *Planner) improveLayer(imb imbalance, minGainPerMove float64, maxMoves int) []Change {
 	next := newPlacement(imb.layer, cloneLayer(p.current[imb.layer]), imb.shares)
 	next.initial, next.maxAdded, next.firstPlaceholder = p.current[imb.layer], p.settings.MaxAddedPerLayer, p.settings.FirstPlaceholder
+	next.addCases(imb.others)
 	changes, gain := profitablePrefix(next.improve(imb.targetSkew, maxMoves), minGainPerMove)
 	if gain < imb.minGain {
 		return nil
--- a/pkg/expert/improve.go
+++ b/pkg/expert/improve.go
@@ -29,6 +29,7 @@
 // without a new lowest skew it stops, and the caller truncates the changes that gained nothing.
 func (p *placement) improve(targetSkew float64, movesLeft int) []Change {
 	var changes []Change
+	p.focus()
 	lowest := p.skew()
 	unimproved := 0
 	for p.skew() > targetSkew && movesLeft > 0 {
@@ -58,7 +59,7 @@
 	best := candidate{score: math.Inf(-1)}
 	keep := p.keepBest(&best)
 	for slot := range p.ranks[busiest] {
-		p.considerExchanges(busiest, slot, keep)
+		p.considerExchanges(busiest, slot, &best, keep)
 		p.considerReplicas(busiest, slot, keep)
 		p.considerReplacements(busiest, slot, keep)
 	}
@@ -83,7 +84,11 @@
 
 func (p *placement) keepBest(best *candidate) func(candidate) {
 	return func(c candidate) {
-		if c.score > best.score && !p.isForbidden(c) {
+		if c.score <= best.score || p.isForbidden(c) {
+			return
+		}
+		if score, ok := p.isHarmless(c, best.score); ok {
+			c.score = score
 			*best = c
 		}
 	}
@@ -105,21 +110,26 @@
 	return p.removed[p.pairIndex(old, c.otherRank)] || p.locked[p.pairIndex(c.expert, c.otherRank)]
 }
 
-// considerExchanges considers exchanging the expert in a slot of the busiest rank for a lighter one of another rank.
-func (p *placement) considerExchanges(busiest, slot int, keep func(candidate)) {
+// considerExchanges considers exchanging the expert in a slot of the busiest rank for a lighter one of another rank; best is
+// the candidate that keep has kept.
+func (p *placement) considerExchanges(busiest, slot int, best *candidate, keep func(candidate)) {
 	heavy := p.ranks[busiest][slot]
+	heavyLoad := p.replicaLoad(heavy)
 	for r := range p.ranks {
 		if r == busiest || contains(p.ranks[r], heavy) {
 			continue
 		}
+		powers := p.powers[busiest] + p.powers[r]
 		for i, light := range p.ranks[r] {
-			excess := p.replicaLoad(heavy) - p.replicaLoad(light)
-			if excess <= 0 || contains(p.ranks[busiest], light) {
+			excess := heavyLoad - p.replicaLoad(light)
+			if excess <= 0 {
 				continue
 			}
 			after := power16(p.loads[busiest]-excess) + power16(p.loads[r]+excess)
-			gain := p.powers[busiest] + p.powers[r] - after
-			keep(candidate{rank: busiest, slot: slot, otherRank: r, otherSlot: i, expert: light, score: gain / 2})
+			score := (powers - after) / 2
+			if score > best.score && !contains(p.ranks[busiest], light) {
+				keep(candidate{rank: busiest, slot: slot, otherRank: r, otherSlot: i, expert: light, score: score})
+			}
 		}
 	}
 }
@@ -191,6 +201,25 @@
 		moves = append(moves, p.assign(c.otherRank, c.otherSlot, heavy))
 	}
 	p.updateLoads()
+	p.updateOthers(p.affectedRanks(c, heavy))
 	p.ranksByLoad = nil
+	p.focus()
 	return moves
 }
+
+// affectedRanks returns the ranks whose loads a change of two experts' replicas affects, which may repeat; nil if no other
+// cases need them.
+func (p *placement) affectedRanks(c candidate, old int) []int {
+	if len(p.others) == 0 {
+		return nil
+	}
+	ranks := append(p.changedRanks[:0], c.rank)
+	if c.otherRank >= 0 {
+		ranks = append(ranks, c.otherRank)
+	} else {
+		ranks = append(ranks, p.holders[old]...)
+		ranks = append(ranks, p.holders[c.expert]...)
+	}
+	p.changedRanks = ranks
+	return ranks
+}
--- a/pkg/expert/placement.go
+++ b/pkg/expert/placement.go
@@ -1,7 +1,6 @@
 package expert
 
 import (
-	"cmp"
 	"slices"
 )
 
@@ -15,28 +14,31 @@
 	shares           []float64 // share of the tokens times the number of ranks, by expert
 	holders          [][]int   // by expert: ranks that have it, once per slot
 	loads            []float64
-	powers           []float64 // power16 of each rank's load; the search reduces their sum
-	ranksByLoad      []int     // least loaded first; nil until it is needed
-	loadChange       []float64 // scratch: change of load, by rank
-	removed          []bool    // by expert and rank: removed from the rank by an earlier change
-	locked           []bool    // by expert and rank: added by escapeLocalMinimum
-	changedRanks     []int     // scratch: ranks whose load changes
-	initial          [][]int   // map at the start of the search
-	maxAdded         int       // experts that a rank may get beyond those in initial, 0 for no limit
-	firstPlaceholder int       // lowest expert number that stands for a free slot, 0 for none
+	powers           []float64    // power16 of each rank's load; the search reduces their sum
+	others           []demandCase // other demands that the placement is made for, empty for the present one only
+	replicaLoads     []float64    // load of one replica, by expert
+	ranksByLoad      []int        // maxLightRanks ranks, least loaded first; nil until they are needed
+	loadChange       []float64    // scratch: change of load, by rank
+	removed          []bool       // by expert and rank: removed from the rank by an earlier change
+	locked           []bool       // by expert and rank: added by escapeLocalMinimum
+	changedRanks     []int        // scratch: ranks whose load changes
+	initial          [][]int      // map at the start of the search
+	maxAdded         int          // experts that a rank may get beyond those in initial, 0 for no limit
+	firstPlaceholder int          // lowest expert number that stands for a free slot, 0 for none
 }
 
 func newPlacement(layer int, ranks [][]int, shares []float64) *placement {
 	p := &placement{
-		layer:      layer,
-		ranks:      ranks,
-		shares:     make([]float64, len(shares)),
-		holders:    make([][]int, len(shares)),
-		loads:      make([]float64, len(ranks)),
-		powers:     make([]float64, len(ranks)),
-		loadChange: make([]float64, len(ranks)),
-		removed:    make([]bool, len(ranks)*len(shares)),
-		locked:     make([]bool, len(ranks)*len(shares)),
+		layer:        layer,
+		ranks:        ranks,
+		shares:       make([]float64, len(shares)),
+		holders:      make([][]int, len(shares)),
+		loads:        make([]float64, len(ranks)),
+		replicaLoads: make([]float64, len(shares)),
+		powers:       make([]float64, len(ranks)),
+		loadChange:   make([]float64, len(ranks)),
+		removed:      make([]bool, len(ranks)*len(shares)),
+		locked:       make([]bool, len(ranks)*len(shares)),
 	}
 	for e, s := range shares {
 		p.shares[e] = s * float64(len(ranks))
@@ -46,6 +48,7 @@
 			p.holders[e] = append(p.holders[e], r)
 		}
 	}
+	p.updateReplicaLoads()
 	p.updateLoads()
 	return p
 }
@@ -63,7 +66,13 @@
 
 // replicaLoad returns the load of one replica of the expert.
 func (p *placement) replicaLoad(e int) float64 {
-	return p.loadOfReplicas(e, len(p.holders[e]))
+	return p.replicaLoads[e]
+}
+
+func (p *placement) updateReplicaLoads() {
+	for e := range p.replicaLoads {
+		p.replicaLoads[e] = p.loadOfReplicas(e, len(p.holders[e]))
+	}
 }
 
 // loadOfReplicas returns the load of one replica of the expert if it had the given number of replicas.
@@ -111,13 +120,23 @@
 
 // lightestRanks returns the maxLightRanks ranks with the lowest load.
 func (p *placement) lightestRanks() []int {
-	if p.ranksByLoad == nil {
-		for r := range p.loads {
-			p.ranksByLoad = append(p.ranksByLoad, r)
+	if p.ranksByLoad != nil {
+		return p.ranksByLoad
+	}
+	lightest := make([]int, 0, maxLightRanks+1)
+	for r, load := range p.loads {
+		if len(lightest) == maxLightRanks && load >= p.loads[lightest[maxLightRanks-1]] {
+			continue
+		}
+		at := len(lightest)
+		for at > 0 && load < p.loads[lightest[at-1]] {
+			at--
 		}
-		slices.SortStableFunc(p.ranksByLoad, func(a, b int) int { return cmp.Compare(p.loads[a], p.loads[b]) })
+		lightest = slices.Insert(lightest, at, r)
+		lightest = lightest[:min(len(lightest), maxLightRanks)]
 	}
-	return p.ranksByLoad[:min(maxLightRanks, len(p.ranksByLoad))]
+	p.ranksByLoad = lightest
+	return lightest
 }
 
 // exceedsAdded reports whether placing the expert in the slot would give the rank more than maxAdded new experts.
@@ -148,6 +167,8 @@
 	p.holders[old] = slices.Delete(p.holders[old], i, i+1)
 	p.holders[expert] = append(p.holders[expert], rank)
 	p.ranks[rank][slot] = expert
+	p.replicaLoads[old] = p.loadOfReplicas(old, len(p.holders[old]))
+	p.replicaLoads[expert] = p.loadOfReplicas(expert, len(p.holders[expert]))
 	p.removed[p.pairIndex(old, rank)] = true
 	return Move{Layer: p.layer, Rank: rank, Slot: slot, Expert: expert}
 }
--- a/pkg/expert/plan.go
+++ b/pkg/expert/plan.go
@@ -22,6 +22,7 @@
 	MaxAddedPerRank  int        // experts that one plan may add per rank over all layers, 0 for no limit
 	FirstPlaceholder int        // lowest expert number that stands for a free slot, 0 for none
 	MinSigma         float64    // least noise threshold in standard deviations of the busiest rank's load, 0 to ignore noise
+	MaxRegimes       int        // demand regimes that are remembered and planned for, 0 to plan for the present demand only
 }
 
 // DefaultSettings returns the default settings.
@@ -71,6 +72,7 @@
 	shape      Shape
 	current    Map
 	estimates  []*estimate
+	regimes    regimeSet // empty unless Settings.MaxRegimes is set
 	newestStep uint64
 	seenSteps  [reportWindow]uint64 // step number plus one, by step modulo reportWindow
 	started    bool
@@ -92,6 +94,21 @@
 	return nil
 }
 
+// SetMaxRegimes changes Settings.MaxRegimes; the regimes that are known so far stay remembered.
+func (p *Planner) SetMaxRegimes(limit int) {
+	p.settings.MaxRegimes = limit
+}
+
+// Regimes returns the number of remembered regimes.
+func (p *Planner) Regimes() int {
+	return len(p.regimes.known)
+}
+
+// ForgetRegimes drops the remembered regimes, as after a restart of the group.
+func (p *Planner) ForgetRegimes() {
+	p.regimes = regimeSet{}
+}
+
 // Next adds a report and returns the plan that follows from all reports so far, which is unchanged if the report is not the
 // newest. It returns a FieldError for an invalid report.
 func (p *Planner) Next(r Report) (plan Plan, err error) {
@@ -178,6 +195,9 @@
 	for l, e := range p.estimates {
 		e.add(r.Layers[l], r.Step-p.newestStep)
 	}
+	if p.settings.MaxRegimes > 0 {
+		p.regimes.add(r.Layers, r.Step-p.newestStep, p.settings.MaxRegimes)
+	}
 	p.newestStep = r.Step
 	return true
 }
