Ignore reports with few tokens and test it

A report with tokens of one expert only had no distance from even shares, so that the rule that keeps a single odd report from becoming a regime was never exercised; its test stayed green without the rule. The distance now counts all experts, and the test adds repeated reports with few tokens. Both parts of the test are red with their rule removed. Tests of pkg/expert pass.

--- a/pkg/expert/regimes.go
+++ b/pkg/expert/regimes.go
@@ -74,14 +74,11 @@
 		if shares[l] == nil {
 			continue
 		}
-		squares, used := 0.0, 0.0
+		squares := 0.0
 		for _, p := range shares[l] {
 			squares += p * p
-			if p > 0 {
-				used++
-			}
 		}
-		spread += squares - 1/used
+		spread += squares - 1/float64(len(counts))
 		noise += 1 / totalTokens(counts)
 	}
 	return shares, spread, noise
--- a/pkg/expert/regimes_test.go
+++ b/pkg/expert/regimes_test.go
@@ -76,7 +76,7 @@
 		}
 		assert.Len(t, p.regimes.returning(0, p.current[0]), maxCases)
 	})
-	t.Run("invalid, empty, repeated and single odd reports change no case", func(t *testing.T) {
+	t.Run("invalid, empty, repeated and tiny reports and a single odd one change no case", func(t *testing.T) {
 		p := NewPlanner(regimeSettings(4))
 		step, _ := playTopics(t, p, 0, 0, 1)
 		require.NoError(t, p.Observe(topicReport(step, 0)))
@@ -85,9 +85,11 @@
 		assert.Error(t, p.Observe(newReport(regimeShape(), step+1, -1)))
 		require.NoError(t, p.Observe(topicReport(step, 1)))
 		require.NoError(t, p.Observe(evenReport(regimeShape(), step+1, 0)))
-		require.NoError(t, p.Observe(newReport(regimeShape(), step+2, 1, 0, 1)))
-		require.NoError(t, p.Observe(newReport(regimeShape(), step+3, 1<<40)))
-		require.NoError(t, p.Observe(topicReport(step+4, 0)))
+		require.NoError(t, p.Observe(newReport(regimeShape(), step+2, 1<<40)))
+		for i := range uint64(5) {
+			require.NoError(t, p.Observe(newReport(regimeShape(), step+3+i, 1, 0, 1)))
+		}
+		require.NoError(t, p.Observe(topicReport(step+8, 0)))
 		assert.Equal(t, before, p.regimes.returning(0, p.current[0]))
 	})
 	t.Run("a planner whose memory is switched off plans as one without", func(t *testing.T) {
