--- a/pkg/expert/demandcase.go
+++ b/pkg/expert/demandcase.go
@@ -2,14 +2,15 @@
 
 // demandCase is the load of the ranks under one demand that a placement is made for, relative to the mean load of a rank.
 type demandCase struct {
-	shares []float64 // share of the tokens times the number of ranks, by expert
-	loads  []float64
-	powers []float64 // power16 of each rank's load
+	shares       []float64 // share of the tokens times the number of ranks, by expert
+	replicaLoads []float64 // load of one replica, by expert
+	loads        []float64
+	powers       []float64 // power16 of each rank's load
 }
 
 // newDemandCase returns a case whose loads count as the given fraction of those of the present demand.
 func newDemandCase(ranks int, shares []float64, fraction float64) demandCase {
-	c := demandCase{shares: make([]float64, len(shares)), loads: make([]float64, ranks), powers: make([]float64, ranks)}
+	c := demandCase{shares: make([]float64, len(shares)), replicaLoads: make([]float64, len(shares)), loads: make([]float64, ranks), powers: make([]float64, ranks)}
 	for e, s := range shares {
 		c.shares[e] = s * float64(ranks) * fraction
 	}
@@ -28,6 +29,11 @@
 	for _, c := range cases {
 		p.others = append(p.others, newDemandCase(len(p.ranks), c.shares, returnFraction))
 	}
+	for i := range p.others {
+		for e, holders := range p.holders {
+			p.others[i].replicaLoads[e] = p.others[i].replicaLoad(e, len(holders))
+		}
+	}
 	p.updateOthers(ranks)
 }
 
@@ -48,7 +54,7 @@
 	p.shares, c.shares = c.shares, p.shares
 	p.loads, c.loads = c.loads, p.loads
 	p.powers, c.powers = c.powers, p.powers
-	p.updateReplicaLoads()
+	p.replicaLoads, c.replicaLoads = c.replicaLoads, p.replicaLoads
 	p.ranksByLoad = nil
 }
 
@@ -59,7 +65,7 @@
 		for _, r := range ranks {
 			load := 0.0
 			for _, e := range p.ranks[r] {
-				load += c.replicaLoad(e, len(p.holders[e]))
+				load += c.replicaLoads[e]
 			}
 			c.loads[r] = load
 			c.powers[r] = power16(load)
@@ -94,15 +100,15 @@
 }
 
 func (p *placement) exchangeHarm(d *demandCase, c candidate, old int) float64 {
-	excess := d.replicaLoad(old, len(p.holders[old])) - d.replicaLoad(c.expert, len(p.holders[c.expert]))
+	excess := d.replicaLoads[old] - d.replicaLoads[c.expert]
 	return d.harm(c.rank, -excess) + d.harm(c.otherRank, excess)
 }
 
 // replacementHarm counts a rank that holds both experts twice, which is close enough to compare changes.
 func (p *placement) replacementHarm(d *demandCase, rank, out, in int) float64 {
 	outHolders, inHolders := p.holders[out], p.holders[in]
-	outLoad, inLoad := d.replicaLoad(out, len(outHolders)), d.replicaLoad(in, len(inHolders)+1)
-	outChange, inChange := 0.0, inLoad-d.replicaLoad(in, len(inHolders))
+	outLoad, inLoad := d.replicaLoads[out], d.replicaLoad(in, len(inHolders)+1)
+	outChange, inChange := 0.0, inLoad-d.replicaLoads[in]
 	if len(inHolders) == 0 {
 		inChange = 0
 	}
--- a/pkg/expert/placement.go
+++ b/pkg/expert/placement.go
@@ -169,6 +169,11 @@
 	p.ranks[rank][slot] = expert
 	p.replicaLoads[old] = p.loadOfReplicas(old, len(p.holders[old]))
 	p.replicaLoads[expert] = p.loadOfReplicas(expert, len(p.holders[expert]))
+	for i := range p.others {
+		c := &p.others[i]
+		c.replicaLoads[old] = c.replicaLoad(old, len(p.holders[old]))
+		c.replicaLoads[expert] = c.replicaLoad(expert, len(p.holders[expert]))
+	}
 	p.removed[p.pairIndex(old, rank)] = true
 	return Move{Layer: p.layer, Rank: rank, Slot: slot, Expert: expert}
 }
--- a/pkg/expert/regimes.go
+++ b/pkg/expert/regimes.go
@@ -13,8 +13,8 @@
 	regimeWindow       = 16   // over which the shares of a regime are averaged
 	maxRegimeDistance  = 0.4  // squared distance of one regime's reports, relative to their squared distance from even shares
 	recognitionReports = 2    // after a shift, planned on the remembered shares of a regime
-	returnFraction     = 0.6  // part of the skew of another regime that counts, since it may not return before the next map
-	maxCases           = 6    // regimes besides the present one that a search plans for, which bounds its time
+	returnFraction     = 0.65 // part of the skew of another regime that counts, since it may not return before the next map
+	maxCases           = 8    // regimes besides the present one that a search plans for, which bounds its time
 	maxRegimeNoise     = 0.25 // expected noise of a report on the same scale, above which it is ignored
 )
 
