--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"carawaypick/internal/datagram"
+	"carawaypick/internal/engine"
 	"carawaypick/internal/routing"
 	"carawaypick/internal/store"
 	"carawaypick/pkg/clock"
@@ -299,3 +301,18 @@
 	later.StartedAt = 1
 	assert.Equal(t, []string{"a:1", "c:1"}, ranks(rank("a", 0, 0), rank("b", 1, 0), later), "the one before has crashed")
 }
+
+// TestMemberListTellsCoordination guards against agents that don't learn whether coordinated admission is on.
+func TestMemberListTellsCoordination(t *testing.T) {
+	e, _ := newTestEntry(t)
+	view := &routing.View{Config: testConfig(), Servers: map[string]*routing.Server{"a": {ID: "a", Service: "s", Address: "a:1", Group: "g"}}}
+	e.state.view.Store(view)
+	assert.False(t, e.peers.memberList("a:1").Coordinated, "unless the entry is told otherwise")
+	e.coordinated = func() bool { return true }
+	content, err := datagram.Encode(struct{ Roster engine.MemberList }{e.peers.memberList("a:1")})
+	require.NoError(t, err)
+	var received struct{ Roster engine.MemberList }
+	require.NoError(t, datagram.Decode(content, &received))
+	assert.True(t, received.Roster.Coordinated)
+	assert.False(t, e.peers.memberList("b:1").Coordinated, "the group is not known")
+}
