Test that a coordinator learns the coordinated condition

TestAgentsSwitch also checks that the condition of the member list reaches the controller; it is red with that assignment taken out. Tests of internal/engine pass.

--- a/internal/engine/controller_test.go
+++ b/internal/engine/controller_test.go
@@ -198,7 +198,7 @@
 	port := probe.LocalAddr().(*net.UDPAddr).Port
 	require.NoError(t, probe.Close())
 	g := &fakeGroup{maps: map[int64]expert.Map{}}
-	group := MemberList{Shape: testShape}
+	group := MemberList{Shape: testShape, Coordinated: true}
 	for rank := range 4 {
 		g.ranks = append(g.ranks, Report{
 			Group: "g", Rank: rank, GroupSize: 4, StartedAt: 1,
@@ -209,10 +209,12 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var ended []chan error
+	var agents []*Agent
 	for _, m := range group.Members {
 		a := New(Settings{IP: m.IP, Port: port, Engine: m.Engine},
 			Client{Report: g.report, Counts: g.counts, Placement: g.placement, SendCommand: g.command}, clock.New(), log.NewNopLogger())
 		a.setGroup(group)
+		agents = append(agents, a)
 		done := make(chan error, 1)
 		ended = append(ended, done)
 		go func() { done <- a.Run(ctx) }()
@@ -228,6 +230,8 @@
 	for _, done := range ended {
 		assert.NoError(t, <-done)
 	}
+	require.NotNil(t, agents[0].controller)
+	assert.True(t, agents[0].controller.coordinated, "the member list says so")
 	for _, r := range g.ranks {
 		assert.Equal(t, g.ranks[0].Version, r.Version)
 		assert.Equal(t, expert.None, r.Held)
