--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -61,7 +61,7 @@
 type MemberList struct {
 	Members     []Member
 	Shape       Shape
-	Coordinated bool // the deployment has coordinated admission
+	Coordinated bool // coordinated admission is on for the deployment; false also from entries that do not know it
 }
 
 const (
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -94,7 +94,7 @@
 		}
 	}, func(address string) engine.MemberList {
 		list := memberList(e.state.View(), address, c.Now())
-		list.Coordinated = e.coordinated()
+		list.Coordinated = len(list.Members) > 0 && e.coordinated()
 		return list
 	})
 	e.loads.entries, e.loads.drainTime = e.peers.Entries, s.DrainTime
