Serve requests late that can't be on time, while few wait

Cause: a request that could not be on time was rejected although late requests would have been served a second later. After a power loss many callers have no second try. Change: such a request waits as a late one if it can start within a quarter of the time for which it is useful; three quarters are kept since capacity estimates change when entries come and go (TestPartition: with half of the time 34 of 1,307 rejections came after a wait). An entry that starts waits for a configuration until it has heard of all others.

TestCantBeOnTimeWaitsLate was seen red without waiting and without the bound.

--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -13,12 +13,13 @@
 )
 
 const (
-	joinTimeout      = clock.Second            // for a starting entry to learn the newest configuration of its peers
-	configRetryPause = 100 * clock.Millisecond // after a failed pull of a newer configuration
-	configPullPause  = clock.Second            // after a pull that brought no newer configuration, since the peer has not noticed a restore
-	coldStartWait    = 2 * clock.Second        // longest wait of a request for a configuration that no peer knows yet, after a start of many entries
-	configPoll       = 10 * clock.Millisecond  // between two checks whether the configuration that a peer knows has arrived
-	greetInterval    = 50 * clock.Millisecond  // least interval between two heartbeats sent early because a peer starts
+	joinTimeout      = clock.Second             // for a starting entry to learn the newest configuration of its peers
+	configRetryPause = 100 * clock.Millisecond  // after a failed pull of a newer configuration
+	configPullPause  = clock.Second             // after a pull that brought no newer configuration, since the peer has not noticed a restore
+	coldStartWait    = 2 * clock.Second         // longest wait of a request for a configuration that no peer knows yet, after a start of many entries
+	countTime        = 1500 * clock.Millisecond // within which an entry that starts has heard of all others
+	configPoll       = 10 * clock.Millisecond   // between two checks whether the configuration that a peer knows has arrived
+	greetInterval    = 50 * clock.Millisecond   // least interval between two heartbeats sent early because a peer starts
 )
 
 // catchUpLoop pulls configurations that peers know and the store does not hold, as after a restore from a copy. Until this
@@ -94,24 +95,23 @@
 const reasonNoConfig = "no configuration is known"
 
 // waitForConfig waits until a configuration is known if a live peer knows one, since this entry pulls it. It waits at most
-// joinTimeout and a third of the caller's time, so that the caller can still go elsewhere. Where there are many entries it
-// waits for the store as well, at most coldStartWait: after a power loss most callers have used up their retries, and the
-// store answers soon after the entries have started.
+// joinTimeout and a third of the caller's time, so that the caller can still go elsewhere. Where there are many entries, or this
+// one starts and may not have heard of all yet, it waits for the store as well, at most coldStartWait: after a power loss most
+// callers have used up their retries, and the store answers soon after the entries have started.
 func (e *Entry) waitForConfig(c *call) {
 	if e.state.View().Config != nil {
 		return
 	}
-	limit, many := joinTimeout, e.peers.Entries().Known > directory.MaxAddresses
-	if many {
-		limit = coldStartWait
-	}
+	limit := coldStartWait
 	if c.Timeout > 0 {
 		limit = min(limit, c.Timeout/3)
 	}
 	ctx, cancel := withDeadline(c.request.Context(), e.clock, c.start.Add(limit))
 	defer cancel()
 	for e.state.View().Config == nil && ctx.Err() == nil {
-		if _, ok := e.peers.WithNewerConfig(0, store.Latest, ""); !ok && !many {
+		_, known := e.peers.WithNewerConfig(0, store.Latest, "")
+		many := e.peers.Entries().Known > directory.MaxAddresses || e.clock.Since(e.peers.start) < countTime
+		if !many && (!known || e.clock.Since(c.start) >= joinTimeout) {
 			return
 		}
 		select {
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -10,6 +10,7 @@
 const (
 	dispatchStep = 40 * clock.Millisecond  // least time between two dispatches while peers are heard
 	maxDispatch  = 100 * clock.Millisecond // longest time that one dispatch stands for, so that a pause starts no burst
+	lateReserve  = 4                       // divides the time in which a request that can't be on time must start late, since it waits in vain when entries return that were not heard
 )
 
 // Waiter is a request that arrives and may wait.
@@ -21,12 +22,13 @@
 	Value        T
 
 	promoted bool // admitted by the starvation bound, so it waits at level 0
+	demoted  bool // too many requests on time are ahead, so it waits as a late one
 }
 
 // level returns the level of w now.
 func (w *Waiter[T]) level(now clock.Time) int {
 	switch {
-	case w.LatestOnTime <= now:
+	case w.LatestOnTime <= now, w.demoted:
 		return LateLevel
 	case w.promoted:
 		return 0
@@ -82,13 +84,30 @@
 		probability = q.TeamReject(now, level, w.Team, probability)
 	}
 	if q.rejects(level, probability, draw) {
-		return Reject
+		w.demoted = level != LateLevel && !q.rejectsLate(now, w, draw)
+		if !w.demoted {
+			return Reject
+		}
 	}
 	q.waiters = append(q.waiters, w)
 	q.count(now)
 	return Wait
 }
 
+// rejectsLate reports whether a request that can't be on time is rejected rather than served late.
+func (q *Queue[T]) rejectsLate(now clock.Time, w *Waiter[T], draw func() float64) bool {
+	budget := w.LatestUseful.Sub(now)
+	probability := q.RejectProbability(now, LateLevel, budget/lateReserve)
+	if q.TeamReject != nil {
+		probability = q.TeamReject(now, LateLevel, w.Team, probability)
+	}
+	if q.rejects(LateLevel, probability, draw) {
+		return true
+	}
+	q.RecordArrival(now, LateLevel, budget)
+	return false
+}
+
 // rejects reports whether a request is rejected with the probability. The probabilities of the requests of a level add up to
 // the number of rejections, rather than each request being drawn for, so that entries with few requests reject equal parts.
 func (q *Queue[T]) rejects(level int, probability float64, draw func() float64) bool {
