Reject per team, and keep Retry-After positive at tiny spare rates

Cause: overload.Queue added up the rejection probabilities of a level over all teams. Where the requests of a quiet and a flooding team alternate, the sum then always completed at the same team. A request whose time ended in the moment of its admission counted as a start without an end. Services with equal arrivals were reported in random order.

The wait is compared in floating point. The unused admission is counted as an end. Equal services are ordered by name. The decision of coordinated admission is split into arriveCoordinated and Queue.rejection, with admission.random as a seam for its draws, and Queue, Service, TeamDemand and Returns get a Clone, both for the route explanation. TestRejectionsAreEven holds for each of up to four interleaved teams; with one team it checks what it did before.

Result: with probabilities 0.1 and 0.9 at 36 entries and 100 requests each, the quiet team has 9 to 11 rejections and the flooding one 89 to 91 at every entry. With one sum for the level, most entries rejected none or all of the quiet team's requests (TestAlternatingTeams fails). TestTinySpareRate and TestUnusedAdmissionEnds fail without their changes. go test ./internal/overload ./internal/gateway passes.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -30,6 +30,7 @@
 type admission struct {
 	mu       sync.Mutex
 	services map[string]*serviceQueue
+	random   func() float64                  // draws in [0, 1) of coordinated admission
 	timeouts map[string]*balance.WindowedMax // longest remaining times in ms of the requests of a route, by its name
 }
 
@@ -50,7 +51,7 @@
 }
 
 func newAdmission() *admission {
-	return &admission{services: make(map[string]*serviceQueue), timeouts: make(map[string]*balance.WindowedMax)}
+	return &admission{random: rand.Float64, services: make(map[string]*serviceQueue), timeouts: make(map[string]*balance.WindowedMax)}
 }
 
 // queueOf returns the queue of the service and updates its limiter from the service's configuration; mu is held.
--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -18,6 +17,9 @@
 	"carawaypick/pkg/clock"
 )
 
+// reasonNoCapacity is the reason of a rejection by coordinated admission.
+const reasonNoCapacity = "the service lacks capacity"
+
 const (
 	maxDemandSize     = 200                      // bytes of the demand in one heartbeat
 	maxLateWait       = 2500 * clock.Millisecond // longest wait of a request that starts late
@@ -65,34 +67,23 @@
 	now := e.clock.Now()
 	c.coordinated = true
 	e.admission.mu.Lock()
-	q := e.admission.queueOf(c.service)
-	q.limiter.GapTarget = c.route.GapTarget
-	used := e.admission.usedTime(now, c)
-	// Without servers the request is admitted at once, and pickServer rejects it.
-	if len(servers) == 0 {
-		q.coordinated.RecordStart(now)
-		e.hold(q, c)
+	a, rej := e.arriveCoordinated(c, servers, now)
+	if rej != nil {
 		e.admission.mu.Unlock()
-		return nil
-	}
-	room, free := e.coordinatedRoom(q, servers, now)
-	if room.Closed && !e.settling() {
-		e.admission.mu.Unlock()
-		return rejectionOfRoom(room)
-	}
-	w := q.newWaiter(c, now, used)
-	if e.loads.AllTripped(servers, false) {
-		free = 0
-		w.LatestUseful = max(w.LatestUseful, c.deadline.Add(-typicalStreamDuration)) // a tripped group may recover at any time
+		return rej
 	}
-	q.teams.Record(now, w.Level(now), c.team.Name)
-	decision := q.coordinated.Arrive(now, w, free, rand.Float64)
-	q.shed.arrived[overload.LevelOf(c.priority())]++
-	if decision == overload.Start {
-		e.hold(q, c)
+	q, w, decision := a.queue, a.waiter, overload.Start
+	if w == nil {
+		q.coordinated.RecordStart(now)
+	} else {
+		decision = q.coordinated.Arrive(now, w, a.free, e.admission.random)
+		q.shed.arrived[overload.LevelOf(c.priority())]++
 	}
 	var retryAfter clock.Span
-	if decision == overload.Reject {
+	switch decision {
+	case overload.Start:
+		e.hold(q, c)
+	case overload.Reject:
 		e.countShed(q, c.priority())
 		retryAfter = e.retryAfter(q, w, now)
 	}
@@ -101,19 +92,51 @@
 	case overload.Start:
 		return nil
 	case overload.Reject:
-		return &rejection{status: http.StatusServiceUnavailable, reason: "the service lacks capacity", retryAfter: retryAfter}
+		return &rejection{status: http.StatusServiceUnavailable, reason: reasonNoCapacity, retryAfter: retryAfter}
 	}
 	return e.waitInQueue(ctx, c, q, w)
 }
 
+// arrival is a request on which coordinated admission decides.
+type arrival struct {
+	queue  *serviceQueue
+	waiter *overload.Waiter[turn] // nil without servers: the request is admitted at once, and pickServer rejects it
+	room   Room
+	free   float64 // requests of all entries that are free to start
+}
+
+// arriveCoordinated counts the request for its team and returns what the decision on it needs, or the rejection if no server
+// accepts it; mu is held.
+func (e *Entry) arriveCoordinated(c *call, servers []*routing.Server, now clock.Time) (a arrival, rej *rejection) {
+	q := e.admission.queueOf(c.service)
+	a.queue = q
+	q.limiter.GapTarget = c.route.GapTarget
+	used := e.admission.usedTime(now, c)
+	if len(servers) == 0 {
+		return a, nil
+	}
+	if a.room, a.free = e.coordinatedRoom(q, servers, now); a.room.Closed && !e.settling() {
+		return a, rejectionOfRoom(a.room)
+	}
+	a.waiter = q.newWaiter(c, now, used)
+	if e.loads.AllTripped(servers, false) {
+		a.free = 0
+		a.waiter.LatestUseful = max(a.waiter.LatestUseful, c.deadline.Add(-typicalStreamDuration)) // a tripped group may recover at any time
+	}
+	q.teams.Record(now, a.waiter.Level(now), c.team.Name)
+	return a, nil
+}
+
 // waitInQueue waits until the request is admitted or rejected by dispatch.
 func (e *Entry) waitInQueue(ctx context.Context, c *call, q *serviceQueue, w *overload.Waiter[turn]) *rejection {
 	rej, decided := e.waitForTurn(ctx, c, w.Value.result)
 	if !decided {
 		e.admission.mu.Lock()
 		defer e.admission.mu.Unlock()
-		if !q.coordinated.Remove(e.clock.Now(), w) && <-w.Value.result == nil {
+		now := e.clock.Now()
+		if !q.coordinated.Remove(now, w) && <-w.Value.result == nil {
 			c.reservedIn = q
+			q.coordinated.RecordEnd(now, 0) // dispatch counted a start, and ServeHTTP counts only the ends of admitted requests
 		}
 		return rej
 	}
@@ -172,8 +195,19 @@
 	spare := q.coordinated.Spare(now, w.Level(now.Add(left/3)))
 	entries := e.peers.Entries()
 	count := cmp.Or(len(entries.Alive), entries.Known) // an entry that starts does not know yet which are alive
-	after := q.returns.RetryAfter(now, w.Priority, left, spare, count, rand.Float64())
-	return max(after, clock.Span(float64(left)*(1-returningFraction))) // a caller that returned sooner would look like a new one
+	after := q.returns.RetryAfter(now, w.Priority, left, spare, count, e.admission.random())
+	return max(after, leastRetryAfter(left))
+}
+
+// leastRetryAfter returns the ms before which a caller with the given ms left may not return, since it would look like a new one.
+func leastRetryAfter(left clock.Span) clock.Span {
+	return clock.Span(float64(left) * (1 - returningFraction))
+}
+
+// retryAfterRange returns the least and the greatest Retry-After of a caller with the given ms left.
+func retryAfterRange(left clock.Span) (least, most clock.Span) {
+	least, most = overload.RetryAfterRange(left)
+	return max(least, leastRetryAfter(left)), most
 }
 
 // coordinatedRoom returns what the service's servers have room for and how many requests of all entries are free to start, which
@@ -302,7 +336,7 @@
 			arrivals[name] += l.Arrivals
 		}
 	}
-	names := slices.SortedFunc(maps.Keys(all), func(a, b string) int { return arrivals[b] - arrivals[a] })
+	names := slices.SortedFunc(maps.Keys(all), func(a, b string) int { return cmp.Or(arrivals[b]-arrivals[a], strings.Compare(a, b)) })
 	demand, size := make(map[string]overload.Demand), 0
 	for _, name := range names {
 		content, err := datagram.Encode(map[string]overload.Demand{name: all[name]})
--- a/internal/gateway/coordinated_test.go
+++ b/internal/gateway/coordinated_test.go
@@ -141,3 +141,30 @@
 	assert.LessOrEqual(t, len(content), maxDemandSize+3)
 	assert.NotEmpty(t, e.ownDemand())
 }
+
+// TestUnusedAdmissionEnds guards against a request that is admitted while its time ends, and counts as in flight from then on.
+func TestUnusedAdmissionEnds(t *testing.T) {
+	e, _ := newCoordinatedEntry(t)
+	q := e.admission.queueOf(routing.Service{Name: "s"})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	left := 0
+	for range 64 { // both ends are ready, so that either may be seen first
+		c := &call{}
+		w := &overload.Waiter[turn]{Value: turn{call: c, result: make(chan *rejection, 1)}}
+		e.admission.mu.Lock()
+		q.coordinated.RecordStart(e.clock.Now())
+		e.admitWaiter(q, w)
+		e.admission.mu.Unlock()
+		if e.waitInQueue(ctx, c, q, w) != nil {
+			left++
+		} else {
+			q.coordinated.RecordEnd(e.clock.Now(), 0)
+		}
+		e.releaseReservation(c)
+	}
+	require.Positive(t, left)
+	assert.Zero(t, q.reserved)
+	demand := q.coordinated.Demand(e.clock.Now())
+	assert.InDelta(t, demand.Starts, demand.Ends, 1)
+}
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -34,6 +35,11 @@
 	return LevelOf(w.Priority)
 }
 
+// Level returns the level of w now.
+func (w *Waiter[T]) Level(now clock.Time) int {
+	return w.level(now)
+}
+
 // Decision is what becomes of a request that arrives.
 type Decision int
 
@@ -49,12 +55,23 @@
 	Service
 
 	waiters      []*Waiter[T]
-	credit       [Levels]float64 // starts that the waiting requests of the level are due
-	rejections   [Levels]float64 // rejections that the requests of the level are due
-	rejecting    [Levels]bool    // rejections has its first, random value
+	credit       [Levels]float64       // starts that the waiting requests of the level are due
+	rejections   map[teamLevel]float64 // rejections that the requests of a team at the level are due
 	dispatchedAt clock.Time
 }
 
+// Clone returns a copy that can be changed without an effect on q. TeamReject is that of q; waiting requests share their values.
+func (q *Queue[T]) Clone() Queue[T] {
+	c := *q
+	c.Service = q.Service.Clone()
+	c.waiters, c.rejections = slices.Clone(q.waiters), maps.Clone(q.rejections)
+	for i, w := range c.waiters {
+		waiter := *w
+		c.waiters[i] = &waiter
+	}
+	return c
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int {
 	return len(q.waiters)
@@ -63,44 +80,95 @@
 // Arrive decides on a request that arrives while the given number of slots is free; draw returns a random number in [0, 1). A
 // request that is to wait is queued.
 func (q *Queue[T]) Arrive(now clock.Time, w *Waiter[T], free float64, draw func() float64) Decision {
+	level, budget := q.recordArrival(now, w, free)
+	if draw() < q.StartProbability(now, free, level) {
+		q.RecordStart(now)
+		return Start
+	}
+	probability, promotion := q.rejection(now, w, level, budget)
+	if promotion > 0 {
+		w.promoted = draw() < promotion
+	}
+	if q.rejects(level, w.Team, probability, draw) {
+		return Reject
+	}
+	q.waiters = append(q.waiters, w)
+	q.count(now)
+	return Wait
+}
+
+// recordArrival counts w, and returns its level and the time in ms within which it must start.
+func (q *Queue[T]) recordArrival(now clock.Time, w *Waiter[T], free float64) (level int, budget clock.Span) {
 	q.count(now)
 	q.free = free
-	level, budget := w.level(now), w.LatestOnTime.Sub(now)
+	level, budget = w.level(now), w.LatestOnTime.Sub(now)
 	if level == LateLevel {
 		budget = w.LatestUseful.Sub(now)
 	}
 	q.RecordArrival(now, level, budget)
-	if draw() < q.StartProbability(now, free, level) {
-		q.RecordStart(now)
-		return Start
-	}
-	probability := q.RejectProbability(now, level, budget)
-	if bound := q.unbounded(now, level, budget); bound > probability {
-		w.promoted = draw() < (bound-probability)/(1-probability)
+	return level, budget
+}
+
+// rejection returns the probability that w is rejected if it does not start at once, and the probability that it is promoted by
+// the starvation bound.
+func (q *Queue[T]) rejection(now clock.Time, w *Waiter[T], level int, budget clock.Span) (probability, promotion float64) {
+	probability = q.RejectProbability(now, level, budget)
+	if unbounded := q.unbounded(now, level, budget); unbounded > probability {
+		promotion = (unbounded - probability) / (1 - probability)
 	}
 	if q.TeamReject != nil {
 		probability = q.TeamReject(now, level, w.Team, probability)
 	}
-	if q.rejects(level, probability, draw) {
-		return Reject
+	return probability, promotion
+}
+
+// Odds are the probabilities of the decisions on a request that arrives.
+type Odds struct {
+	Level        int
+	ExpectedWait float64 // ms; infinite if more urgent requests use all starts
+	Start        float64 // probability that it starts at once
+	Share        float64 // share of the requests of its team and level that are rejected if they can't start at once
+	Reject       float64 // probability that it is rejected if it can't start at once: Share until the team's first request was decided on, then 0 or 1
+}
+
+// Odds returns the probabilities of the decisions on a request, and counts it as one that arrives. It is for copies of a queue.
+func (q *Queue[T]) Odds(now clock.Time, w *Waiter[T], free float64) (o Odds) {
+	level, budget := q.recordArrival(now, w, free)
+	o.Level, o.Start = level, q.StartProbability(now, free, level)
+	o.Share, _ = q.rejection(now, w, level, budget)
+	o.Reject = o.Share
+	if due, known := q.rejections[teamLevel{hashOf(w.Team), uint8(level)}]; known {
+		o.Reject = 0
+		if due+o.Share >= 1 {
+			o.Reject = 1
+		}
 	}
-	q.waiters = append(q.waiters, w)
-	q.count(now)
-	return Wait
+	o.ExpectedWait = q.ExpectedWait(now, level)
+	return o
 }
 
-// rejects reports whether a request is rejected with the probability. The probabilities of the requests of a level add up to
-// the number of rejections, rather than each request being drawn for, so that entries with few requests reject equal parts.
-func (q *Queue[T]) rejects(level int, probability float64, draw func() float64) bool {
-	if !q.rejecting[level] {
-		q.rejecting[level], q.rejections[level] = true, draw()
+// rejects reports whether a request is rejected with the probability. The probabilities of the requests of a team at a level add
+// up to the number of rejections, rather than each request being drawn for, so that entries with few requests reject equal
+// parts. A sum over teams with different probabilities would always reject the same team if their requests alternate.
+func (q *Queue[T]) rejects(level int, team string, probability float64, draw func() float64) bool {
+	key := teamLevel{hashOf(team), uint8(level)}
+	due, known := q.rejections[key]
+	if !known {
+		if q.rejections == nil {
+			q.rejections = make(map[teamLevel]float64)
+		}
+		if len(q.rejections) >= maxTrackedTeams {
+			clear(q.rejections) // new random values keep the probabilities
+		}
+		due = draw()
 	}
-	q.rejections[level] += probability
-	if q.rejections[level] < 1 {
-		return false
+	due += probability
+	rejected := due >= 1
+	if rejected {
+		due--
 	}
-	q.rejections[level]--
-	return true
+	q.rejections[key] = due
+	return rejected
 }
 
 // Dispatch removes and returns the requests that start now, while the given number of slots is free.
--- a/internal/overload/returns.go
+++ b/internal/overload/returns.go
@@ -21,6 +21,17 @@
 	schedules [LateLevel]schedule
 }
 
+// Clone returns a copy that can be changed without an effect on r.
+func (r *Returns) Clone() Returns {
+	return *r
+}
+
+// RetryAfterRange returns the least and the greatest Retry-After in ms of a caller that has the given ms left.
+func RetryAfterRange(left clock.Span) (least, most clock.Span) {
+	most = max(left/boundDivisor, 0)
+	return min(minRetryAfter, most), most
+}
+
 // schedule holds the next appointment of one priority. Positions are in gaps, so that appointments keep their distance when the
 // spare rate changes.
 type schedule struct {
@@ -39,17 +50,18 @@
 // The caller has the time left until its deadline. Spare is the starts per second that all entries probably have left at its
 // priority, 0 if none are in sight, and entries the number of entries that share them. Random is in [0, 1).
 func (r *Returns) RetryAfter(now clock.Time, priority int, left clock.Span, spare float64, entries int, random float64) clock.Span {
-	bound := left / boundDivisor
+	first, bound := RetryAfterRange(left)
 	if bound <= 0 {
 		return 0
 	}
-	first := min(minRetryAfter, bound)
 	priority = min(max(priority, 0), LateLevel-1)
 	s := &r.schedules[priority]
 	s.advance(now, spareRate(spare, entries))
 	if s.rate > 0 {
 		s.skip(float64(first), random)
-		if wait := clock.Span(math.Ceil((s.gap + s.offset - s.present) / s.rate)); wait <= bound {
+		// The comparison is in floating point: at a rate near 0 the wait is out of the range of a Span.
+		if ms := math.Ceil((s.gap + s.offset - s.present) / s.rate); ms <= float64(bound) {
+			wait := clock.Span(ms)
 			s.book(now.Add(wait), secondRandom(random))
 			for i := priority + 1; i < LateLevel; i++ {
 				r.schedules[i].yield(now.Add(wait))
--- a/internal/overload/returns_test.go
+++ b/internal/overload/returns_test.go
@@ -162,3 +162,16 @@
 	}
 	assert.Zero(t, s.Spare(clock.Time(reportExpiry+500), LateLevel), "old reports don't count")
 }
+
+// TestTinySpareRate guards against a Retry-After below 0 where the wait for a spare start is out of the range of a Span, as after
+// some idle seconds in which the rate of starts has decayed.
+func TestTinySpareRate(t *testing.T) {
+	for _, spare := range []float64{1e-300, 1e-30, 1e-18, 1e-9} {
+		var r Returns
+		for now := clock.Time(1000); now < 3000; now += 100 {
+			wait := r.RetryAfter(now, 0, 3000, spare, 72, 0.5)
+			assert.GreaterOrEqual(t, wait, minRetryAfter, "spare %g", spare)
+			assert.LessOrEqual(t, wait, clock.Span(1000), "spare %g", spare)
+		}
+	}
+}
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -1,7 +1,9 @@
 package overload
 
 import (
+	"maps"
 	"math"
+	"slices"
 
 	"carawaypick/pkg/clock"
 )
@@ -59,6 +61,17 @@
 	flowUsed bool
 }
 
+// Clone returns a copy that can be changed without an effect on s. TeamReject is that of s.
+func (s *Service) Clone() Service {
+	c := *s
+	c.reports, c.received = maps.Clone(s.reports), slices.Clone(s.received)
+	for peer, r := range c.reports {
+		report := *r
+		c.reports[peer] = &report
+	}
+	return c
+}
+
 // report is the last report of one peer.
 type report struct {
 	amounts
--- a/internal/overload/service_test.go
+++ b/internal/overload/service_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -138,20 +140,108 @@
 	assert.Equal(t, 500*clock.Millisecond, s.MeanFlight(7001))
 }
 
-// TestRejectionsAreEven guards against entries with few requests that reject unequal parts by chance.
+// TestRejectionsAreEven guards against entries with few requests that reject unequal parts of a team's requests by chance.
 func TestRejectionsAreEven(t *testing.T) {
 	testkit.Property(t, func(t *rapid.T) {
 		var q Queue[int]
-		probability, first, rejected := rapid.Float64Range(0, 1).Draw(t, "probability"), rapid.Float64Range(0, 0.999).Draw(t, "first"), 0
-		for n := 1; n <= 50; n++ {
-			if q.rejects(0, probability, func() float64 { return first }) {
-				rejected++
+		type team struct {
+			probability, first float64
+			asked, rejected    int
+		}
+		teams := make([]team, rapid.IntRange(1, 4).Draw(t, "teams"))
+		for i := range teams {
+			teams[i] = team{probability: rapid.Float64Range(0, 1).Draw(t, "probability"), first: rapid.Float64Range(0, 0.999).Draw(t, "first")}
+		}
+		for range 50 * len(teams) {
+			i := rapid.IntRange(0, len(teams)-1).Draw(t, "team")
+			w := &teams[i]
+			w.asked++
+			if q.rejects(0, strconv.Itoa(i), w.probability, func() float64 { return w.first }) {
+				w.rejected++
 			}
-			assert.InDelta(t, probability*float64(n), float64(rejected), 1.001)
+			assert.InDelta(t, w.probability*float64(w.asked), float64(w.rejected), 1.001, "team %d", i)
 		}
 	})
 }
 
+// TestAlternatingTeams guards against a quiet team that an entry always rejects because its requests alternate with those of a
+// team with a higher rejection probability.
+func TestAlternatingTeams(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	for entry := range 36 {
+		var q Queue[int]
+		quiet, flooding := 0, 0
+		for range 100 {
+			if q.rejects(1, "quiet", 0.1, random.Float64) {
+				quiet++
+			}
+			if q.rejects(1, "flooding", 0.9, random.Float64) {
+				flooding++
+			}
+		}
+		assert.InDelta(t, 10, quiet, 1.001, "entry %d", entry)
+		assert.InDelta(t, 90, flooding, 1.001, "entry %d", entry)
+	}
+}
+
+// TestManyTeamsAreBounded guards against memory that grows with the number of teams, and against a rejected share that changes
+// because teams are forgotten.
+func TestManyTeamsAreBounded(t *testing.T) {
+	random := rand.New(rand.NewPCG(6, 6))
+	var q Queue[int]
+	rejected, asked := 0, 0
+	for range 20 {
+		for team := range 1200 {
+			asked++
+			if q.rejects(team%3, strconv.Itoa(team), 0.3, random.Float64) {
+				rejected++
+			}
+			require.LessOrEqual(t, len(q.rejections), maxTrackedTeams)
+		}
+	}
+	assert.InDelta(t, 0.3, float64(rejected)/float64(asked), 0.02)
+}
+
+// TestCloneIsIndependent guards against an explanation that changes the state that requests are decided by, or that asks the
+// teams of the original.
+func TestCloneIsIndependent(t *testing.T) {
+	type state struct {
+		queue   Queue[int]
+		teams   TeamDemand
+		returns Returns
+	}
+	clone := func(s *state) *state {
+		c := &state{queue: s.queue.Clone(), teams: s.teams.Clone(), returns: s.returns.Clone()}
+		c.queue.TeamReject = nil // functions are never equal
+		return c
+	}
+	random := rand.New(rand.NewPCG(8, 8))
+	use := func(s *state, from, to clock.Time) {
+		for now := from; now < to; now++ {
+			team := strconv.Itoa(random.IntN(30))
+			s.teams.Record(now, random.IntN(Levels), team)
+			s.teams.Merge(now, team, s.teams.Report(now, 60))
+			s.teams.RejectProbability(now, 1, team, 0.5)
+			s.teams.SetWeights(map[string]float64{team: random.Float64() - 0.5})
+			s.queue.SetReport(now, team, Demand{Starts: random.IntN(5000), Levels: []LevelDemand{{Level: 1, Waiting: random.IntN(9), Arrivals: 900}}})
+			budget := clock.Span(random.IntN(600) - 100)
+			s.queue.Arrive(now, &Waiter[int]{Priority: random.IntN(3), Team: team, LatestOnTime: now.Add(budget), LatestUseful: now.Add(900)}, 0, random.Float64)
+			s.queue.RecordEnd(now, 100)
+			s.queue.Dispatch(now, 1)
+			s.queue.TakeExpired(now)
+			s.returns.RetryAfter(now, 1, 3000, 20, 2, random.Float64())
+		}
+	}
+	s := &state{}
+	use(s, 1000, 3500)
+	require.NotZero(t, s.queue.Len())
+	before, used := clone(s), clone(s)
+	assert.Equal(t, before, used)
+	use(used, 3500, 6500)
+	assert.NotEqual(t, before, used)
+	assert.Equal(t, before, clone(s))
+}
+
 // TestPauseStartsNoBurst guards against requests that start at once because much time has passed.
 func TestPauseStartsNoBurst(t *testing.T) {
 	q := Queue[int]{Service: *busy(0, 100, 100)}
--- a/internal/overload/teamdemand.go
+++ b/internal/overload/teamdemand.go
@@ -64,6 +64,18 @@
 	shares  [Levels]levelShares
 }
 
+// Clone returns a copy that can be changed without an effect on d.
+func (d *TeamDemand) Clone() TeamDemand {
+	c := *d
+	c.own, c.peers = maps.Clone(d.own), maps.Clone(d.peers)
+	for key, r := range c.own {
+		rate := *r
+		c.own[key] = &rate
+	}
+	c.weights, c.invalid = maps.Clone(d.weights), maps.Clone(d.invalid)
+	return c
+}
+
 // peerTeams is the report of a peer.
 type peerTeams struct {
 	at     clock.Time
@@ -313,8 +325,3 @@
 	}
 	return 1 - s.fraction(key, s.fill((1-overall)*s.demand))
 }
-
-// Level returns the level of w now.
-func (w *Waiter[T]) Level(now clock.Time) int {
-	return w.level(now)
-}
