Explain coordinated admission

Cause: the route explanation copied the structures of coordinated admission only shallowly, so it changed the state of the running entry and could race with its requests. It did not copy the learned capacities, the work of requests or the time limits of routes, and it gave the chances of a choice by requests in flight where servers are chosen by capacity or by work.

Change: the copies are deep, and TeamReject is bound to the copy. With coordinated admission, the admission stage gives the level, the expected wait, the probabilities of a start and of a rejection, the free slots, the age of the reports and the range of Retry-After; the decision is the most probable outcome, with its probability. balance.CapacityChances and WorkChances give the exact chances of PickByCapacity and PickByWork.

TestExplanationAgrees compares descriptions of the original state that do not rely on clone: two shallow copies of one map are always equal.

Real decisions with draws 1e-9 below and above each probability agree, and no state changes.

--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"math/bits"
 	"slices"
@@ -87,6 +88,13 @@
 	peers map[string]clock.Time // time of the last report by peer
 }
 
+// Clone returns a copy that can be changed without an effect on c.
+func (c *ServerCapacity) Clone() ServerCapacity {
+	n := *c
+	n.peers = maps.Clone(c.peers)
+	return n
+}
+
 // decayedTime is a geometric mean of times, in which a sample counts less with its age.
 type decayedTime struct {
 	mean   float64 // log ms
@@ -268,15 +276,51 @@
 	}
 	for range capacityChoices - 1 {
 		second := drawByWeight(endpoints, random)
-		a, b := &endpoints[first], &endpoints[second]
-		loadA, loadB := float64(a.InFlight()+1)/a.Weight, float64(b.InFlight()+1)/b.Weight
-		if loadB < loadA || (loadB == loadA && b.Zone == zone && a.Zone != zone) {
+		if endpoints[second].lessUsed(&endpoints[first], zone) {
 			first = second
 		}
 	}
 	return first
 }
 
+// lessUsed reports whether PickByCapacity prefers e to o.
+func (e *Endpoint) lessUsed(o *Endpoint, zone string) bool {
+	a, b := float64(e.InFlight()+1)/e.Weight, float64(o.InFlight()+1)/o.Weight
+	return a < b || (a == b && e.Zone == zone && o.Zone != zone)
+}
+
+// CapacityChances returns the probability that PickByCapacity returns each of the endpoints.
+func CapacityChances(endpoints []Endpoint, zone string) (chances []float64) {
+	chances = make([]float64, len(endpoints))
+	total := 0.0
+	for i := range endpoints {
+		if endpoints[i].Closed() == "" {
+			total += max(endpoints[i].Weight, minLearnedWeight)
+		}
+	}
+	for i := range endpoints {
+		if endpoints[i].Closed() != "" {
+			continue
+		}
+		notBetter, worse := 0.0, 0.0 // weights
+		for j := range endpoints {
+			if endpoints[j].Closed() != "" {
+				continue
+			}
+			weight := max(endpoints[j].Weight, minLearnedWeight)
+			if !endpoints[j].lessUsed(&endpoints[i], zone) {
+				notBetter += weight
+			}
+			if endpoints[i].lessUsed(&endpoints[j], zone) {
+				worse += weight
+			}
+		}
+		equal := math.Pow(notBetter/total, capacityChoices) - math.Pow(worse/total, capacityChoices)
+		chances[i] = equal * max(endpoints[i].Weight, minLearnedWeight) / (notBetter - worse)
+	}
+	return chances
+}
+
 // drawByWeight returns a random usable endpoint by weight, -1 if there is none.
 func drawByWeight(endpoints []Endpoint, random func() uint64) int {
 	total, last := 0.0, -1
--- a/internal/balance/capacity_test.go
+++ b/internal/balance/capacity_test.go
@@ -461,3 +461,14 @@
 	assert.InDelta(t, small, large, 1, "a large request must not make its server look slow")
 	assert.Greater(t, s.Correct(800, 100_000, usual), 5*large, "a slow server must")
 }
+
+// TestCapacityCloneIsIndependent guards against a copy that shares the reports of peers with the original.
+func TestCapacityCloneIsIndependent(t *testing.T) {
+	var c ServerCapacity
+	c.Hear(1000, "a", CapacitySample{Concurrency: 1, Time: 20, Answered: 2}, 4)
+	before, used := c.Clone(), c.Clone()
+	used.Hear(1100, "a", CapacitySample{Concurrency: 1, Time: 90, Answered: 2}, 4)
+	used.Hear(1100, "b", CapacitySample{Concurrency: 1, Time: 90, Answered: 2}, 4)
+	assert.Equal(t, before, c)
+	assert.NotEqual(t, before, used)
+}
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -90,13 +90,7 @@
 		}
 	}
 	drawn := min(pickChoices, len(usable))
-	allFrom := func(count int) float64 { // the probability that all drawn endpoints are among count of the usable ones
-		p := 1.0
-		for k := range drawn {
-			p *= float64(max(count-k, 0)) / float64(len(usable)-k)
-		}
-		return p
-	}
+	allFrom := func(count int) float64 { return allDrawnFrom(count, len(usable), drawn) }
 	for _, i := range usable {
 		better, equal := 0, 0
 		for _, j := range usable {
@@ -113,6 +107,15 @@
 	return chances
 }
 
+// allDrawnFrom returns the probability that all endpoints drawn are among count of the usable ones, without replacement.
+func allDrawnFrom(count, usable, drawn int) float64 {
+	p := 1.0
+	for k := range drawn {
+		p *= float64(max(count-k, 0)) / float64(usable-k)
+	}
+	return p
+}
+
 func (e *Endpoint) preferredOver(o *Endpoint, zone string) bool {
 	a, b := e.InFlight()*max(o.Slots, 1), o.InFlight()*max(e.Slots, 1)
 	if a != b {
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -1,8 +1,6 @@
 package balance
 
 import (
-	"math"
-
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -145,15 +143,10 @@
 // Entries that see the same old counts own different endpoints, so they differ in their choices.
 func PickByWork(endpoints []Endpoint, zone string, random func() uint64) int {
 	usable := make([]int, 0, len(endpoints))
-	best, bestCost := -1, math.Inf(1)
+	best := -1
 	consider := func(i int) {
-		e := &endpoints[i]
-		cost := e.Load / float64(max(e.Slots, 1))
-		if !e.Owned {
-			cost += notOwnedWork / float64(max(e.Slots, 1))
-		}
-		if cost < bestCost || (cost == bestCost && e.Zone == zone && endpoints[best].Zone != zone) {
-			best, bestCost = i, cost
+		if best < 0 || endpoints[i].lessWork(&endpoints[best], zone) {
+			best = i
 		}
 	}
 	for i := range endpoints {
@@ -174,3 +167,55 @@
 	}
 	return best
 }
+
+// lessWork reports whether PickByWork prefers e to o.
+func (e *Endpoint) lessWork(o *Endpoint, zone string) bool {
+	a, b := e.workCost(), o.workCost()
+	return a < b || (a == b && e.Zone == zone && o.Zone != zone)
+}
+
+// workCost returns the load for each slot, which is higher for an endpoint that this entry does not own.
+func (e *Endpoint) workCost() float64 {
+	load := e.Load
+	if !e.Owned {
+		load += notOwnedWork
+	}
+	return load / float64(max(e.Slots, 1))
+}
+
+// WorkChances returns the probability that PickByWork returns each of the endpoints.
+func WorkChances(endpoints []Endpoint, zone string) (chances []float64) {
+	chances = make([]float64, len(endpoints))
+	var drawable []int
+	owned := -1
+	for i := range endpoints {
+		switch {
+		case endpoints[i].Closed() != "":
+		case !endpoints[i].Owned:
+			drawable = append(drawable, i)
+		case owned < 0 || endpoints[i].lessWork(&endpoints[owned], zone):
+			owned = i
+		}
+	}
+	drawn, left := min(workChoices, len(drawable)), 1.0
+	for _, i := range drawable {
+		if owned >= 0 && !endpoints[i].lessWork(&endpoints[owned], zone) {
+			continue
+		}
+		notBetter, worse := 0, 0
+		for _, j := range drawable {
+			if !endpoints[j].lessWork(&endpoints[i], zone) {
+				notBetter++
+			}
+			if endpoints[i].lessWork(&endpoints[j], zone) {
+				worse++
+			}
+		}
+		chances[i] = (allDrawnFrom(notBetter, len(drawable), drawn) - allDrawnFrom(worse, len(drawable), drawn)) / float64(notBetter-worse)
+		left -= chances[i]
+	}
+	if owned >= 0 {
+		chances[owned] = max(left, 0)
+	}
+	return chances
+}
--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -140,6 +140,9 @@
 	if x.Decision == gateway.AnswerReject {
 		fmt.Fprintf(a.stdout, "status %d: %s\n", x.Status, x.Reason)
 	}
+	if x.Probability > 0 {
+		fmt.Fprintf(a.stdout, "probability %.2f\n", x.Probability)
+	}
 	if x.RetryAfter > 0 {
 		fmt.Fprintf(a.stdout, "Retry-After %d ms\n", x.RetryAfter)
 	}
--- a/internal/cli/route_test.go
+++ b/internal/cli/route_test.go
@@ -22,7 +22,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked <- r
 		_ = json.NewEncoder(w).Encode(gateway.Explanation{
-			Entry: "e7", Host: "a", Path: "/p", Route: "r", Decision: gateway.AnswerSend, Tries: []string{"i3", "i1"},
+			Entry: "e7", Host: "a", Path: "/p", Route: "r", Decision: gateway.AnswerSend, Probability: 0.625, Tries: []string{"i3", "i1"},
 			Stages:     []gateway.RouteStage{{Name: "admission", Answer: gateway.AnswerPass, Figures: map[string]float64{"free": 2.5}, Age: 120}},
 			Candidates: []gateway.RouteCandidate{{ID: "i3", Chance: 1}, {ID: "i9", Closed: "asked to wait", ReopenIn: 700}},
 		})
@@ -34,7 +34,7 @@
 	r := <-asked
 	assert.Equal(t, "/route?deadline=8000&host=a&path=%2Fp&prompt=700", r.URL.String())
 	assert.Equal(t, "Token secret", r.Header.Get("Authorization"))
-	for _, part := range []string{"entry e7 would send", "i3, i1", "free=2.5", "120", "asked to wait for 700 ms"} {
+	for _, part := range []string{"entry e7 would send", "probability 0.62", "i3, i1", "free=2.5", "120", "asked to wait for 700 ms"} {
 		assertCommand(t, o, ExitOK, part)
 	}
 	assert.NotContains(t, o.stdout+o.stderr, "secret")
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -45,6 +46,24 @@
 	}
 }
 
+// clone returns a copy that can be changed without an effect on l.
+func (l *capacityLearning) clone() capacityLearning {
+	c := *l
+	c.keys, c.targets, c.choices, c.announced = maps.Clone(l.keys), maps.Clone(l.targets), maps.Clone(l.choices), maps.Clone(l.announced)
+	c.sizes, c.hints = cloneValues(l.sizes), cloneValues(l.hints)
+	return c
+}
+
+// cloneValues returns a copy of m with copies of what its values point to.
+func cloneValues[K comparable, V any](m map[K]*V) map[K]*V {
+	c := maps.Clone(m)
+	for key, value := range c {
+		v := *value
+		c[key] = &v
+	}
+	return c
+}
+
 // capacityReport holds the latest samples of one entry at one backend server. The order of its fields is part of the protocol.
 type capacityReport struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack reads its tag
@@ -123,27 +142,88 @@
 
 // pick returns the index of the server for a request, -1 if none can get it; mu is held.
 func (t *LoadTracker) pick(servers []*routing.Server, service routing.Service, endpoints []balance.Endpoint, zone string, now clock.Time) int {
+	method, learned := t.rate(servers, service, endpoints, now)
+	switch method {
+	case byCapacity:
+		if probe := t.probe(service.Name, endpoints, learned, now); probe >= 0 {
+			return probe
+		}
+		return balance.PickByCapacity(endpoints, zone, rand.Uint64)
+	case byWork:
+		return balance.PickByWork(endpoints, zone, rand.Uint64)
+	}
+	return balance.PickEndpoint(endpoints, zone, rand.Uint64)
+}
+
+// pickMethod is how pick chooses among servers.
+type pickMethod int
+
+const (
+	byInFlight pickMethod = iota
+	byCapacity
+	byWork
+)
+
+// rate returns how to choose among the servers, with what was learned of them for byCapacity, and sets the weights or the loads
+// of the endpoints; mu is held.
+func (t *LoadTracker) rate(servers []*routing.Server, service routing.Service, endpoints []balance.Endpoint, now clock.Time) (pickMethod, []balance.LearnedCapacity) {
 	if !t.coordinated() {
-		return balance.PickEndpoint(endpoints, zone, rand.Uint64)
+		return byInFlight, nil
 	}
 	if learned := t.learnedCapacities(servers, service.Name, now); learned != nil {
 		for i := range endpoints {
 			endpoints[i].Weight = learned[i].Weight
 		}
-		if probe := t.probe(service.Name, endpoints, learned, now); probe >= 0 {
-			return probe
-		}
-		return balance.PickByCapacity(endpoints, zone, rand.Uint64)
+		return byCapacity, learned
 	}
 	if !slices.ContainsFunc(servers, func(s *routing.Server) bool { return s.Group != "" }) {
-		return balance.PickEndpoint(endpoints, zone, rand.Uint64)
+		return byInFlight, nil
 	}
 	for i, s := range servers {
 		load := t.serverLoad(s.ID)
 		endpoints[i].Load = load.work + float64(endpoints[i].PeerInFlight)*balance.PeerLoad
 		endpoints[i].Owned = load.ownedBy(s.ID, t.entries())
 	}
-	return balance.PickByWork(endpoints, zone, rand.Uint64)
+	return byWork, nil
+}
+
+// pickChances returns the probability that pick returns each of the servers; mu is held.
+func (t *LoadTracker) pickChances(servers []*routing.Server, service routing.Service, endpoints []balance.Endpoint, zone string, now clock.Time) []float64 {
+	method, learned := t.rate(servers, service, endpoints, now)
+	switch method {
+	case byCapacity:
+		return t.withProbes(balance.CapacityChances(endpoints, zone), service.Name, endpoints, learned, now)
+	case byWork:
+		return balance.WorkChances(endpoints, zone)
+	}
+	return balance.PickChances(endpoints, zone)
+}
+
+// withProbes returns the chances if probe may choose a server before them; mu is held.
+func (t *LoadTracker) withProbes(chances []float64, service string, endpoints []balance.Endpoint, learned []balance.LearnedCapacity, now clock.Time) []float64 {
+	last, known := t.learning.choices[service]
+	if !known {
+		return chances
+	}
+	var probed []int
+	for i := range endpoints {
+		if probeable(&endpoints[i], learned[i]) {
+			probed = append(probed, i)
+		}
+	}
+	none := math.Pow(1-balance.ProbeChance(now.Sub(last), len(t.entries().Alive)), float64(len(probed)))
+	for i := range chances {
+		chances[i] *= none
+	}
+	for _, i := range probed {
+		chances[i] += (1 - none) / float64(len(probed))
+	}
+	return chances
+}
+
+// probeable reports whether a server may be probed.
+func probeable(e *balance.Endpoint, learned balance.LearnedCapacity) bool {
+	return learned.Stale() && e.Closed() == "" && e.InFlight() == 0
 }
 
 // probe returns the index of a server that is to be probed by this request, -1 for none; mu is held.
@@ -155,7 +235,7 @@
 	}
 	chance := balance.ProbeChance(now.Sub(last), len(t.entries().Alive))
 	for _, i := range rand.Perm(len(endpoints)) {
-		if learned[i].Stale() && endpoints[i].Closed() == "" && endpoints[i].InFlight() == 0 && rand.Float64() < chance {
+		if probeable(&endpoints[i], learned[i]) && rand.Float64() < chance {
 			return i
 		}
 	}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -34,21 +34,23 @@
 
 // Explanation tells where an entry would send a request now, and why.
 type Explanation struct {
-	Entry      string           `json:"entry"`
-	Time       int64            `json:"time-ms"` // Unix time
-	Host       string           `json:"host"`
-	Path       string           `json:"path"`
-	Route      string           `json:"route,omitempty"`
-	Team       string           `json:"team,omitempty"`
-	Service    string           `json:"service,omitempty"`
-	Priority   int              `json:"priority"`
-	Decision   string           `json:"decision"` // AnswerSend, AnswerWait or AnswerReject
-	Status     int              `json:"status,omitempty"`
-	Reason     string           `json:"reason,omitempty"`
-	RetryAfter clock.Span       `json:"retry-after-ms,omitempty"` // one draw, as rejected callers are spread
-	Stages     []RouteStage     `json:"stages"`
-	Candidates []RouteCandidate `json:"candidates,omitempty"`
-	Tries      []string         `json:"tries,omitempty"` // ids of the servers in the likely order of attempts
+	Entry    string `json:"entry"`
+	Time     int64  `json:"time-ms"` // Unix time
+	Host     string `json:"host"`
+	Path     string `json:"path"`
+	Route    string `json:"route,omitempty"`
+	Team     string `json:"team,omitempty"`
+	Service  string `json:"service,omitempty"`
+	Priority int    `json:"priority"`
+	Decision string `json:"decision"` // AnswerSend, AnswerWait or AnswerReject
+	// Probability is that of the decision of coordinated admission, which is the most probable one; 0 without it.
+	Probability float64          `json:"probability,omitempty"`
+	Status      int              `json:"status,omitempty"`
+	Reason      string           `json:"reason,omitempty"`
+	RetryAfter  clock.Span       `json:"retry-after-ms,omitempty"` // one draw, as rejected callers are spread
+	Stages      []RouteStage     `json:"stages"`
+	Candidates  []RouteCandidate `json:"candidates,omitempty"`
+	Tries       []string         `json:"tries,omitempty"` // ids of the servers in the likely order of attempts
 }
 
 // RouteStage is the answer of one stage that a request passes through.
@@ -154,15 +156,13 @@
 	defer t.mu.Unlock()
 	n := NewLoadTracker(c)
 	n.entries, n.drainTime, n.nextReport = t.entries, t.drainTime, t.nextReport
+	n.Coordinated, n.Bounds, n.learning = t.Coordinated, t.Bounds, t.learning.clone()
 	for id, s := range t.servers {
 		load := *s
-		load.sent, load.parts = s.sent.Clone(), maps.Clone(s.parts)
+		load.sent, load.parts, load.capacity = s.sent.Clone(), maps.Clone(s.parts), s.capacity.Clone()
 		n.servers[id] = &load
 	}
-	for group, b := range t.breakers {
-		breaker := *b
-		n.breakers[group] = &breaker
-	}
+	n.breakers = cloneValues(t.breakers)
 	n.peerInFlight, n.peerTotals = maps.Clone(t.peerInFlight), maps.Clone(t.peerTotals)
 	n.namedRates, n.leaving, n.recovered = maps.Clone(t.namedRates), maps.Clone(t.leaving), maps.Clone(t.recovered)
 	return n
@@ -173,6 +173,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := newAdmission()
+	n.random, n.timeouts = a.random, cloneValues(a.timeouts)
 	for name, q := range a.services {
 		n.services[name] = q.clone()
 	}
@@ -182,7 +183,9 @@
 // clone returns a copy that can be changed without an effect on q; mu of the admission is held.
 func (q *serviceQueue) clone() *serviceQueue {
 	c := *q
-	c.waiting = q.waiting.Clone()
+	c.waiting, c.coordinated = q.waiting.Clone(), q.coordinated.Clone()
+	c.teams, c.returns = q.teams.Clone(), q.returns.Clone()
+	c.coordinated.TeamReject = c.teams.RejectProbability
 	return &c
 }
 
@@ -225,6 +228,9 @@
 func (x *explainer) explainAdmission(s *RouteStage) *rejection {
 	e, c := x.entry, x.call
 	servers := e.loads.Available(e.state.View().Services[c.service.Name])
+	if e.coordinated() {
+		return x.explainCoordinated(s, servers)
+	}
 	s.Figures, s.Age = x.admissionFigures(servers), e.peers.oldestReport()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // so that a request which would wait returns at once
@@ -236,6 +242,38 @@
 	return rej
 }
 
+// explainCoordinated gives the probabilities of the decisions of coordinated admission, and answers by the most probable one.
+func (x *explainer) explainCoordinated(s *RouteStage, servers []*routing.Server) *rejection {
+	e, c := x.entry, x.call
+	e.admission.mu.Lock()
+	defer e.admission.mu.Unlock()
+	a, rej := e.arriveCoordinated(c, servers, x.now)
+	s.Figures = map[string]float64{"servers": float64(len(servers))}
+	if rej != nil || a.waiter == nil {
+		return rej
+	}
+	q := a.queue
+	odds, status := q.coordinated.Odds(x.now, a.waiter, a.free), q.coordinated.Status(x.now)
+	least, most := retryAfterRange(c.deadline.Sub(x.now))
+	s.Age = status.Oldest
+	maps.Copy(s.Figures, map[string]float64{
+		"level": float64(odds.Level), "start-probability": odds.Start, "rejection-share": odds.Share, "rejection-probability": odds.Reject,
+		"expected-wait-ms": min(odds.ExpectedWait, float64(maxLoggedWait)), "free": a.free, "room": a.room.Requests, "reserved": float64(q.reserved),
+		"waiting": float64(q.coordinated.Len()), "starts-per-s": status.Starts, "peers": float64(status.Peers), "report-age-ms": float64(status.Oldest),
+		"retry-after-min-ms": float64(least), "retry-after-max-ms": float64(most),
+	})
+	reject, wait := (1-odds.Start)*odds.Reject, (1-odds.Start)*(1-odds.Reject)
+	x.result.Probability = max(odds.Start, reject, wait)
+	switch x.result.Probability {
+	case odds.Start:
+		return nil
+	case reject:
+		return &rejection{status: http.StatusServiceUnavailable, reason: reasonNoCapacity, retryAfter: e.retryAfter(q, a.waiter, x.now)}
+	}
+	s.Answer, s.Reason = AnswerWait, "no place is free"
+	return nil
+}
+
 // admissionFigures returns the figures that admission decides by.
 func (x *explainer) admissionFigures(servers []*routing.Server) map[string]float64 {
 	e, c := x.entry, x.call
@@ -294,7 +332,7 @@
 	if !slices.ContainsFunc(endpoints, func(e balance.Endpoint) bool { return e.Closed() == "" }) {
 		t.reopenLeaving(eligible, endpoints, now)
 	}
-	chances := balance.PickChances(endpoints, zone)
+	chances := t.pickChances(eligible, service, endpoints, zone, now)
 	for _, s := range all {
 		i := slices.Index(eligible, s)
 		if i < 0 {
--- a/internal/gateway/route_test.go
+++ b/internal/gateway/route_test.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/go-kit/log"
@@ -19,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"carawaypick/internal/balance"
+	"carawaypick/internal/overload"
 	"carawaypick/internal/routing"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
@@ -74,9 +76,53 @@
 		}
 	}
 	*now = now.Add(clock.Span(r.IntN(300)))
+	if r.IntN(3) == 0 {
+		config.Routes[1].Priority = 1
+		drawCoordinated(r, e, q, view, *now)
+	}
 	return e
 }
 
+// drawCoordinated draws the state of coordinated admission.
+func drawCoordinated(r *rand.Rand, e *Entry, q *serviceQueue, view *routing.View, now clock.Time) {
+	e.loads.Coordinated = e.coordinated
+	load, asleep := float64(max(r.IntN(6)-2, 0)), clock.Span(r.IntN(400))
+	at := now.Add(-500)
+	for i := range r.IntN(4) {
+		d := overload.Demand{Starts: r.IntN(4000), Ends: r.IntN(4000), Flight: clock.Span(r.IntN(2000))}
+		for l := range overload.Levels {
+			d.Levels = append(d.Levels, overload.LevelDemand{Level: l, Waiting: int(load * float64(r.IntN(3))), Arrivals: int(load * float64(r.IntN(800)))})
+		}
+		q.coordinated.SetReport(at, fmt.Sprint("10.0.1.", i), d)
+		var teams overload.TeamDemand
+		for n := range 40 {
+			teams.Record(at, n%3, fmt.Sprint("u", n%4))
+		}
+		q.teams.Merge(at, fmt.Sprint("10.0.1.", i), teams.Report(at, 100))
+	}
+	for i := range r.IntN(40) * r.IntN(2) {
+		at = min(at.Add(clock.Span(r.IntN(30))), now)
+		w := &overload.Waiter[turn]{Priority: r.IntN(3), Team: []string{"t", "", "u1", "u2"}[r.IntN(4)], LatestOnTime: at.Add(clock.Span(r.IntN(600) - 60)), LatestUseful: at.Add(2000)}
+		w.Value.result = make(chan *rejection, 1)
+		q.teams.Record(at, w.Level(at), w.Team)
+		q.coordinated.Arrive(at, w, float64(r.IntN(3)), r.Float64)
+		if i%3 == 0 {
+			q.coordinated.RecordEnd(at, clock.Span(r.IntN(1500)))
+		}
+	}
+	e.admission.usedTime(at, &call{route: &view.Config.Routes[1], RequestHeaders: RequestHeaders{Timeout: 5000 + clock.Span(r.IntN(2)*4000)}})
+	for _, s := range view.Servers {
+		if s.Group == "" && r.IntN(2) == 0 {
+			e.loads.RecordSample(s, sentRequest{target: 500, at: now.Add(-asleep), before: 1, running: 2, size: 100, failed: r.IntN(4) == 0})
+			e.loads.serverLoad(s.ID).capacityOf(s).Hear(now, "10.0.1.1", balance.CapacitySample{Concurrency: 1, Time: 20, Answered: 2}, s.Slots)
+		}
+		e.loads.AddWork(s, s.Service, balance.RequestSize{PromptTokens: r.IntN(1000)})
+	}
+	if r.IntN(2) == 0 {
+		e.loads.learning.choices["s"] = now.Add(-asleep)
+	}
+}
+
 // drawLoad draws the load and health of the server; a common kind below 9 is that of all servers.
 func drawLoad(r *rand.Rand, loads *LoadTracker, s *routing.Server, now clock.Time, common int) {
 	for range r.IntN(s.Slots + 1) {
@@ -107,17 +153,59 @@
 	}
 }
 
-// stateOf returns copies of all state that requests change.
-func stateOf(e *Entry) []any {
+// stateOf returns descriptions of all state that requests change. They do not rely on the copies that explanations use.
+func stateOf(e *Entry) (state []string) {
 	var metrics bytes.Buffer
 	e.metrics.Set.WritePrometheus(&metrics)
-	l, services := e.loads.clone(e.clock), e.admission.clone().services
-	for _, q := range services {
-		q.coordinated.TeamReject = nil // functions are never equal
+	l := e.loads
+	for _, part := range []any{
+		l.learning, l.servers, l.breakers, l.peerInFlight, l.peerTotals, l.namedRates, l.leaving, l.recovered, l.nextReport,
+		e.admission.services, e.admission.timeouts, len(e.retries.services), e.active.Load(), e.buffered.Load(), e.suspects.all(),
+		metrics.String(), e.limitedLogger,
+	} {
+		var b strings.Builder
+		describe(&b, reflect.ValueOf(part))
+		state = append(state, b.String())
 	}
-	return []any{
-		l.servers, l.breakers, l.peerInFlight, l.peerTotals, l.namedRates, l.leaving, l.recovered, l.nextReport,
-		services, len(e.retries.services), e.active.Load(), e.buffered.Load(), e.suspects.all(), metrics.String(), e.limitedLogger,
+	return state
+}
+
+// describe writes v and all that it points to, but no functions and channels. Pointers must form no cycle.
+func describe(b *strings.Builder, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Pointer, reflect.Interface:
+		if v.IsNil() {
+			b.WriteString("nil")
+			return
+		}
+		describe(b, v.Elem())
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fmt.Fprintf(b, " %s:", v.Type().Field(i).Name)
+			describe(b, v.Field(i))
+		}
+	case reflect.Slice, reflect.Array:
+		fmt.Fprint(b, "[")
+		for i := range v.Len() {
+			describe(b, v.Index(i))
+			b.WriteString(" ")
+		}
+		b.WriteString("]")
+	case reflect.Map:
+		var entries []string
+		for i := v.MapRange(); i.Next(); {
+			var entry strings.Builder
+			describe(&entry, i.Key())
+			entry.WriteString("=")
+			describe(&entry, i.Value())
+			entries = append(entries, entry.String())
+		}
+		slices.Sort(entries)
+		fmt.Fprint(b, entries)
+	case reflect.Func, reflect.Chan:
+		fmt.Fprint(b, v.IsNil())
+	default:
+		fmt.Fprint(b, v) // fmt prints the value that v holds, also of unexported fields
 	}
 }
 
@@ -151,7 +239,19 @@
 		before := stateOf(e)
 		got := e.explainRoute(q)
 		for i, after := range stateOf(e) {
-			require.True(t, reflect.DeepEqual(before[i], after), "seed %d: state %d changed: %v, %v", seed, i, before[i], after)
+			require.Equal(t, before[i], after, "seed %d: state %d changed", seed, i)
+		}
+		if got.Probability > 0 {
+			assertOdds(t, e, q, now, got)
+			decisions["coordinated "+got.Decision]++
+			start, rest := 1-1e-12, 0.0
+			switch got.Decision {
+			case AnswerSend:
+				start = 0
+			case AnswerReject:
+				rest = 1 - 1e-12
+			}
+			e.admission.random = draws(start, rest)
 		}
 		server, rej := decide(e, q, now)
 		decisions[got.Decision+" "+got.Reason]++
@@ -171,6 +271,54 @@
 	}
 	t.Log(decisions)
 	assert.Greater(t, len(decisions), 8, "kinds of decisions")
+	for _, answer := range []string{AnswerSend, AnswerWait, AnswerReject} {
+		assert.Greater(t, decisions["coordinated "+answer], 9, answer)
+	}
+}
+
+// draws returns a function that returns the first number once, and then the other one.
+func draws(first, rest float64) func() float64 {
+	return func() float64 {
+		next := first
+		first = rest
+		return next
+	}
+}
+
+// assertOdds asserts that copies of the entry decide by the probabilities of the explanation: with draws just below and just
+// above a probability, the decision differs.
+func assertOdds(t *testing.T, e *Entry, q routeQuery, now clock.Time, x Explanation) {
+	t.Helper()
+	const margin = 1e-9
+	figures := x.Stages[slices.IndexFunc(x.Stages, func(s RouteStage) bool { return s.Name == "admission" })].Figures
+	decideBy := func(first, rest float64) string {
+		c := e.copyForExplanation(now)
+		c.admission.random = draws(first, rest)
+		_, rej := decide(c, q, now)
+		switch {
+		case rej != nil && rej.reason == reasonNoCapacity:
+			assert.GreaterOrEqual(t, float64(rej.retryAfter), figures["retry-after-min-ms"])
+			assert.LessOrEqual(t, float64(rej.retryAfter), figures["retry-after-max-ms"])
+			return AnswerReject
+		case rej != nil && rej.reason == reasonTimeOver:
+			return AnswerWait
+		}
+		return AnswerSend
+	}
+	start, reject := figures["start-probability"], figures["rejection-probability"]
+	if start > margin {
+		assert.Equal(t, AnswerSend, decideBy(start-margin, 0.5), "%+v", figures)
+	}
+	if start > 1-margin {
+		return
+	}
+	assert.NotEqual(t, AnswerSend, decideBy(start+margin, 0.5), "%+v", figures)
+	if reject > margin { // the first draw of a team is the start of its sum, which the probability completes
+		assert.Equal(t, AnswerReject, decideBy(1-margin, min(1-reject+margin, 1-margin)), "%+v", figures)
+	}
+	if reject < 1-margin {
+		assert.Equal(t, AnswerWait, decideBy(1-margin, max(1-reject-margin, 0)), "%+v", figures)
+	}
 }
 
 // assertChance checks that the explanation gives the server a chance, and lists it first if no other one has any.
@@ -220,3 +368,24 @@
 		assert.Equal(t, http.StatusBadRequest, ask(query).Code, query)
 	}
 }
+
+// TestExplanationsBesideRequests guards against explanations that share state with requests, which the race detector reports.
+func TestExplanationsBesideRequests(t *testing.T) {
+	e, _ := newCoordinatedEntry(t, newFakeBackend(t, nil))
+	q := routeQuery{host: "a", path: "/stream/x", headers: RequestHeaders{ID: "r", APIKey: "k", Timeout: 5000}}
+	var work sync.WaitGroup
+	for range 2 {
+		work.Go(func() {
+			for range 50 {
+				_, _ = decide(e, q, e.clock.Now())
+				e.dispatch()
+			}
+		})
+		work.Go(func() {
+			for range 50 {
+				e.explainRoute(q)
+			}
+		})
+	}
+	work.Wait()
+}
