--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -36,6 +37,11 @@
 	return LevelOf(w.Priority)
 }
 
+// Level returns the level of w now.
+func (w *Waiter[T]) Level(now clock.Time) int {
+	return w.level(now)
+}
+
 // Decision is what becomes of a request that arrives.
 type Decision int
 
@@ -51,12 +57,23 @@
 	Service
 
 	waiters      []*Waiter[T]
-	credit       [Levels]float64 // starts that the waiting requests of the level are due
-	rejections   [Levels]float64 // rejections that the requests of the level are due
-	rejecting    [Levels]bool    // rejections has its first, random value
+	credit       [Levels]float64       // starts that the waiting requests of the level are due
+	rejections   map[teamLevel]float64 // rejections that the requests of a team at the level are due
 	dispatchedAt clock.Time
 }
 
+// Clone returns a copy that can be changed without an effect on q. TeamReject is that of q; waiting requests share their values.
+func (q *Queue[T]) Clone() Queue[T] {
+	c := *q
+	c.Service = q.Service.Clone()
+	c.waiters, c.rejections = slices.Clone(q.waiters), maps.Clone(q.rejections)
+	for i, w := range c.waiters {
+		waiter := *w
+		c.waiters[i] = &waiter
+	}
+	return c
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int {
 	return len(q.waiters)
@@ -65,26 +82,18 @@
 // Arrive decides on a request that arrives while the given number of slots is free; draw returns a random number in [0, 1). A
 // request that is to wait is queued.
 func (q *Queue[T]) Arrive(now clock.Time, w *Waiter[T], free float64, draw func() float64) Decision {
-	q.count(now)
-	q.free = free
-	level, budget := w.level(now), w.LatestOnTime.Sub(now)
-	if level == LateLevel {
-		budget = w.LatestUseful.Sub(now)
-	}
-	q.RecordArrival(now, level, budget)
+	level, budget := q.recordArrival(now, w, free)
 	if draw() < q.StartProbability(now, free, level) {
 		q.RecordStart(now)
 		return Start
 	}
-	probability := q.RejectProbability(now, level, budget)
-	if bound := q.unbounded(now, level, budget); bound > probability {
-		w.promoted = draw() < (bound-probability)/(1-probability)
+	probability, promotion := q.rejection(now, w, level, budget)
+	if promotion > 0 {
+		w.promoted = draw() < promotion
 	}
-	if q.TeamReject != nil {
-		probability = q.TeamReject(now, level, w.Team, probability)
-	}
-	if q.rejects(level, probability, draw) {
-		w.demoted = level != LateLevel && !q.rejectsLate(now, w, draw)
+	initial := draw()
+	if q.rejects(level, w.Team, probability, initial) {
+		w.demoted = level != LateLevel && !q.rejectsLate(now, w, initial)
 		if !w.demoted {
 			return Reject
 		}
@@ -95,31 +104,105 @@
 }
 
 // rejectsLate reports whether a request that can't be on time is rejected rather than served late.
-func (q *Queue[T]) rejectsLate(now clock.Time, w *Waiter[T], draw func() float64) bool {
+func (q *Queue[T]) rejectsLate(now clock.Time, w *Waiter[T], initial float64) bool {
 	budget := w.LatestUseful.Sub(now)
-	probability := q.RejectProbability(now, LateLevel, budget/lateReserve)
-	if q.TeamReject != nil {
-		probability = q.TeamReject(now, LateLevel, w.Team, probability)
-	}
-	if q.rejects(LateLevel, probability, draw) {
+	if q.rejects(LateLevel, w.Team, q.lateRejection(now, w), initial) {
 		return true
 	}
 	q.RecordArrival(now, LateLevel, budget)
 	return false
 }
 
-// rejects reports whether a request is rejected with the probability. The probabilities of the requests of a level add up to
-// the number of rejections, rather than each request being drawn for, so that entries with few requests reject equal parts.
-func (q *Queue[T]) rejects(level int, probability float64, draw func() float64) bool {
-	if !q.rejecting[level] {
-		q.rejecting[level], q.rejections[level] = true, draw()
+// lateRejection returns the probability that w, which can't be on time, is rejected rather than served late.
+func (q *Queue[T]) lateRejection(now clock.Time, w *Waiter[T]) (probability float64) {
+	probability = q.RejectProbability(now, LateLevel, w.LatestUseful.Sub(now)/lateReserve)
+	if q.TeamReject != nil {
+		probability = q.TeamReject(now, LateLevel, w.Team, probability)
 	}
-	q.rejections[level] += probability
-	if q.rejections[level] < 1 {
-		return false
+	return probability
+}
+
+// recordArrival counts w, and returns its level and the time in ms within which it must start.
+func (q *Queue[T]) recordArrival(now clock.Time, w *Waiter[T], free float64) (level int, budget clock.Span) {
+	q.count(now)
+	q.free = free
+	level, budget = w.level(now), w.LatestOnTime.Sub(now)
+	if level == LateLevel {
+		budget = w.LatestUseful.Sub(now)
 	}
-	q.rejections[level]--
-	return true
+	q.RecordArrival(now, level, budget)
+	return level, budget
+}
+
+// rejection returns the probability that w is rejected if it does not start at once, and the probability that it is promoted by
+// the starvation bound.
+func (q *Queue[T]) rejection(now clock.Time, w *Waiter[T], level int, budget clock.Span) (probability, promotion float64) {
+	probability = q.RejectProbability(now, level, budget)
+	if unbounded := q.unbounded(now, level, budget); unbounded > probability {
+		promotion = (unbounded - probability) / (1 - probability)
+	}
+	if q.TeamReject != nil {
+		probability = q.TeamReject(now, level, w.Team, probability)
+	}
+	return probability, promotion
+}
+
+// Odds are the probabilities of the decisions on a request that arrives.
+type Odds struct {
+	Level        int
+	ExpectedWait float64 // ms; infinite if more urgent requests use all starts
+	Start        float64 // probability that it starts at once
+	Share        float64 // share of the requests of its team and level that can't be on time, if they can't start at once; they wait as late ones if few do
+	Reject       float64 // probability that it is rejected if it can't start at once: 0 or 1 once a request of the team was decided on
+}
+
+// Odds returns the probabilities of the decisions on a request, and counts it as one that arrives. It is for copies of a queue.
+func (q *Queue[T]) Odds(now clock.Time, w *Waiter[T], free float64) (o Odds) {
+	level, budget := q.recordArrival(now, w, free)
+	o.Level, o.Start = level, q.StartProbability(now, free, level)
+	o.Share, _ = q.rejection(now, w, level, budget)
+	o.Reject = q.rejectOdds(level, w.Team, o.Share)
+	if level != LateLevel {
+		o.Reject = min(o.Reject, q.rejectOdds(LateLevel, w.Team, q.lateRejection(now, w)))
+	}
+	o.ExpectedWait = q.ExpectedWait(now, level)
+	return o
+}
+
+// rejectOdds returns the probability with which rejects reports true.
+func (q *Queue[T]) rejectOdds(level int, team string, probability float64) float64 {
+	due, known := q.rejections[teamLevel{hashOf(team), uint8(level)}]
+	switch {
+	case !known:
+		return probability
+	case due+probability >= 1:
+		return 1
+	}
+	return 0
+}
+
+// rejects reports whether a request is rejected with the probability; initial is a random number in [0, 1). The probabilities of the requests of a team at a level add
+// up to the number of rejections, rather than each request being drawn for, so that entries with few requests reject equal
+// parts. A sum over teams with different probabilities would always reject the same team if their requests alternate.
+func (q *Queue[T]) rejects(level int, team string, probability, initial float64) bool {
+	key := teamLevel{hashOf(team), uint8(level)}
+	due, known := q.rejections[key]
+	if !known {
+		if q.rejections == nil {
+			q.rejections = make(map[teamLevel]float64)
+		}
+		if len(q.rejections) >= maxTrackedTeams {
+			clear(q.rejections) // new random values keep the probabilities
+		}
+		due = initial
+	}
+	due += probability
+	rejected := due >= 1
+	if rejected {
+		due--
+	}
+	q.rejections[key] = due
+	return rejected
 }
 
 // Dispatch removes and returns the requests that start now, while the given number of slots is free.
