Expire reports before the mean time in flight is read

Cause: Service.MeanFlight used the reports of peers whatever their age, so the latest useful start of the first request after a pause came from reports from before it. Reports older than 2 s must not count.

Change: MeanFlight drops them first.

Result: TestPauseForgetsMeanFlight passes. go test ./internal/overload ./internal/gateway passes.

--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -116,6 +116,7 @@
 
 // MeanFlight returns the mean time in ms that a request is in flight; 0 if unknown.
 func (s *Service) MeanFlight(now clock.Time) clock.Span {
+	s.expire(now)
 	t := s.total(now)
 	return clock.Span(t.flight)
 }
--- a/internal/overload/service_test.go
+++ b/internal/overload/service_test.go
@@ -140,6 +140,15 @@
 	assert.Equal(t, 500*clock.Millisecond, s.MeanFlight(7001))
 }
 
+// TestPauseForgetsMeanFlight guards against the deadline of the first request after a pause being judged by reports from before it.
+func TestPauseForgetsMeanFlight(t *testing.T) {
+	var s Service
+	s.RecordEnd(1000, 400)
+	s.SetReport(1000, "a", Demand{Flight: 2000})
+	assert.Equal(t, 1200*clock.Millisecond, s.MeanFlight(1100))
+	assert.Equal(t, 400*clock.Millisecond, s.MeanFlight(3500))
+}
+
 // TestRejectionsAreEven guards against entries with few requests that reject unequal parts of a team's requests by chance.
 func TestRejectionsAreEven(t *testing.T) {
 	testkit.Property(t, func(t *rapid.T) {
