Give a request that is rejected while its time ends its Retry-After

Cause: if dispatch rejected a waiting request in the moment in which its time ended, waitInQueue dropped that rejection, which was counted, and returned the one for the time, which has no Retry-After.

Change: the rejection by dispatch is returned.

Result: TestRejectionBesideTimeout passes, and fails without the change. go test ./internal/overload ./internal/gateway passes.

--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -134,10 +134,14 @@
 		e.admission.mu.Lock()
 		defer e.admission.mu.Unlock()
 		now := e.clock.Now()
-		if !q.coordinated.Remove(now, w) && <-w.Value.result == nil {
-			c.reservedIn = q
-			q.coordinated.RecordEnd(now, 0) // dispatch counted a start, and ServeHTTP counts only the ends of admitted requests
+		if q.coordinated.Remove(now, w) {
+			return rej
 		}
+		if shed := <-w.Value.result; shed != nil {
+			return shed // it was counted, and has a Retry-After
+		}
+		c.reservedIn = q
+		q.coordinated.RecordEnd(now, 0) // dispatch counted a start, and ServeHTTP counts only the ends of admitted requests
 		return rej
 	}
 	if rej == nil {
--- a/internal/gateway/coordinated_test.go
+++ b/internal/gateway/coordinated_test.go
@@ -168,3 +168,21 @@
 	demand := q.coordinated.Demand(e.clock.Now())
 	assert.InDelta(t, demand.Starts, demand.Ends, 1)
 }
+
+// TestRejectionBesideTimeout guards against a request that is rejected with a Retry-After while its time ends, and whose caller
+// does not get it.
+func TestRejectionBesideTimeout(t *testing.T) {
+	e, _ := newCoordinatedEntry(t)
+	q := e.admission.queueOf(routing.Service{Name: "s"})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 64 { // both ends are ready, so that either may be seen first
+		c := &call{}
+		w := &overload.Waiter[turn]{Value: turn{call: c, result: make(chan *rejection, 1)}}
+		w.Value.result <- &rejection{status: http.StatusServiceUnavailable, retryAfter: 700}
+		rej := e.waitInQueue(ctx, c, q, w)
+		require.NotNil(t, rej)
+		require.Equal(t, 700*clock.Millisecond, rej.retryAfter)
+		require.Nil(t, c.reservedIn)
+	}
+}
