--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -11,7 +11,7 @@
 const (
 	dispatchStep = 40 * clock.Millisecond  // least time between two dispatches while peers are heard
 	maxDispatch  = 100 * clock.Millisecond // longest time that one dispatch stands for, so that a pause starts no burst
-	lateReserve  = 4                       // divides the time in which a request that can't be on time must start late, since it waits in vain when entries return that were not heard
+	lateReserve  = 5                       // divides the time in which a request that can't be on time must start late, since it waits in vain when entries return that were not heard
 )
 
 // Waiter is a request that arrives and may wait.
--- a/internal/overload/queue_demote_test.go
+++ b/internal/overload/queue_demote_test.go
@@ -13,7 +13,7 @@
 	arrive := func(late int) (Decision, *Queue[int]) {
 		q := &Queue[int]{Service: Service{Limit: 100}}
 		q.RecordEnd(0, 1000)
-		waiting := Demand{Levels: []LevelDemand{{Level: 0, Waiting: 30}, {Level: LateLevel, Waiting: late}}}
+		waiting := Demand{Levels: []LevelDemand{{Level: 0, Waiting: 15}, {Level: LateLevel, Waiting: late}}}
 		q.SetReport(1, "peer", waiting)
 		w := &Waiter[int]{LatestOnTime: 200, LatestUseful: 2500}
 		return q.Arrive(1, w, 0, func() float64 { return 0.99 }), q
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -20,7 +20,7 @@
 	acceptFraction    = 1.0 / 3                 // of the time budget: longest expected wait without rejections
 	rejectFraction    = 2.0 / 3                 // of the time budget: expected wait from which all are rejected
 	acceptLate        = 1.0 / 2                 // the same for late requests, which lose nothing by waiting longer
-	rejectLate        = 5.0 / 6
+	rejectLate        = 3.0 / 4
 	minLateFraction   = 0.05                     // of the starts, for late requests
 	maxLateWait       = 2500 * clock.Millisecond // longest wait of a late request
 	starvationShare   = 0.3                      // of the admitted share of all requests, which each priority gets at least
