Make the choice by learned capacity cheaper and bound its memory

Cause: each choice among the servers of a plain service drew five servers by two passes over all of them, shuffled all servers for a probe, and computed several exponentials per server. The map of the peers that reported on a server kept each address that ever did.

Change: one pass adds up the weights and each draw is a binary search. The draws are the same, which TestDrawByWeight checks against the linear search. A probe picks among the servers that it drew with equal chance, as the shuffle did. The limit looks at its interval first. Peers whose last report is older than the time constant of reports are forgotten; a next report counts in full as before.

Engines were not changed.

Without the removal of peers TestPeersAreForgotten fails.

--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -1,9 +1,11 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"math/bits"
 	"slices"
+	"sort"
 
 	"carawaypick/pkg/clock"
 )
@@ -29,6 +31,7 @@
 	sizeClasses      = 40                      // powers of two of a request's size in bytes
 	minSizeSamples   = 8                       // of a class before its times are corrected
 	sizeGain         = 1.0 / 32                // per sample
+	minPeersLimit    = 64                      // peers of a server before old ones are forgotten
 )
 
 // CapacityBounds bounds the learned capacities. The zero value lets them range from one request to the server's slots.
@@ -83,8 +86,9 @@
 	sampledAt clock.Time
 	updatedAt clock.Time
 
-	own   ownSamples
-	peers map[string]clock.Time // time of the last report by peer
+	own        ownSamples
+	peers      map[string]clock.Time // time of the last report by peer
+	peersLimit int                   // number of peers at which old ones are forgotten
 }
 
 // decayedTime is a geometric mean of times, in which a sample counts less with its age.
@@ -152,10 +156,21 @@
 		share = min(max(float64(now.Sub(last)), 0)/float64(reportMemory), 1)
 	}
 	c.peers[peer] = now
+	c.forgetPeers(now)
 	s.Answered, s.Failed = s.Answered*share, s.Failed*share
 	c.merge(now, s, slots)
 }
 
+// forgetPeers bounds the memory while entries come and go. A report counts in full if the one before it is older than
+// reportMemory, as does the first one.
+func (c *ServerCapacity) forgetPeers(now clock.Time) {
+	if len(c.peers) < c.peersLimit {
+		return
+	}
+	maps.DeleteFunc(c.peers, func(_ string, last clock.Time) bool { return now.Sub(last) >= reportMemory })
+	c.peersLimit = max(2*len(c.peers), minPeersLimit)
+}
+
 // merge adds samples to what was learned.
 func (c *ServerCapacity) merge(now clock.Time, s CapacitySample, slots int) {
 	decay := math.Exp(-float64(max(now.Sub(c.updatedAt), 0)) / float64(failureMemory))
@@ -176,11 +191,14 @@
 // updateLimit changes the limit, at least the given part of the slots: it falls while requests are slow by the latency target in
 // ms and much slower than at low load.
 func (c *ServerCapacity) updateLimit(now clock.Time, target clock.Span, least float64) {
+	if now.Sub(c.cutAt) < limitInterval {
+		return
+	}
 	bound := slowShare * float64(target)
 	if c.low.weight > 0 {
 		bound = max(bound, maxTimeRise*math.Exp(c.low.mean))
 	}
-	if bound == 0 || now.Sub(c.cutAt) < limitInterval {
+	if bound == 0 {
 		return
 	}
 	if c.recent.at > c.cutAt && math.Exp(c.recent.mean) > bound {
@@ -221,6 +239,10 @@
 			fastestLow = min(fastestLow, c.low.mean)
 		}
 	}
+	slowLog := math.Inf(1) // log ms at low load above which a server loses capacity
+	if !math.IsInf(fastestLow, 1) {
+		slowLog = math.Log(max(float64(target), maxSlowdown*math.Exp(fastestLow)))
+	}
 	learned := make([]LearnedCapacity, len(servers))
 	for i, c := range servers {
 		full := b.Clamp(math.Inf(1), slots[i])
@@ -232,11 +254,11 @@
 		if c.sampledAt > 0 {
 			learned[i].Age = now.Sub(c.sampledAt)
 			c.updateLimit(now, target, b.Clamp(0, slots[i])/full)
-			if c.low.weight > 0 && !math.IsInf(fastestLow, 1) {
-				slow = min(max(float64(target), maxSlowdown*math.Exp(fastestLow))*math.Exp(-c.low.mean), 1)
+			if c.low.weight > 0 && c.low.mean > slowLog {
+				slow = math.Exp(slowLog - c.low.mean)
 			}
-			if !math.IsInf(fastest, 1) {
-				speed = min(math.Exp(fastest-c.level.mean), 1)
+			if c.level.mean > fastest {
+				speed = math.Exp(fastest - c.level.mean)
 			}
 		}
 		learned[i].Requests = b.Clamp(full*(1-c.cut)*good*slow, slots[i])
@@ -262,12 +284,13 @@
 // The weights are drawn because counts of peers are older than most requests take: the least loaded endpoint would be the same
 // for all entries.
 func PickByCapacity(endpoints []Endpoint, zone string, random func() uint64) int {
-	first := drawByWeight(endpoints, random)
-	if first < 0 {
+	w := newWeightedEndpoints(endpoints)
+	if len(w.usable) == 0 {
 		return -1
 	}
+	first := w.draw(random)
 	for range capacityChoices - 1 {
-		second := drawByWeight(endpoints, random)
+		second := w.draw(random)
 		a, b := &endpoints[first], &endpoints[second]
 		loadA, loadB := float64(a.InFlight()+1)/a.Weight, float64(b.InFlight()+1)/b.Weight
 		if loadB < loadA || (loadB == loadA && b.Zone == zone && a.Zone != zone) {
@@ -277,25 +300,30 @@
 	return first
 }
 
-// drawByWeight returns a random usable endpoint by weight, -1 if there is none.
-func drawByWeight(endpoints []Endpoint, random func() uint64) int {
-	total, last := 0.0, -1
-	for i := range endpoints {
-		if endpoints[i].Closed() == "" {
-			total += max(endpoints[i].Weight, minLearnedWeight)
-		}
-	}
-	left := total * uniform(random)
+// weightedEndpoints are the usable endpoints of one choice.
+type weightedEndpoints struct {
+	usable []int     // indices
+	sums   []float64 // of the weights up to each one
+}
+
+func newWeightedEndpoints(endpoints []Endpoint) (w weightedEndpoints) {
+	w.usable, w.sums = make([]int, 0, len(endpoints)), make([]float64, 0, len(endpoints))
+	total := 0.0
 	for i := range endpoints {
 		if endpoints[i].Closed() != "" {
 			continue
 		}
-		last = i
-		if left -= max(endpoints[i].Weight, minLearnedWeight); left < 0 {
-			break
-		}
+		total += max(endpoints[i].Weight, minLearnedWeight)
+		w.usable, w.sums = append(w.usable, i), append(w.sums, total)
 	}
-	return last
+	return w
+}
+
+// draw returns the index of a random endpoint by weight; there must be a usable one.
+func (w weightedEndpoints) draw(random func() uint64) int {
+	last := len(w.usable) - 1
+	target := w.sums[last] * uniform(random)
+	return w.usable[min(sort.Search(last, func(n int) bool { return w.sums[n] > target }), last)]
 }
 
 // uniform returns a random number in [0, 1).
--- a/internal/balance/capacity_test.go
+++ b/internal/balance/capacity_test.go
@@ -303,6 +303,27 @@
 	return &r.result
 }
 
+// drawByWeight returns a random usable endpoint by weight, -1 if there is none.
+func drawByWeight(endpoints []Endpoint, random func() uint64) int {
+	total, last := 0.0, -1
+	for i := range endpoints {
+		if endpoints[i].Closed() == "" {
+			total += max(endpoints[i].Weight, minLearnedWeight)
+		}
+	}
+	left := total * uniform(random)
+	for i := range endpoints {
+		if endpoints[i].Closed() != "" {
+			continue
+		}
+		last = i
+		if left -= max(endpoints[i].Weight, minLearnedWeight); left < 0 {
+			break
+		}
+	}
+	return last
+}
+
 // capacityPolicies are the ways that the replays compare.
 func capacityPolicies() []capacityPolicy {
 	leastOutstanding := func(endpoints []Endpoint, random func() uint64) int {
@@ -461,3 +482,39 @@
 	assert.InDelta(t, small, large, 1, "a large request must not make its server look slow")
 	assert.Greater(t, s.Correct(800, 100_000, usual), 5*large, "a slow server must")
 }
+
+// TestPeersAreForgotten guards against memory that grows with each entry that ever reported, and against a report that counts
+// differently after its peer was forgotten.
+func TestPeersAreForgotten(t *testing.T) {
+	sample := CapacitySample{Concurrency: 1, Time: 40, Answered: 1}
+	var c ServerCapacity
+	for i := range 10_000 {
+		c.Hear(clock.Time(1+10*i), fmt.Sprint(i), sample, 6)
+	}
+	assert.LessOrEqual(t, len(c.peers), 2*minPeersLimit)
+	before := c.answered
+	c.Hear(c.updatedAt, "9999", sample, 6)
+	assert.InDelta(t, before, c.answered, 1e-9, "a report at the same time as the one before it")
+	c.Hear(c.updatedAt, "1", sample, 6)
+	assert.InDelta(t, before+1, c.answered, 1e-9, "a report of a forgotten peer")
+}
+
+// TestDrawByWeight guards against a draw of a closed endpoint, and against draws that differ from those of a linear search.
+func TestDrawByWeight(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		endpoints := make([]Endpoint, 1+random.IntN(80))
+		for i := range endpoints {
+			endpoints[i] = Endpoint{Weight: 6 * random.Float64(), Leaving: random.IntN(3) == 0, Ejected: random.IntN(5) == 0}
+		}
+		number := random.Uint64()
+		fixed := func() uint64 { return number }
+		expected := drawByWeight(endpoints, fixed)
+		if w := newWeightedEndpoints(endpoints); expected >= 0 {
+			assert.Equal(t, expected, w.draw(fixed))
+		} else {
+			assert.Empty(t, w.usable)
+			assert.Equal(t, -1, PickByCapacity(endpoints, "", fixed))
+		}
+	}
+}
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -154,12 +154,15 @@
 		return -1
 	}
 	chance := balance.ProbeChance(now.Sub(last), len(t.entries().Alive))
-	for _, i := range rand.Perm(len(endpoints)) {
-		if learned[i].Stale() && endpoints[i].Closed() == "" && endpoints[i].InFlight() == 0 && rand.Float64() < chance {
-			return i
+	picked, drawn := -1, 0
+	for i := range endpoints {
+		if learned[i].Stale() && endpoints[i].InFlight() == 0 && endpoints[i].Closed() == "" && rand.Float64() < chance {
+			if drawn++; rand.IntN(drawn) == 0 { // each of the drawn ones with the same chance
+				picked = i
+			}
 		}
 	}
-	return -1
+	return picked
 }
 
 // ownedBy reports whether this entry owns the server among the entries.
@@ -384,8 +387,8 @@
 	return balance.RequestSize{PromptTokens: c.PromptTokens, ExpectedOutputTokens: c.ExpectedOutputTokens, MaxOutputTokens: c.MaxOutputTokens}
 }
 
-// recordCapacity records how a server of a plain service served an attempt, and logs loads that can't be right. A server that asks for a pause or is not the
-// intended one tells nothing about its capacity.
+// recordCapacity records how a server of a plain service served an attempt, and logs loads that can't be right. A server that
+// asks for a pause or is not the intended one tells nothing about its capacity.
 func (e *Entry) recordCapacity(c *call, s *routing.Server, x *exchange, sentAt clock.Time, before int) {
 	if !e.loads.coordinated() || x.reason == "left" || x.reason == "dial" {
 		return
