Forget what was learned of services without servers

Cause: latency targets, size corrections, work estimators and the times of choices were kept for each service that ever had servers, so the memory of an entry grew while services came and went.

Change: a new view removes those of services that have no servers in it. A service that returns is learned again.

Result: TestServicesAreForgotten checks that all four are kept for a service with servers and removed without. The tests of internal/gateway pass (68 s).

--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -93,11 +94,17 @@
 			t.learning.keys[capacityKey(s)] = s
 		}
 	}
-	for id := range t.learning.announced {
-		if v.Servers[id] == nil {
-			delete(t.learning.announced, id)
-		}
-	}
+	maps.DeleteFunc(t.learning.announced, func(id string, _ clock.Time) bool { return v.Servers[id] == nil })
+	t.learning.forgetServices(v)
+}
+
+// forgetServices removes what was learned of services without servers, which bounds the memory while services come and go.
+func (l *capacityLearning) forgetServices(v *routing.View) {
+	gone := func(service string) bool { return len(v.Services[service]) == 0 }
+	maps.DeleteFunc(l.targets, func(service string, _ clock.Span) bool { return gone(service) })
+	maps.DeleteFunc(l.sizes, func(service string, _ *balance.SizeCorrection) bool { return gone(service) })
+	maps.DeleteFunc(l.hints, func(service string, _ *balance.WorkEstimator) bool { return gone(service) })
+	maps.DeleteFunc(l.choices, func(service string, _ clock.Time) bool { return gone(service) })
 }
 
 // capacityOf returns what was learned of this incarnation of the server.
--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -336,3 +336,21 @@
 		assert.Empty(t, e.loads.CapacityReports(), "engines are not learned one by one")
 	})
 }
+
+// TestServicesAreForgotten guards against memory that grows with each service that ever had servers.
+func TestServicesAreForgotten(t *testing.T) {
+	now, v := clock.Time(1), plainView(1)
+	tracker := newTestTracker(&now, v, "e0", 1)
+	s := v.Services["s"][0]
+	_, _, _ = tracker.Choose(v.Services["s"], routing.Service{Name: "s"}, nil, "")
+	tracker.RecordSample(s, sentRequest{target: 200, at: now, before: 1, running: 1})
+	tracker.workEstimator("s")
+	sizes := func() []int {
+		l := tracker.learning
+		return []int{len(l.targets), len(l.sizes), len(l.hints), len(l.choices)}
+	}
+	tracker.Prune(v)
+	assert.Equal(t, []int{1, 1, 1, 1}, sizes())
+	tracker.Prune(plainView(0))
+	assert.Equal(t, []int{0, 0, 0, 0}, sizes())
+}
