--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -112,11 +112,17 @@
 			t.learning.keys[capacityKey(s)] = s
 		}
 	}
-	for id := range t.learning.announced {
-		if v.Servers[id] == nil {
-			delete(t.learning.announced, id)
-		}
-	}
+	maps.DeleteFunc(t.learning.announced, func(id string, _ clock.Time) bool { return v.Servers[id] == nil })
+	t.learning.forgetServices(v)
+}
+
+// forgetServices removes what was learned of services without servers, which bounds the memory while services come and go.
+func (l *capacityLearning) forgetServices(v *routing.View) {
+	gone := func(service string) bool { return len(v.Services[service]) == 0 }
+	maps.DeleteFunc(l.targets, func(service string, _ clock.Span) bool { return gone(service) })
+	maps.DeleteFunc(l.sizes, func(service string, _ *balance.SizeCorrection) bool { return gone(service) })
+	maps.DeleteFunc(l.hints, func(service string, _ *balance.WorkEstimator) bool { return gone(service) })
+	maps.DeleteFunc(l.choices, func(service string, _ clock.Time) bool { return gone(service) })
 }
 
 // capacityOf returns what was learned of this incarnation of the server.
@@ -234,12 +240,15 @@
 		return -1
 	}
 	chance := balance.ProbeChance(now.Sub(last), len(t.entries().Alive))
-	for _, i := range rand.Perm(len(endpoints)) {
+	picked, drawn := -1, 0
+	for i := range endpoints {
 		if probeable(&endpoints[i], learned[i]) && rand.Float64() < chance {
-			return i
+			if drawn++; rand.IntN(drawn) == 0 { // each of the drawn ones with the same chance
+				picked = i
+			}
 		}
 	}
-	return -1
+	return picked
 }
 
 // ownedBy reports whether this entry owns the server among the entries.
@@ -464,8 +473,8 @@
 	return balance.RequestSize{PromptTokens: c.PromptTokens, ExpectedOutputTokens: c.ExpectedOutputTokens, MaxOutputTokens: c.MaxOutputTokens}
 }
 
-// recordCapacity records how a server of a plain service served an attempt, and logs loads that can't be right. A server that asks for a pause or is not the
-// intended one tells nothing about its capacity.
+// recordCapacity records how a server of a plain service served an attempt, and logs loads that can't be right. A server that
+// asks for a pause or is not the intended one tells nothing about its capacity.
 func (e *Entry) recordCapacity(c *call, s *routing.Server, x *exchange, sentAt clock.Time, before int) {
 	if !e.loads.coordinated() || x.reason == "left" || x.reason == "dial" {
 		return
