--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -21,14 +21,13 @@
 const reasonNoCapacity = "the service lacks capacity"
 
 const (
-	maxDemandSize     = 200                      // bytes of the demand in one heartbeat
-	maxLateWait       = 2500 * clock.Millisecond // longest wait of a request that starts late
-	minPatience       = 2 * clock.Second         // callers wait at least that long for the first event of a stream
-	patienceFactor    = 4                        // callers wait that multiple of the latency target for the first event of a stream if it is longer
-	timeoutWindow     = clock.Minute             // in which the longest remaining time of a route's requests is found
-	returningFraction = 5.0 / 6                  // of the longest remaining time: a request with less is of a returning caller, as Retry-After is a sixth of the time at least
-	shedLogInterval   = clock.Second             // between two log lines of a service that rejects
-	maxLoggedWait     = clock.Minute             // stands for an infinite wait in logs and metrics
+	maxDemandSize     = 200              // bytes of the demand in one heartbeat
+	minPatience       = 2 * clock.Second // callers wait at least that long for the first event of a stream
+	patienceFactor    = 4                // callers wait that multiple of the latency target for the first event of a stream if it is longer
+	timeoutWindow     = clock.Minute     // in which the longest remaining time of a route's requests is found
+	returningFraction = 5.0 / 6          // of the longest remaining time: a request with less is of a returning caller, as Retry-After is a sixth of the time at least
+	shedLogInterval   = clock.Second     // between two log lines of a service that rejects
+	maxLoggedWait     = clock.Minute     // stands for an infinite wait in logs and metrics
 )
 
 // turn is a request that waits for its turn.
@@ -165,11 +164,11 @@
 		patience := max(minPatience, patienceFactor*c.route.LatencyTarget)
 		w.LatestUseful = c.start.Add(patience - 2*callerLatency - q.firstEvent.Delay())
 	} else {
-		w.LatestUseful = now.Add(maxLateWait)
+		w.LatestUseful = now.Add(overload.MaxLateWait)
 		w.LatestOnTime = c.start.Add(c.route.LatencyTarget/2 - used)
 		q.coordinated.PriorFlight = c.route.LatencyTarget / 2
 	}
-	w.LatestUseful = min(w.LatestUseful, now.Add(maxLateWait), c.deadline.Add(-q.coordinated.MeanFlight(now)))
+	w.LatestUseful = min(w.LatestUseful, now.Add(overload.MaxLateWait), c.deadline.Add(-q.coordinated.MeanFlight(now)))
 	return w
 }
 
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -150,7 +150,7 @@
 	for !p.up(p.now, i) || p.frozen(i) {
 		i = p.random.IntN(p.entries)
 	}
-	w := &Waiter[request]{Priority: level, LatestOnTime: p.now.Add(budget), LatestUseful: p.now.Add(maxLateWait), Value: request{level, p.now}}
+	w := &Waiter[request]{Priority: level, LatestOnTime: p.now.Add(budget), LatestUseful: p.now.Add(MaxLateWait), Value: request{level, p.now}}
 	if p.counts(p.now) {
 		p.result.arrived[level]++
 		if level != LateLevel {
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -21,13 +21,15 @@
 	rejectFraction    = 2.0 / 3                 // of the time budget: expected wait from which all are rejected
 	acceptLate        = 1.0 / 2                 // the same for late requests, which lose nothing by waiting longer
 	rejectLate        = 3.0 / 4
-	minLateFraction   = 0.05                     // of the starts, for late requests
-	maxLateWait       = 2500 * clock.Millisecond // longest wait of a late request
-	starvationShare   = 0.3                      // of the admitted share of all requests, which each priority gets at least
-	someWait          = 0.5                      // predicted number of waiting requests from which one is assumed to wait
-	minCorrectionTime = 100 * clock.Millisecond  // time over which free slots are filled, in addition to the age of the reports
+	minLateFraction   = 0.05                    // of the starts, for late requests
+	starvationShare   = 0.3                     // of the admitted share of all requests, which each priority gets at least
+	someWait          = 0.5                     // predicted number of waiting requests from which one is assumed to wait
+	minCorrectionTime = 100 * clock.Millisecond // time over which free slots are filled, in addition to the age of the reports
 )
 
+// MaxLateWait is the longest wait in ms of a request that starts late.
+const MaxLateWait = 2500 * clock.Millisecond
+
 // Service is the demand for one service at this entry and, by their reports, at its peers.
 type Service struct {
 	Limit   float64 // requests that the servers may run at once for all entries; 0 if unknown
@@ -285,7 +287,7 @@
 func (t *total) reject(level int, budget float64) float64 {
 	wait, accept, full := t.wait(level), acceptFraction, rejectFraction
 	if level == LateLevel {
-		budget, accept, full = min(budget, float64(maxLateWait)), acceptLate, rejectLate
+		budget, accept, full = min(budget, float64(MaxLateWait)), acceptLate, rejectLate
 	}
 	probability := 1.0
 	if budget > 0 && !math.IsInf(wait, 1) {
@@ -379,7 +381,7 @@
 	case s.budgets[level] > 0:
 		return s.budgets[level]
 	case level == LateLevel:
-		return float64(maxLateWait)
+		return float64(MaxLateWait)
 	}
 	return float64(defaultBudget)
 }
