Compare the team's priority first and the route's among equal teams

Cause: all teams of yards have one priority, which replaced the priorities of the routes. Change: coordinated admission compares the team's priority first and the route's among teams of one priority.

TestUrgency guards the order.

--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -76,14 +76,14 @@
 		q.coordinated.RecordStart(now)
 	} else {
 		decision = q.coordinated.Arrive(now, w, a.free, e.admission.random)
-		q.shed.arrived[overload.LevelOf(c.priority())]++
+		q.shed.arrived[overload.LevelOf(c.urgency())]++
 	}
 	var retryAfter clock.Span
 	switch decision {
 	case overload.Start:
 		e.hold(q, c)
 	case overload.Reject:
-		e.countShed(q, c.priority())
+		e.countShed(q, c.urgency())
 		retryAfter = e.retryAfter(q, w, now)
 	}
 	e.admission.mu.Unlock()
@@ -157,7 +157,7 @@
 
 // newWaiter returns the queue item of c, whose caller has used the given ms at earlier tries; mu is held.
 func (q *serviceQueue) newWaiter(c *call, now clock.Time, used clock.Span) *overload.Waiter[turn] {
-	w := &overload.Waiter[turn]{Priority: c.priority(), Team: c.team.Name, Value: turn{call: c, result: make(chan *rejection, 1)}}
+	w := &overload.Waiter[turn]{Priority: c.urgency(), Team: c.team.Name, Value: turn{call: c, result: make(chan *rejection, 1)}}
 	if c.route.Kind == routing.Stream {
 		w.LatestOnTime = c.start.Add(c.route.LatencyTarget - used - callerLatency - q.firstEvent.Delay())
 		q.coordinated.PriorFlight = typicalStreamDuration
@@ -226,6 +226,19 @@
 	return room, free
 }
 
+// routePriorities is the number of priorities of routes that coordinated admission tells apart among teams of one priority.
+const routePriorities = 4
+
+// urgency returns the priority of the request for coordinated admission, 0 for the most urgent: that of the team first, and that
+// of the route among teams of one priority.
+func (c *call) urgency() int {
+	route := min(max(c.route.Priority, 0), routePriorities-1)
+	if !c.team.HasPriority {
+		return route
+	}
+	return max(c.team.Priority, 0)*routePriorities + route
+}
+
 // settling reports whether this entry has just started and gets its parts of the servers' rates as soon as it knows the other
 // entries. Until then requests wait: after a power loss the engines are cold, and most callers have used up their retries.
 func (e *Entry) settling() bool {
--- a/internal/gateway/coordinated_test.go
+++ b/internal/gateway/coordinated_test.go
@@ -186,3 +186,16 @@
 		require.Nil(t, c.reservedIn)
 	}
 }
+
+// TestUrgency guards against requests of urgent routes that are rejected before less urgent ones because all teams have one
+// priority.
+func TestUrgency(t *testing.T) {
+	urgency := func(team routing.Team, route int) int {
+		return (&call{team: team, route: &routing.Route{Priority: route}}).urgency()
+	}
+	first, second := routing.Team{HasPriority: true}, routing.Team{HasPriority: true, Priority: 1}
+	assert.Less(t, urgency(second, 0), urgency(second, 1), "by route among equal teams")
+	assert.Less(t, urgency(first, 9), urgency(second, 0), "by team first")
+	assert.Equal(t, 2, urgency(routing.Team{}, 2), "by route without a team's priority")
+	assert.Equal(t, 0, urgency(routing.Team{HasPriority: true, Priority: -1}, -1), "never negative")
+}
