--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -86,6 +86,10 @@
 	if expected := request.Header.Get("X-Carawaypick-Expect-Instance"); expected != "" && expected != e.id {
 		return write(conn, head("421 Misdirected Request", "Content-Length: 0"))
 	}
+	if version := request.Header.Get("X-Carawaypick-Expect-Version"); version != "" && version != "1" {
+		fmt.Printf("421 id=%s version %s is expected, the weights are of version 1\n", id, version)
+		return write(conn, head("421 Misdirected Request", "At-Server: "+e.id, "Content-Length: 0"))
+	}
 	if running > int64(e.slots) {
 		return write(conn, head("503 Service Unavailable", "X-Carawaypick-Not-Executed: 1", "Content-Length: 0"))
 	}
@@ -138,15 +142,15 @@
 
 // engineProcess is an engine as the platform sees it.
 type engineProcess struct {
-	id, address, zone string
-	slots             int
-	command           *exec.Cmd
-	born              int64
+	id, service, address, zone string
+	slots                      int
+	command                    *exec.Cmd
+	born                       int64
 }
 
 // startEngine starts an engine in a process of its own and registers it.
-func (in *installation) startEngine(number, slots int, framing string, pace time.Duration) (p *engineProcess, err error) {
-	p = &engineProcess{id: fmt.Sprintf("i-%08x", 0x7f3a91c0+number), address: fmt.Sprintf("%s.%d:8567", in.prefix, 20+number), zone: fmt.Sprintf("z%d", number%3), slots: slots, born: time.Now().UnixMilli()}
+func (in *installation) startEngine(service string, number, slots int, framing string, pace time.Duration) (p *engineProcess, err error) {
+	p = &engineProcess{service: service, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+number), address: fmt.Sprintf("%s.%d:8567", in.prefix, 20+number), zone: fmt.Sprintf("z%d", number%3), slots: slots, born: time.Now().UnixMilli()}
 	p.command = exec.Command(os.Args[0], "engine", p.id, p.address, strconv.Itoa(slots), framing, strconv.FormatInt(pace.Milliseconds(), 10))
 	p.command.Stderr = os.Stderr
 	output, err := p.command.StdoutPipe()
@@ -174,7 +178,7 @@
 // register writes the engine's registration and returns the time of the ack.
 func (p *engineProcess) register(in *installation, state string) time.Time {
 	at := in.store.putJSON("servers/"+p.id, map[string]any{
-		"service": "huvo11a", "address": p.address, "zone": p.zone, "version": "v1", "slots": p.slots, "state": state, "cold-ms": 0,
+		"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": p.slots, "state": state, "cold-ms": 0,
 		"stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "seq": 4, "born": p.born,
 	})
 	in.note("store: engine %s at %s is %s", p.id, p.address, state)
--- a/review/standins/installation.go
+++ b/review/standins/installation.go
@@ -190,11 +190,21 @@
 `, e.name, e.ip, i, zones, seeds, memoryMB, maxFiles, heartbeat.Milliseconds(), drainMs, graceS, in.store.address)
 }
 
-// configure writes a configuration with the routes; all engines belong to one service.
+// Services of the installation.
+const (
+	modelService = "huvo11a"
+	plainService = "wuno96b"
+)
+
+func service(name string, connections int) map[string]any {
+	return map[string]any{"name": name, "health-path": "/health", "max-connections": connections, "protocol": "h1", "tls": false, "cold-s": 0.0, "cold-per-s": 0.0}
+}
+
+// configure writes a configuration with the routes.
 func (in *installation) configure(version int, routes []map[string]any, connections int) time.Time {
 	return in.store.putJSON("op/config", map[string]any{
 		"version": version, "routes": routes,
-		"services": []map[string]any{{"name": "huvo11a", "health-path": "/health", "max-connections": connections, "protocol": "h1", "tls": false, "cold-s": 0.0, "cold-per-s": 0.0}},
+		"services": []map[string]any{service(modelService, connections), service(plainService, connections)},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": maxBody, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants":  []map[string]any{{"name": "hule930", "api-keys": []string{apiKey}, "priority": 1}},
 	})
@@ -207,7 +217,7 @@
 func route(name, prefix, kind string, timeoutMs, attempts int) map[string]any {
 	return map[string]any{
 		"name": name, "host": host, "prefix": prefix, "kind": kind, "timeout-ms": timeoutMs, "target-latency-ms": 400, "priority": 1,
-		"service": "huvo11a", "max-attempts": attempts, "public": false, "sticky": kind == "stream", "can-resume": kind == "stream", "gap-target-ms": 120,
+		"service": modelService, "max-attempts": attempts, "public": false, "sticky": kind == "stream", "can-resume": kind == "stream", "gap-target-ms": 120,
 	}
 }
 
--- a/review/standins/leaving.go
+++ b/review/standins/leaving.go
@@ -23,7 +23,7 @@
 	in.configure(1, []map[string]any{route("r-2yhvz3p", "/lohu930/", "stream", 8000, 2)}, 328)
 	var processes []*engineProcess
 	for i := range engines {
-		p, err := in.startEngine(i, 12, "unframed", pace)
+		p, err := in.startEngine(modelService, i, 12, "unframed", pace)
 		if err != nil {
 			return false, err
 		}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -62,7 +62,7 @@
 		}
 		return exitNotRun
 	}
-	cases := map[string]func(*installation, bool) (bool, error){"leaving": leavingCase, "uploads": uploadsCase}
+	cases := map[string]func(*installation, bool) (bool, error){"leaving": leavingCase, "uploads": uploadsCase, "version": versionCase, "mirror": mirrorCase}
 	play, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/standins/uploads.go
+++ b/review/standins/uploads.go
@@ -37,7 +37,7 @@
 	)
 	in.configure(1, []map[string]any{route("r-puxa403", "/puxa403/", "unsafe", 4000, 1)}, 200)
 	for i := range engines {
-		if _, err := in.startEngine(i, 12, "framed", 200*time.Millisecond); err != nil {
+		if _, err := in.startEngine(modelService, i, 12, "framed", 200*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
