review: sound requests are rejected for another part that crashes engines

Case 3, from an entry: of two parts that were in flight at the same crashes the deeper one is quarantined.

--- a/review/standins/consumer.go
+++ b/review/standins/consumer.go
@@ -60,9 +60,11 @@
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	_ = c.conn.SetDeadline(r.began.Add(timeLimit)) // fails on a closed connection only
-	lines := append([]string{method + " " + path + " HTTP/1.1", "Host: " + host, "X-Carawaypick-Attempt-Id: " + r.id,
+	lines := append([]string{
+		method + " " + path + " HTTP/1.1", "Host: " + host, "X-Carawaypick-Attempt-Id: " + r.id,
 		fmt.Sprintf("X-Carawaypick-Deadline-Ms: %d", timeLimit.Milliseconds()), "Authorization: Token " + apiKey,
-		fmt.Sprintf("Content-Length: %d", len(body))}, headers...)
+		fmt.Sprintf("Content-Length: %d", len(body)),
+	}, headers...)
 	if _, r.err = io.WriteString(c.conn, strings.Join(lines, "\r\n")+"\r\n\r\n"); r.err != nil {
 		return r
 	}
--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -23,9 +23,14 @@
 	unframed    bool          // answers have neither a length nor chunks and end with their connection
 	pace        time.Duration // between two events of a stream, or work of another request
 
+	crash func() // ends the process
+
 	running atomic.Int64
 }
 
+// crashingPart is the part of a prompt that ends an engine as it begins to write an answer on it.
+const crashingPart = "dead01"
+
 // runEngine serves until SIGTERM; arguments are id, address, slots, framing and pace in ms.
 func runEngine(arguments []string) error {
 	slots, err := strconv.Atoi(arguments[2])
@@ -47,10 +52,15 @@
 	if err != nil {
 		return err
 	}
+	e.crash = func() {
+		_ = listener.Close() // a process that has ended accepts nothing
+		os.Exit(1)
+	}
 	fmt.Println("listening")
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
+			time.Sleep(time.Second) // a crash closes the listener before the process ends
 			return err
 		}
 		go e.serve(conn)
@@ -79,8 +89,10 @@
 	defer e.running.Add(-1)
 	running := e.running.Add(1)
 	head := func(status string, more ...string) string {
-		lines := append([]string{"HTTP/1.1 " + status, "X-Carawaypick-Attempt-Id: " + id, "X-Carawaypick-Instance-Id: " + e.id,
-			fmt.Sprintf("X-Carawaypick-Instance-Load: %d,0,%d", running, e.slots)}, more...)
+		lines := append([]string{
+			"HTTP/1.1 " + status, "X-Carawaypick-Attempt-Id: " + id, "X-Carawaypick-Instance-Id: " + e.id,
+			fmt.Sprintf("X-Carawaypick-Instance-Load: %d,0,%d", running, e.slots),
+		}, more...)
 		return strings.Join(lines, "\r\n") + "\r\n\r\n"
 	}
 	if expected := request.Header.Get("X-Carawaypick-Expect-Instance"); expected != "" && expected != e.id {
@@ -97,7 +109,8 @@
 	var events int
 	if _, err := fmt.Sscanf(string(body[:min(len(body), 20)]), "events=%d", &events); err == nil {
 		fmt.Printf("run id=%s events=%d after=%s\n", id, events, request.Header.Get("Last-Event-Id"))
-		return e.stream(conn, head, seal, request.Header.Get("Last-Event-Id"), id, events)
+		crashes := strings.Contains(request.Header.Get("X-Carawaypick-Prompt-Prefix"), crashingPart+":")
+		return e.stream(conn, head, seal, request.Header.Get("Last-Event-Id"), id, events, crashes)
 	}
 	fmt.Printf("run id=%s bytes=%d\n", id, len(body))
 	time.Sleep(e.pace)
@@ -108,7 +121,7 @@
 }
 
 // stream answers with the events that follow the last one that the consumer has.
-func (e *engine) stream(conn net.Conn, head func(string, ...string) string, seal, last, id string, events int) (open bool) {
+func (e *engine) stream(conn net.Conn, head func(string, ...string) string, seal, last, id string, events int, crashes bool) (open bool) {
 	first, err := strconv.Atoi(last)
 	if err != nil {
 		first = 0
@@ -122,6 +135,10 @@
 	}
 	for n := first + 1; n <= events; n++ {
 		time.Sleep(e.pace)
+		if crashes {
+			fmt.Printf("crash id=%s\n", id)
+			e.crash()
+		}
 		if !write(conn, chunk(event(id, n))) {
 			return false
 		}
@@ -148,9 +165,17 @@
 	born                       int64
 }
 
-// startEngine starts an engine in a process of its own and registers it.
+// startEngine starts an engine in a process of its own and registers it; number tells its id and its address.
 func (in *installation) startEngine(service string, number, slots int, framing string, pace time.Duration) (p *engineProcess, err error) {
-	p = &engineProcess{service: service, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+number), address: fmt.Sprintf("%s.%d:8567", in.prefix, 20+number), zone: fmt.Sprintf("z%d", number%3), slots: slots, born: time.Now().UnixMilli()}
+	return in.startEngineAs(service, number, number, slots, framing, pace)
+}
+
+// startEngineAs starts an engine whose id and address have numbers of their own.
+func (in *installation) startEngineAs(service string, id, number, slots int, framing string, pace time.Duration) (p *engineProcess, err error) {
+	p = &engineProcess{
+		id: fmt.Sprintf("i-%08x", 0x7f3a91c0+id), service: service, address: fmt.Sprintf("%s.%d:8567", in.prefix, 20+number),
+		zone: fmt.Sprintf("z%d", number%3), slots: slots, born: time.Now().UnixMilli(),
+	}
 	p.command = exec.Command(os.Args[0], "engine", p.id, p.address, strconv.Itoa(slots), framing, strconv.FormatInt(pace.Milliseconds(), 10))
 	p.command.Stderr = os.Stderr
 	output, err := p.command.StdoutPipe()
@@ -160,7 +185,9 @@
 	if err := p.command.Start(); err != nil {
 		return nil, err
 	}
+	in.childrenMu.Lock()
 	in.children = append(in.children, p.command)
+	in.childrenMu.Unlock()
 	lines := bufio.NewScanner(output)
 	if !lines.Scan() {
 		return nil, fmt.Errorf("engine %s did not start", p.id)
--- a/review/standins/installation.go
+++ b/review/standins/installation.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,12 +31,16 @@
 
 // installation is a store, entries and the record of a case.
 type installation struct {
-	prefix   string // first three octets of all addresses
-	dir      string // temporary folder
-	store    *store
-	entries  []*entry
-	children []*exec.Cmd
-	began    time.Time
+	prefix  string // first three octets of all addresses
+	dir     string // temporary folder
+	store   *store
+	entries []*entry
+	began   time.Time
+
+	closing    atomic.Bool
+	lives      int // engines that were started again
+	childrenMu sync.Mutex
+	children   []*exec.Cmd
 
 	recordMu sync.Mutex
 	record   io.Writer
@@ -223,9 +228,12 @@
 
 // close ends all processes and removes the temporary folder, unless REVIEW_KEEP is set.
 func (in *installation) close() {
+	in.closing.Store(true)
 	for _, e := range in.entries {
 		e.kill()
 	}
+	in.childrenMu.Lock()
+	defer in.childrenMu.Unlock()
 	for _, c := range in.children {
 		_ = c.Process.Kill() // fails if it has ended
 		_ = c.Wait()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -24,6 +24,8 @@
 	runsMu sync.Mutex
 	runs   = make(map[string][]string) // engines that ran a request, by its id
 	ended  = make(map[string]int)      // complete runs, by request id
+
+	crashes []time.Time // of engines that a request ended
 )
 
 // observe records what an engine says of its runs.
@@ -37,6 +39,8 @@
 		runs[id] = append(runs[id], engine)
 	case "end":
 		ended[id]++
+	case "crash":
+		crashes = append(crashes, time.Now())
 	}
 }
 
@@ -62,7 +66,7 @@
 		}
 		return exitNotRun
 	}
-	cases := map[string]func(*installation, bool) (bool, error){"leaving": leavingCase, "uploads": uploadsCase, "version": versionCase, "mirror": mirrorCase}
+	cases := map[string]func(*installation, bool) (bool, error){"leaving": leavingCase, "uploads": uploadsCase, "version": versionCase, "mirror": mirrorCase, "parts": partsCase}
 	play, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
