--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
 	echo "run the build of deploy/system.toml and review/build.sh first" >&2
 	exit 2
 fi
-exec target/review/standins version "$folder/record.txt"
+exec target/review/standins mirror "$folder/record.txt"
