Let answers tell which server is at an address, not registrations

Cause: IndexServers kept one registration of each address, the one with the later start, before it looked at the service. What one writer said of itself decided what the entries believed of another server.

Change: routing.Owners. Only the server at an address tells by its answers which registration is right; each entry judges by its own requests, and an answer decides for 5.6 s. A 421 in which a server names itself is about the request. A record that is written over while its server answers stays in force until the server writes it again. Member lists and agents judge ranks alike.

TestIndexServers asked for the fault (of two services with one address only the later one was listed) and asks now for both, and for one once an answer tells which; a mark by 421 that lasted until the registration changed now also ends after 5.6 s.

--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -17,6 +17,7 @@
 	AskedUntil   clock.Time // end of the time for which the server asked for no requests, 0 for none
 	TurnsAway    bool       // the server rejects requests at once and isn't to be tried again yet
 	Tried        bool       // this request was already sent to the server
+	OnTrial      bool       // another backend server may be at its address, and it isn't to be tried now
 	Weight       float64    // see LearnedCapacity.Weight and PickByCapacity
 	Load         float64    // of all requests at an engine, see Work.Load
 	Owned        bool       // this entry prefers the server, see Owns
@@ -35,6 +36,8 @@
 		return "asked to wait"
 	case e.TurnsAway:
 		return "turns requests away"
+	case e.OnTrial:
+		return "on trial"
 	case e.RateUsedUp():
 		return "rate used up"
 	}
--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -244,23 +244,33 @@
 	if len(group.Members) == 0 {
 		return
 	}
-	listed := len(group.Members)
-	group.Members = mergeMembers(a.group.Members, group.Members, a.report.GroupSize)
+	listed, now := len(group.Members), a.clock.Now()
+	group.Members = mergeMembers(a.group.Members, group.Members, a.report.GroupSize, func(rank int) bool {
+		c := a.controller
+		return c != nil && rank < len(c.receivedAt) && c.receivedAt[rank] > 0 && c.responds(now, rank)
+	})
 	if len(group.Members) != len(a.group.Members) {
 		level.Info(a.logger).Log("msg", "group membership changed", "members", len(group.Members), "listed", listed, "sets", group.Shape.Sets, "experts", group.Shape.Experts)
 	}
 	a.group = group
 }
 
-// mergeMembers returns the listed members, in order of their ranks, with the known ones of the ranks that are not listed: an
-// entry that doesn't know all engines yet must not hide a rank. The group has the given size, 0 if unknown.
-func mergeMembers(known, listed []Member, size int) (merged []Member) {
+// mergeMembers returns the listed members, in order of their ranks, with the known ones of the ranks that are not listed or
+// respond: an entry that doesn't know all engines yet must not hide a rank, and an entry may list an engine that another writer
+// registered as the rank. The group has the given size, 0 if unknown.
+func mergeMembers(known, listed []Member, size int, responds func(rank int) bool) (merged []Member) {
 	byRank := make(map[int]Member)
-	for _, m := range slices.Concat(known, listed) {
+	for _, m := range known {
 		if size == 0 || m.Rank < size {
 			byRank[m.Rank] = m
 		}
 	}
+	for _, m := range listed {
+		if _, isKnown := byRank[m.Rank]; m.Rank < 0 || (size > 0 && m.Rank >= size) || (isKnown && responds(m.Rank)) {
+			continue
+		}
+		byRank[m.Rank] = m
+	}
 	for _, rank := range slices.Sorted(maps.Keys(byRank)) {
 		merged = append(merged, byRank[rank])
 	}
--- a/internal/engine/link_test.go
+++ b/internal/engine/link_test.go
@@ -172,9 +172,13 @@
 }
 
 func TestMergeMembers(t *testing.T) {
+	silent := func(int) bool { return false }
 	known := []Member{{Rank: 0, IP: "a"}, {Rank: 1, IP: "b"}, {Rank: 2, IP: "c"}}
-	assert.Equal(t, []Member{{Rank: 0, IP: "a"}, {Rank: 1, IP: "new"}, {Rank: 2, IP: "c"}}, mergeMembers(known, []Member{{Rank: 1, IP: "new"}}, 3))
-	assert.Equal(t, []Member{{Rank: 0, IP: "a"}, {Rank: 1, IP: "b"}}, mergeMembers(known, nil, 2), "a smaller group")
+	assert.Equal(t, []Member{{Rank: 0, IP: "a"}, {Rank: 1, IP: "new"}, {Rank: 2, IP: "c"}}, mergeMembers(known, []Member{{Rank: 1, IP: "new"}}, 3, silent))
+	assert.Equal(t, []Member{{Rank: 0, IP: "a"}, {Rank: 1, IP: "b"}}, mergeMembers(known, nil, 2, silent), "a smaller group")
+	foreign := []Member{{Rank: 1, IP: "new"}, {Rank: 2, IP: "new"}, {Rank: 3, IP: "new"}, {Rank: -1, IP: "new"}}
+	assert.Equal(t, []Member{{Rank: 0, IP: "a"}, {Rank: 1, IP: "b"}, {Rank: 2, IP: "new"}}, mergeMembers(known, foreign, 3, func(rank int) bool { return rank == 1 }),
+		"an agent that responds keeps its rank")
 }
 
 // TestPlanningSilencesNoAgent checks that a coordinator which searched for a plan for long takes no agent for unresponsive, nor
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -152,6 +152,9 @@
 	e.loads.EndWork(c.placement, x.outcome == outcomeAnswered && c.attempts == 1)
 	e.loads.End(s.ID, signal)
 	crashed := e.recordEvidence(c, s, x)
+	if crashed || (x.reason == "dial" && errors.Is(x.err, syscall.ECONNREFUSED)) {
+		e.state.RecordEnded(s)
+	}
 	e.recordCold(c, s, x, crashed)
 	e.updateServerState(s, x)
 	e.dispatch()
@@ -172,10 +175,9 @@
 	}
 }
 
-// updateServerState marks a replaced backend server, and trips or resets the circuit breaker of its group.
+// updateServerState trips or resets the circuit breaker of the group of s.
 func (e *Entry) updateServerState(s *routing.Server, x *exchange) {
 	if x.outcome == outcomeNotExecuted && x.headers.Misdirected {
-		e.state.MarkReplaced(s, x.headers.ServerID)
 		return
 	}
 	if s.Group == "" {
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -11,6 +11,7 @@
 
 	"carawaypick/internal/routing"
 	"carawaypick/internal/store"
+	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
 
@@ -35,12 +36,16 @@
 	clock    clock.Clock
 	logger   log.Logger
 	onUpdate func(*routing.View)
+	owners   *routing.Owners
+
+	limitedLogger *telemetry.RateLimitedLogger // for what another writer of the store can cause as often as it likes
 
 	retentionTimes retentionTimes
 
 	mu              sync.Mutex
 	records         map[string]Change         // what the store holds, by key
 	retained        map[string]retention      // records in force that the store does not hold, by key
+	overwritten     map[string]Change         // by id of a server that answers: the record that takes effect when the one before expires
 	removed         map[string]store.Position // position at which each removed record was removed, by key
 	historyStart    store.Position            // removals up to this position may be missing from removed
 	position        store.Position            // up to which changes have been applied
@@ -62,9 +67,11 @@
 func NewClusterState(s Settings, decode func(Change) (Update, error), c clock.Clock, logger log.Logger, onUpdate func(*routing.View)) *ClusterState {
 	cs := &ClusterState{
 		decode: decode, clock: c, logger: logger, onUpdate: onUpdate, retentionTimes: newRetentionTimes(s),
-		records: make(map[string]Change), retained: make(map[string]retention), removed: make(map[string]store.Position),
+		records: make(map[string]Change), retained: make(map[string]retention), overwritten: make(map[string]Change), removed: make(map[string]store.Position),
 		origin: rand.Uint64() | 1, adopted: make(map[uint64]uint64),
 	}
+	cs.limitedLogger = &telemetry.RateLimitedLogger{Logger: logger, Clock: c}
+	cs.owners = routing.NewOwners(cs.retentionTimes.server)
 	cs.view.Store(&routing.View{})
 	return cs
 }
@@ -176,34 +183,19 @@
 	}
 }
 
-// MarkReplaced takes s out of use until its registration changes, because another backend server answers at its address.
-func (cs *ClusterState) MarkReplaced(s *routing.Server, replacement string) {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	next := cs.copyView()
-	current := next.Servers[s.ID]
-	if current == nil || current.Position != s.Position || current.ExpiresAt != 0 {
-		return
-	}
-	removed := *current
-	removed.ExpiresAt = cs.clock.Now()
-	next.Servers[s.ID] = &removed
-	level.Info(logAt(cs.logger, s.Position)).Log("msg", "backend server replaced", "server", s.ID, "address", s.Address, "by", replacement)
-	cs.publish(next)
-}
-
 // RemoveExpired removes the backend servers whose grace has ended, follows the store where a record was retained long
-// enough, and publishes a new view if there are any.
+// enough, lets registrations be tried again, and publishes a new view if there are any.
 func (cs *ClusterState) RemoveExpired() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	now := cs.clock.Now()
 	next := cs.copyView()
-	changed := cs.endRetentions(next, now)
+	changed := cs.endRetentions(next, now) || cs.view.Load().StandingsChanged("", now)
 	for id, s := range next.Servers {
 		if s.ExpiresAt != 0 && now >= s.ExpiresAt {
 			delete(next.Servers, id)
 			changed = true
+			cs.endOverwrite(next, id)
 			level.Info(logAt(cs.logger, cs.position)).Log("msg", "backend server forgotten", "server", id)
 		}
 	}
@@ -218,6 +210,7 @@
 		Config:         old.Config,
 		Servers:        cloneOrNew(old.Servers),
 		EvacuatedZones: cloneOrNew(old.EvacuatedZones),
+		Owners:         cs.owners,
 	}
 }
 
@@ -231,6 +224,7 @@
 func (cs *ClusterState) publish(next *routing.View) {
 	next.Position = cs.position
 	next.IndexServers(cs.clock.Now())
+	cs.logContested(cs.view.Load(), next)
 	cs.view.Store(next)
 	if cs.onUpdate != nil {
 		cs.onUpdate(next)
@@ -300,7 +294,15 @@
 }
 
 func (cs *ClusterState) setServer(next *routing.View, s *routing.Server, c Change, source string) {
-	s.Position = c.Position
+	old := next.Servers[s.ID]
+	if old != nil && (old.Address != s.Address || old.Service != s.Service) && cs.keepOverwritten(next, old, c, source) {
+		return
+	}
+	delete(cs.overwritten, s.ID)
+	s.Position, s.SeenAt = c.Position, cs.clock.Now()
+	if old != nil && s.StartedAt != 0 && old.StartedAt == s.StartedAt && old.Address == s.Address && old.Service == s.Service {
+		s.SeenAt = old.SeenAt
+	}
 	if s.ColdUntil > 0 {
 		s.ColdUntil = cs.clock.Now().Add(clock.Span(s.ColdUntil)) // decoded as the remaining ms
 	}
@@ -314,6 +316,9 @@
 	if s == nil {
 		return
 	}
+	if !c.Removed && cs.keepOverwritten(next, s, c, source) {
+		return
+	}
 	now := cs.clock.Now()
 	removed := *s
 	switch {
@@ -324,6 +329,10 @@
 	default:
 		removed.ExpiresAt = now.Add(removalGrace)
 	}
+	delete(cs.overwritten, id)
+	if s.ExpiresAt != 0 {
+		removed.ExpiresAt = min(removed.ExpiresAt, s.ExpiresAt)
+	}
 	next.Servers[id] = &removed
 	level.Info(logAt(cs.logger, c.Position)).Log("msg", "backend server's entry is gone", "server", id, "leaving", s.Draining,
 		"grace", removed.ExpiresAt.Sub(now), "source", source)
--- a/internal/gateway/clusterstate_test.go
+++ b/internal/gateway/clusterstate_test.go
@@ -110,11 +110,23 @@
 	t.Run("a replaced registration is used again only after it changes", func(t *testing.T) {
 		cs := newTestState(&now)
 		cs.Apply([]Change{putChange("server/a", "ready", 1)}, store.At(0, 1), "store")
-		cs.MarkReplaced(cs.View().Servers["a"], "b")
+		cs.RecordMisdirected(cs.View().Servers["a"], "b", now+1)
 		assert.Empty(t, usableServers(cs))
+		now += 2
 		cs.Apply([]Change{putChange("server/a", "ready", 2)}, store.At(0, 2), "store")
 		assert.Equal(t, []string{"a"}, usableServers(cs))
 	})
+	t.Run("or once the answer that told of it is old", func(t *testing.T) {
+		cs := newTestState(&now)
+		cs.Apply([]Change{putChange("server/a", "ready", 1)}, store.At(0, 1), "store")
+		cs.RecordMisdirected(cs.View().Servers["a"], "b", now+1)
+		now = now.Add(cs.retentionTimes.server)
+		cs.RemoveExpired()
+		assert.Empty(t, usableServers(cs))
+		now++
+		cs.RemoveExpired()
+		assert.Equal(t, []string{"a"}, usableServers(cs))
+	})
 }
 
 // TestStoreReader guards against a reader that stops or misses records when store calls fail or the store has compacted
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -287,6 +287,7 @@
 	e.releaseReservation(c)
 	sentAt, before := e.clock.Now(), e.loads.InFlightAt(s)
 	x := e.send(ctx, s, out, c.ID, c.route.Kind == routing.NonIdempotent)
+	e.recordOwner(c, s, &x, sentAt)
 	if x.response != nil && !x.headers.Misdirected {
 		e.recordNamedRate(c, s, x.headers, sentAt)
 		e.recordAvailability(c, s, &x, sentAt)
@@ -299,6 +300,21 @@
 	return x
 }
 
+// recordOwner records which backend server is at the address of s, as an answer to a request for s tells.
+func (e *Entry) recordOwner(c *call, s *routing.Server, x *exchange, sentAt clock.Time) {
+	h := x.headers
+	switch {
+	case x.response == nil || h.RequestID != c.ID:
+	case h.Misdirected && h.ServerID == s.ID && !c.ExpectsVersion:
+		e.state.RecordAnswer(s, sentAt)
+		e.recordRejection(s)
+	case h.ServerID == s.ID, !h.Misdirected && h.Sealed: // a 421 of s itself is about the version
+		e.state.RecordAnswer(s, sentAt)
+	case h.Misdirected && (h.ServerID != "" || !c.ExpectsVersion):
+		e.state.RecordMisdirected(s, h.ServerID, sentAt)
+	}
+}
+
 // recordNamedRate records the rate of requests that s takes, as named in an answer, and tells the other entries of a change at
 // once.
 func (e *Entry) recordNamedRate(c *call, s *routing.Server, h ResponseHeaders, sentAt clock.Time) {
@@ -329,10 +345,15 @@
 	case x.outcome == outcomeAnswered:
 		e.loads.RecordTaken(s, sentAt)
 	case x.outcome == outcomeNotExecuted && s.Group == "":
-		e.loads.RecordTurnedAway(s, 0)
-		if e.loads.RejectionIsNews(s) {
-			e.peers.Notify()
-		}
+		e.recordRejection(s)
+	}
+}
+
+// recordRejection records that s rejected a request at once, for a reason of its own.
+func (e *Entry) recordRejection(s *routing.Server) {
+	e.loads.RecordTurnedAway(s, 0)
+	if e.loads.RejectionIsNews(s) {
+		e.peers.Notify()
 	}
 }
 
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -27,7 +27,7 @@
 	return Protocol{
 		ParseRequest: func(h http.Header) RequestHeaders {
 			budget, _ := strconv.Atoi(h.Get("Budget"))
-			return RequestHeaders{ID: h.Get("Id"), APIKey: h.Get("Key"), Timeout: clock.Span(budget), LastEventID: h.Get("Last")}
+			return RequestHeaders{ID: h.Get("Id"), APIKey: h.Get("Key"), Timeout: clock.Span(budget), LastEventID: h.Get("Last"), ExpectsVersion: h.Get("Version") != ""}
 		},
 		SetForwardHeaders: func(h http.Header, f ForwardHeaders) {
 			h.Del("Key")
@@ -169,7 +169,7 @@
 	t.Helper()
 	s := Settings{Name: "e", Zone: "z", IP: "127.0.0.1", InternalPorts: []int{1, 2}, ShutdownGrace: 2000, RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10_000}
 	e = newEntry(s, testProtocol(), clock.New(), telemetry.NewMetrics(), log.NewNopLogger())
-	view := &routing.View{Config: testConfig(), Servers: map[string]*routing.Server{}, EvacuatedZones: map[string]bool{}}
+	view := &routing.View{Config: testConfig(), Servers: map[string]*routing.Server{}, EvacuatedZones: map[string]bool{}, Owners: e.state.owners}
 	for i, b := range backends {
 		id := "i" + strconv.Itoa(i)
 		view.Servers[id] = &routing.Server{ID: id, Service: "s", Address: b.address, Zone: "z", Slots: 4}
--- a/internal/gateway/loadtracker.go
+++ b/internal/gateway/loadtracker.go
@@ -27,6 +27,7 @@
 	namedRates   map[string]namedRate               // by backend server id
 	leaving      map[string]leavingServer           // by backend server id
 	drainTime    clock.Span                         // see Settings.DrainTime
+	trials       map[string]trial                   // by address: of the registrations that are on trial there
 	recovered    map[string]clock.Time              // by backend server id: when it took a request again after it had rejected some
 	nextReport   string                             // backend server id with which the next heartbeat's reports of these begin
 	learning     capacityLearning
@@ -62,7 +63,7 @@
 
 // NewLoadTracker returns an empty tracker.
 func NewLoadTracker(c clock.Clock) *LoadTracker {
-	return &LoadTracker{clock: c, entries: func() *balance.EntrySet { return &balance.EntrySet{} }, servers: make(map[string]*serverLoad), breakers: make(map[string]*balance.CircuitBreaker), peerInFlight: make(map[string]map[string]int), peerTotals: make(map[string]int), namedRates: make(map[string]namedRate), leaving: make(map[string]leavingServer), recovered: make(map[string]clock.Time), learning: newCapacityLearning()}
+	return &LoadTracker{clock: c, entries: func() *balance.EntrySet { return &balance.EntrySet{} }, servers: make(map[string]*serverLoad), breakers: make(map[string]*balance.CircuitBreaker), peerInFlight: make(map[string]map[string]int), peerTotals: make(map[string]int), namedRates: make(map[string]namedRate), leaving: make(map[string]leavingServer), trials: make(map[string]trial), recovered: make(map[string]clock.Time), learning: newCapacityLearning()}
 }
 
 func (t *LoadTracker) serverLoad(id string) *serverLoad {
@@ -201,6 +202,9 @@
 func (t *LoadTracker) endpoint(s *routing.Server, service routing.Service, now clock.Time) (e balance.Endpoint) {
 	load := t.serverLoad(s.ID)
 	e = balance.Endpoint{Slots: s.Slots, OwnInFlight: load.inFlight, PeerInFlight: t.peerTotals[s.ID], Zone: s.Zone, Ejected: load.health.Ejected(now), Leaving: t.leaves(s)}
+	if s.OnTrial {
+		e.OnTrial = load.inFlight > 0 || now < t.trials[s.Address].next
+	}
 	turnAway := load.turnAwayOf(s)
 	if until, asked := turnAway.AskedUntil(now); asked {
 		e.AskedUntil = until
@@ -307,6 +311,7 @@
 		}
 	}
 	maps.DeleteFunc(t.namedRates, func(id string, _ namedRate) bool { return v.Servers[id] == nil })
+	t.pruneTrials(v)
 	t.indexCapacities(v)
 	now := t.clock.Now() // an incarnation that leaves never returns, so one that is registered is not forgotten
 	maps.DeleteFunc(t.leaving, func(id string, l leavingServer) bool {
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -14,6 +14,8 @@
 	EraAge, RevisionAge, VersionAge clock.Span
 	Age                             clock.Span // ms since the state was known to be what the store holds
 	Retained                        int        // records in force that the store does not hold
+	Contested                       int        // registrations with the address of another one
+	Closed                          int        // registrations that get no requests, since another backend server is at their address
 }
 
 // Progress returns what has been applied.
@@ -22,7 +24,9 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	era, revision := cs.position.Numbers()
+	contested, closed := cs.View().CountContested()
 	return Progress{
+		Contested: contested, Closed: closed,
 		Era: era, Revision: revision, Version: version, Retained: len(cs.retained), Age: now.Sub(cs.confirmedAt),
 		EraAge: now.Sub(cs.eraAt), RevisionAge: now.Sub(cs.positionAt), VersionAge: now.Sub(cs.configAt),
 	}
@@ -52,6 +56,9 @@
 		"config_version_age_ms": func(p Progress) float64 { return float64(p.VersionAge) },
 		"state_age_ms":          func(p Progress) float64 { return float64(p.Age) },
 		"records_retained":      func(p Progress) float64 { return float64(p.Retained) },
+
+		"registrations_contested": func(p Progress) float64 { return float64(p.Contested) },
+		"registrations_closed":    func(p Progress) float64 { return float64(p.Closed) },
 	} {
 		e.metrics.RegisterGauge(name, func() float64 { return value(e.state.Progress()) })
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -48,6 +48,7 @@
 	PromptTokens         int        // tokens of the prompt
 	MaxOutputTokens      int        // upper bound on the tokens of the response
 	ExpectedOutputTokens int        // the caller's estimate of the tokens of the response
+	ExpectsVersion       bool       // a backend server with another version of the weights rejects the request
 	SharedParts          []uint64   // hashes of the parts of the prompt that other requests may share, in order
 }
 
@@ -67,7 +68,7 @@
 	NotExecuted bool       // the backend server reports that it did not run the request
 	Reencoded   bool       // the body was re-encoded on the way
 	ServerID    string     // id of the responding backend server, empty if not sent
-	Misdirected bool       // the address belongs to another backend server than the intended one
+	Misdirected bool       // the backend server is not the intended one, or not one that the request asks for
 	Running     int        // requests that the backend server runs, -1 if not sent
 	Waiting     int        // requests in the backend server's queue
 	BadLoad     string     // header of the load if it can't be used, quoted and shortened; empty for none
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -136,7 +136,7 @@
 	t.Run("the same registration stays as it is", func(t *testing.T) {
 		cs := newRestoredState(&now, []Change{ready}, nil)
 		cs.Apply([]Change{putChange("server/a", "ready", 71).at(2)}, store.At(2, 71), "store")
-		cs.MarkReplaced(cs.View().Servers["a"], "b")
+		cs.RecordMisdirected(cs.View().Servers["a"], "b", now+1)
 		cs.Replace([]Change{putChange("server/a", "ready", 71).at(3)}, store.At(3, 71), "store")
 		assert.Empty(t, usableServers(cs), "another server answered at its address")
 	})
@@ -151,8 +151,9 @@
 }
 
 func TestRetentionTimes(t *testing.T) {
-	assert.Equal(t, retentionTimes{server: 5600, evacuation: 10_000}, newRetentionTimes(Settings{}))
-	assert.Equal(t, retentionTimes{server: 3500, evacuation: 4000}, newRetentionTimes(Settings{BackendHeartbeat: 500, EvacuationTime: 4000}))
+	assert.Equal(t, retentionTimes{server: 5600, evacuation: 10_000, overwritten: 1500}, newRetentionTimes(Settings{}))
+	assert.Equal(t, clock.Span(1250), newRetentionTimes(Settings{DrainTime: 2000}).overwritten)
+	assert.Equal(t, retentionTimes{server: 3500, evacuation: 4000, overwritten: 625}, newRetentionTimes(Settings{BackendHeartbeat: 500, EvacuationTime: 4000}))
 }
 
 func TestRestoredEvacuations(t *testing.T) {
@@ -302,6 +303,44 @@
 	assert.Equal(t, []string{"a:1", "c:1"}, ranks(rank("a", 0, 0), rank("b", 1, 0), later), "the one before has crashed")
 }
 
+// TestForeignRanks guards against a group whose coordinator asks engines that another writer registered as its ranks.
+func TestForeignRanks(t *testing.T) {
+	now := clock.Time(1000)
+	rank := func(id, address, group string, rank int, startedAt int64) *routing.Server {
+		return &routing.Server{ID: id, Service: "s", Address: address, Group: group, Rank: rank, StartedAt: startedAt, SeenAt: 1}
+	}
+	view := func(answered map[string]string, foreign ...*routing.Server) *routing.View {
+		v := &routing.View{Config: testConfig(), Servers: make(map[string]*routing.Server), Owners: routing.NewOwners(500)}
+		for _, s := range append(foreign, rank("a", "a:1", "g", 0, 1), rank("b", "b:1", "g", 1, 1)) {
+			v.Servers[s.ID] = s
+		}
+		for address, id := range answered {
+			v.Owners.Prove(address, id, now-100)
+		}
+		v.IndexServers(now)
+		return v
+	}
+	engines := func(v *routing.View, address string) (engines []string) {
+		for _, m := range memberList(v, address, now).Members {
+			engines = append(engines, m.Engine)
+		}
+		return engines
+	}
+	answered := map[string]string{"a:1": "a", "b:1": "b"}
+	t.Run("with the address of a rank", func(t *testing.T) {
+		v := view(answered, rank("f", "a:1", "h", 0, 9), rank("e", "b:1", "g", 0, 9))
+		assert.Equal(t, []string{"a:1", "b:1"}, engines(v, "a:1"))
+		assert.Equal(t, []string{"a:1", "b:1"}, engines(v, "b:1"))
+	})
+	t.Run("with an address of its own", func(t *testing.T) {
+		assert.Equal(t, []string{"a:1", "b:1"}, engines(view(answered, rank("f", "f:1", "g", 1, 9)), "a:1"))
+	})
+	t.Run("a later incarnation has the rank once it answers", func(t *testing.T) {
+		v := view(map[string]string{"a:1": "a", "f:1": "f"}, rank("f", "f:1", "g", 1, 9))
+		assert.Equal(t, []string{"a:1", "f:1"}, engines(v, "a:1"))
+	})
+}
+
 // TestMemberListTellsCoordination guards against agents that don't learn whether coordinated admission is on.
 func TestMemberListTellsCoordination(t *testing.T) {
 	e, _ := newTestEntry(t)
--- a/internal/gateway/retained.go
+++ b/internal/gateway/retained.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	overwrittenPercent    = 125                      // of a heartbeat in which a backend server writes again; half as much of the time to drain, as it may have left
 	missedHeartbeats      = 3                        // heartbeats of a backend server whose absence ends its registration
 	registerAgainTime     = 2 * clock.Second         // after a return of the store, for a live backend server to register again
 	defaultHeartbeat      = 1200 * clock.Millisecond // between two heartbeats of a backend server, if the settings don't tell it
@@ -21,6 +22,8 @@
 type retentionTimes struct {
 	server     clock.Span // a backend server is known to drain or to have ended: it ends its registration, or writes it again
 	evacuation clock.Span // an evacuation is known that the store lost
+
+	overwritten clock.Span // a backend server answers, and its record is written over: it writes it again with its next heartbeat
 }
 
 // newRetentionTimes returns the times for an installation with these settings.
@@ -32,7 +35,11 @@
 	if evacuation <= 0 {
 		evacuation = defaultEvacuationTime
 	}
-	return retentionTimes{server: missedHeartbeats*heartbeat + registerAgainTime, evacuation: evacuation}
+	overwritten := heartbeat * overwrittenPercent / 100
+	if s.DrainTime > 0 {
+		overwritten = min(overwritten, s.DrainTime*overwrittenPercent/200)
+	}
+	return retentionTimes{server: missedHeartbeats*heartbeat + registerAgainTime, evacuation: evacuation, overwritten: overwritten}
 }
 
 // retention is a record that stays in force although the store came back from a copy that holds an older one, or none.
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -19,12 +19,16 @@
 }
 
 // Choose chooses one of the servers for a request that was already sent to those in tried, counts the request that is sent
-// to it, and returns it as it was before. If none is usable i is -1. Servers that leave are used only if no other is.
+// to it, and returns it as it was before. If none is usable i is -1. Servers that leave are used only if no other is, and those that may not be
+// at their addresses likewise for the later attempts of a request.
 func (t *LoadTracker) Choose(servers []*routing.Server, service routing.Service, tried []string, zone string) (i int, chosen balance.Endpoint, closed ClosedServers) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	endpoints := t.endpoints(servers, service, tried, now)
+	if len(tried) > 0 {
+		skipDoubted(servers, endpoints)
+	}
 	i = t.pick(servers, service, endpoints, zone, now)
 	if i < 0 && t.reopenLeaving(servers, endpoints, now) {
 		i = t.pick(servers, service, endpoints, zone, now)
@@ -32,6 +36,9 @@
 	if i < 0 {
 		return i, chosen, closedServers(endpoints, now)
 	}
+	if servers[i].OnTrial {
+		t.startTrial(servers[i].Address, now)
+	}
 	t.start(servers[i].ID, endpoints[i].Limited, now)
 	return i, endpoints[i], closed
 }
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -164,7 +164,7 @@
 	}
 	n.breakers = cloneValues(t.breakers)
 	n.peerInFlight, n.peerTotals = maps.Clone(t.peerInFlight), maps.Clone(t.peerTotals)
-	n.namedRates, n.leaving, n.recovered = maps.Clone(t.namedRates), maps.Clone(t.leaving), maps.Clone(t.recovered)
+	n.namedRates, n.leaving, n.recovered, n.trials = maps.Clone(t.namedRates), maps.Clone(t.leaving), maps.Clone(t.recovered), maps.Clone(t.trials)
 	return n
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -240,47 +238,3 @@
 		}
 	}
 }
-
-// memberList returns the members and the shape of the engine's group, or an empty list if the view has no such group. A
-// rank whose registration is missing stays a member during its grace, unless another engine has its place.
-func memberList(v *routing.View, address string, now clock.Time) (r engine.MemberList) {
-	var own *routing.Server
-	for _, s := range v.Servers {
-		if s.Address == address && s.Group != "" {
-			own = s
-		}
-	}
-	if own == nil || v.Config == nil {
-		return r
-	}
-	config := v.Config.Services[own.Service].Engine
-	r.Shape = engine.Shape{
-		Sets: config.LayerSets, Experts: config.ExpertsPerSet, SlotsPerRank: config.SlotsPerRank, MaxAdded: config.MaxAdded,
-		ExpertMB: config.ExpertMB, LinkMbps: config.LinkMbps,
-	}
-	members := make(map[int]*routing.Server) // by rank
-	for _, s := range v.Servers {
-		if s.Group != own.Group || s.Service != own.Service || (s.ExpiresAt != 0 && now >= s.ExpiresAt) {
-			continue
-		}
-		if m := members[s.Rank]; m == nil || hasPlaceOf(s, m) {
-			members[s.Rank] = s
-		}
-	}
-	for _, rank := range slices.Sorted(maps.Keys(members)) {
-		s := members[rank]
-		if host, _, err := net.SplitHostPort(s.Address); err == nil {
-			r.Members = append(r.Members, engine.Member{Rank: s.Rank, IP: host, Engine: s.Address})
-		}
-	}
-	return r
-}
-
-// hasPlaceOf reports whether s rather than m has the rank of both: a registered engine rather than one in its grace, or the
-// one that started later.
-func hasPlaceOf(s, m *routing.Server) bool {
-	if (s.ExpiresAt == 0) != (m.ExpiresAt == 0) {
-		return s.ExpiresAt == 0
-	}
-	return s.StartedAt > m.StartedAt
-}
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -71,6 +71,13 @@
 		EvacuatedZones: map[string]bool{"out": true},
 	}
 	t.Run("only the newest incarnation at an address, and no unusable server, is listed", func(t *testing.T) {
+		v.IndexServers(49)
+		assert.Equal(t, []string{"b", "e", "g"}, ids(v.Services["s"]))
+		assert.Equal(t, []string{"f"}, ids(v.Services["other"]), "a registration says nothing about one of another service")
+	})
+	t.Run("only the service that answers at an address is listed", func(t *testing.T) {
+		v.Owners = NewOwners(100)
+		v.Owners.Prove("5", "g", 40)
 		v.IndexServers(49)
 		assert.Equal(t, []string{"b", "e", "g"}, ids(v.Services["s"]))
 		assert.Empty(t, v.Services["other"])
--- a/internal/telemetry/requestlog.go
+++ b/internal/telemetry/requestlog.go
@@ -26,6 +26,7 @@
 var contextMessages = map[string]bool{
 	"started": true, "leaving": true, "stopped": true, "settings reloaded": true, "new settings refused, the old ones stay": true,
 	"evacuation": true, "backend server": true, "backend server's entry is gone": true,
+	"registrations name one address": true, "registration of a backend server that answers was written over, keeping it": true,
 	"backend server replaced": true, "backend server forgotten": true, "backend server limits its rate": true,
 	"backend server leaves": true, "backend server wants no requests for a time": true, "no map could be planned; trying again with the next counts": true,
 	"peer silent": true, "peer heard": true, "belief taken from a peer": true, "map proposed": true, "map switch ended": true,
