State what a registration may say, and hold peers and agents to it

Another writer's odd registrations took requests and a group: ports out of range, host names, slots, starts and ranks near 2^63, the addresses of entries. Callers got 503 and 502 on a route with sound servers, ranks without traffic got no expert maps, and each rewrite of a registration with a long host wrote it into the log.

Cause: no limit was stated anywhere, so the decoder took what JSON takes and each reader had its own idea of the rest.

Agents are listed several engines for one rank and ask them. An entry rejects what another entry sends to it as a server.

--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -54,7 +52,8 @@
 	conn     net.PacketConn
 
 	mu             sync.Mutex
-	group          MemberList
+	group          MemberList       // with one member of each rank
+	candidates     map[int][]Member // by rank: the engines that entries list as the rank, if there are several
 	report         Report
 	placement      Placement
 	polledByLower  clock.Time            // last poll by the agent of a lower rank
@@ -74,7 +73,7 @@
 
 // New returns an agent that is not running yet.
 func New(s Settings, client Client, c clock.Clock, logger log.Logger) *Agent {
-	return &Agent{settings: s, client: client, clock: c, logger: logger, polledByLower: c.Now(), sentCounts: make(map[int]countSnapshot), maps: make(preparedMaps), large: make(chan largeMessage, maxLargeMessages), replies: make(chan commandReply, 256), statusReceived: make(chan struct{}, 1), firstEpoch: expert.None, directedEpoch: expert.None}
+	return &Agent{settings: s, client: client, clock: c, logger: logger, polledByLower: c.Now(), sentCounts: make(map[int]countSnapshot), maps: make(preparedMaps), candidates: make(map[int][]Member), large: make(chan largeMessage, maxLargeMessages), replies: make(chan commandReply, 256), statusReceived: make(chan struct{}, 1), firstEpoch: expert.None, directedEpoch: expert.None}
 }
 
 // Run listens for messages, polls the group and sends commands until ctx ends, or returns an error if it can't listen.
@@ -226,6 +225,7 @@
 	case m.PollReply != nil:
 		a.mu.Lock()
 		if a.controller != nil {
+			a.confirmMember(m.PollReply.Rank, func(m Member) bool { return m.IP == from })
 			a.controller.receive(a.clock.Now(), *m.PollReply)
 			if a.controller.coordinator.AwaitsStatus() {
 				select {
@@ -238,45 +238,6 @@
 	}
 }
 
-func (a *Agent) setGroup(group MemberList) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if len(group.Members) == 0 {
-		return
-	}
-	listed, now := len(group.Members), a.clock.Now()
-	group.Members = mergeMembers(a.group.Members, group.Members, a.report.GroupSize, func(rank int) bool {
-		c := a.controller
-		return c != nil && rank < len(c.receivedAt) && c.receivedAt[rank] > 0 && c.responds(now, rank)
-	})
-	if len(group.Members) != len(a.group.Members) {
-		level.Info(a.logger).Log("msg", "group membership changed", "members", len(group.Members), "listed", listed, "sets", group.Shape.Sets, "experts", group.Shape.Experts)
-	}
-	a.group = group
-}
-
-// mergeMembers returns the listed members, in order of their ranks, with the known ones of the ranks that are not listed or
-// respond: an entry that doesn't know all engines yet must not hide a rank, and an entry may list an engine that another writer
-// registered as the rank. The group has the given size, 0 if unknown.
-func mergeMembers(known, listed []Member, size int, responds func(rank int) bool) (merged []Member) {
-	byRank := make(map[int]Member)
-	for _, m := range known {
-		if size == 0 || m.Rank < size {
-			byRank[m.Rank] = m
-		}
-	}
-	for _, m := range listed {
-		if _, isKnown := byRank[m.Rank]; m.Rank < 0 || (size > 0 && m.Rank >= size) || (isKnown && responds(m.Rank)) {
-			continue
-		}
-		byRank[m.Rank] = m
-	}
-	for _, rank := range slices.Sorted(maps.Keys(byRank)) {
-		merged = append(merged, byRank[rank])
-	}
-	return merged
-}
-
 // answerPoll reads the engine and sends its status to the polling coordinator, unless the poll is for another group.
 func (a *Agent) answerPoll(ctx context.Context, from string, p poll) {
 	status, ok := a.readEngine(ctx, p)
--- a/internal/engine/controller.go
+++ b/internal/engine/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
@@ -31,6 +30,7 @@
 	collectedAt    clock.Time   // time of the last collection
 	batchesMissing int          // batches whose sums of the last collection have not arrived
 	remoteReadsAt  clock.Time   // time of the last remote read of any engine
+	remoteReads    uint64       // remote reads so far
 	lacksBase      []bool       // by rank: its agent lacks the base of the map that is being sent
 	plannedAt      clock.Time   // time at which the last search for a plan ended, during which no polls were sent
 	plannerVersion int64        // version and epoch of the planner's map in one number, or expert.None if the planner must adopt the map in use
@@ -263,9 +263,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	index := slices.IndexFunc(a.group.Members, func(m Member) bool { return m.Rank == own.Rank })
+	listed := a.setOwnMember(own.Rank)
 	mayHold := a.controller != nil && a.controller.coordinator.MayBeHolding() // the group may wait for this coordinator's release, and another one takes the hold over only after a delay
-	if index < 0 || own.Rank >= coordinatorCandidates || (len(a.group.Members) != a.report.GroupSize && !mayHold) {
+	if !listed || own.Rank >= coordinatorCandidates || (len(a.group.Members) != a.report.GroupSize && !mayHold) {
 		a.controller = nil
 		return
 	}
@@ -281,12 +281,7 @@
 	a.directedEpoch = own.Epoch
 	a.controller.coordinated = a.group.Coordinated
 	a.controller.receive(now, own)
-	for _, m := range a.group.Members {
-		if m.Rank != own.Rank {
-			p := pollFor(m.Rank)
-			a.send(m.IP, message{Poll: &p})
-		}
-	}
+	a.pollMembers(now, own.Rank, pollFor)
 	a.readRemoteEngine(ctx, now)
 	if a.controller.coordinator.Busy() {
 		return
@@ -312,6 +307,19 @@
 	}
 }
 
+// pollMembers polls the other ranks; mu is held.
+func (a *Agent) pollMembers(now clock.Time, ownRank int, pollFor func(rank int) poll) {
+	for _, m := range a.group.Members {
+		if m.Rank == ownRank {
+			continue
+		}
+		for _, candidate := range a.candidatesOf(now, m) {
+			p := pollFor(m.Rank)
+			a.send(candidate.IP, message{Poll: &p})
+		}
+	}
+}
+
 // logPlanError logs the first of a run of equal errors of the planner.
 func (a *Agent) logPlanError(err error) {
 	text := ""
@@ -379,7 +387,9 @@
 	if next == nil {
 		return
 	}
-	m := *next
+	candidates := a.candidatesOf(now, *next)
+	m := candidates[c.remoteReads%uint64(len(candidates))]
+	c.remoteReads++
 	c.remoteReadAt[m.Rank], c.remoteReadsAt = now, now
 	lifecycle.Start(ctx, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, engineTimeout.Duration())
@@ -392,7 +402,8 @@
 		r.RequestedAt = now.Add(-remoteReportAge)
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		if r.Rank == m.Rank {
+		if r.Rank == m.Rank && r.Group == a.report.Group {
+			a.confirmMember(m.Rank, func(o Member) bool { return o == m })
 			c.coordinator.UpdateStatus(m.Rank, r.RankStatus)
 		}
 		return nil
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -25,6 +26,8 @@
 	// maxRemovals is the maximum number of removals that are kept for other processes. The next removal drops them, and
 	// processes with a lower revision then receive all records.
 	maxRemovals = 2000
+	// recordMemoryDivisor divides the instance's memory: limit of all records, of which a registration of today has 400 bytes.
+	recordMemoryDivisor = 16
 )
 
 // ClusterState is a process's local copy of the configuration and the registered backend servers.
@@ -41,9 +44,12 @@
 	limitedLogger *telemetry.RateLimitedLogger // for what another writer of the store can cause as often as it likes
 
 	retentionTimes retentionTimes
+	maxRecordBytes int64 // of records beside the configuration; 0 for no limit
 
 	mu              sync.Mutex
 	records         map[string]Change         // what the store holds, by key
+	recordBytes     int64                     // of these
+	unusable        map[string]string         // records that can't be decoded, by key, with the reason
 	retained        map[string]retention      // records in force that the store does not hold, by key
 	overwritten     map[string]Change         // by id of a server that answers: the record that takes effect when the one before expires
 	removed         map[string]store.Position // position at which each removed record was removed, by key
@@ -67,10 +73,10 @@
 func NewClusterState(s Settings, decode func(Change) (Update, error), c clock.Clock, logger log.Logger, onUpdate func(*routing.View)) *ClusterState {
 	cs := &ClusterState{
 		decode: decode, clock: c, logger: logger, onUpdate: onUpdate, retentionTimes: newRetentionTimes(s),
-		records: make(map[string]Change), retained: make(map[string]retention), overwritten: make(map[string]Change), removed: make(map[string]store.Position),
+		records: make(map[string]Change), unusable: make(map[string]string), maxRecordBytes: s.Memory / recordMemoryDivisor, retained: make(map[string]retention), overwritten: make(map[string]Change), removed: make(map[string]store.Position),
 		origin: rand.Uint64() | 1, adopted: make(map[uint64]uint64),
 	}
-	cs.limitedLogger = &telemetry.RateLimitedLogger{Logger: logger, Clock: c}
+	cs.limitedLogger = &telemetry.RateLimitedLogger{Logger: logger, Clock: c, RoutineKinds: map[string]bool{"undecodable": true, "contested": true, "overwritten": true}}
 	cs.owners = routing.NewOwners(cs.retentionTimes.server)
 	cs.view.Store(&routing.View{})
 	return cs
@@ -235,20 +241,60 @@
 func (cs *ClusterState) applyChange(next *routing.View, c Change, source string) {
 	delete(cs.retained, c.Key)
 	if c.Removed {
-		delete(cs.records, c.Key)
+		cs.deleteRecord(c.Key)
+		delete(cs.unusable, c.Key)
 		cs.recordRemoval(c)
 	} else {
-		cs.records[c.Key] = c
+		c = cs.setRecord(c)
 		delete(cs.removed, c.Key)
 	}
 	cs.applyUpdate(next, c, source)
 }
 
+// setRecord keeps a record of the store and returns it. It keeps no value for which there is no memory; known records may use
+// twice as much as new ones, so that those of living backend servers stay. mu is held.
+func (cs *ClusterState) setRecord(c Change) Change {
+	limit := cs.maxRecordBytes
+	if old, known := cs.records[c.Key]; known && len(old.Value) > 0 {
+		limit *= 2
+	}
+	cs.deleteRecord(c.Key)
+	if limit > 0 && cs.recordBytes+recordSize(c) > limit && !cs.isConfig(c) {
+		c.Value, c.Fault = nil, errors.Newf("records use %d bytes and may use %d", cs.recordBytes, limit)
+	}
+	cs.records[c.Key] = c
+	cs.recordBytes += recordSize(c)
+	return c
+}
+
+// isConfig reports whether the record is a configuration.
+func (cs *ClusterState) isConfig(c Change) bool {
+	update, err := cs.decode(c)
+	return err == nil && update.Config != nil
+}
+
+// deleteRecord deletes a record of the store; mu is held.
+func (cs *ClusterState) deleteRecord(key string) {
+	if old, known := cs.records[key]; known {
+		cs.recordBytes -= recordSize(old)
+		delete(cs.records, key)
+	}
+}
+
+func recordSize(c Change) int64 {
+	return int64(len(c.Key) + len(c.Value))
+}
+
 // applyUpdate applies the content of a change to next; mu is held.
 func (cs *ClusterState) applyUpdate(next *routing.View, c Change, source string) {
 	update, err := cs.decode(c)
+	reason := cs.unusable[c.Key]
+	delete(cs.unusable, c.Key)
 	if err != nil {
-		level.Warn(logAt(cs.logger, c.Position)).Log("msg", "store record cannot be decoded, skipping it", "key", c.Key, "source", source, "error", err)
+		cs.unusable[c.Key] = err.Error()
+	}
+	if err != nil && err.Error() != reason {
+		cs.logRecord("undecodable", c, "level", level.WarnValue(), "msg", "store record cannot be decoded, skipping it", "key", c.Key, "source", source, "error", err)
 	}
 	switch {
 	case update.Config != nil:
@@ -307,10 +353,20 @@
 		s.ColdUntil = cs.clock.Now().Add(clock.Span(s.ColdUntil)) // decoded as the remaining ms
 	}
 	next.Servers[s.ID] = s
-	level.Info(logAt(cs.logger, c.Position)).Log("msg", "backend server", "server", s.ID, "service", s.Service, "zone", s.Zone, "address", s.Address,
+	if old != nil && sameRegistration(old, s) {
+		return
+	}
+	cs.logRecord("server", c, "level", level.InfoValue(), "msg", "backend server", "server", s.ID, "service", s.Service, "zone", s.Zone, "address", s.Address,
 		"leaving", s.Draining, "slots", s.Slots, "cold", s.ColdUntil > 0, "source", source)
 }
 
+// sameRegistration reports whether a registration that is in the store says what the one before said.
+func sameRegistration(before, s *routing.Server) bool {
+	o := *s
+	o.Position, o.SeenAt, o.ColdUntil = before.Position, before.SeenAt, before.ColdUntil
+	return o == *before && (s.ColdUntil > 0) == (before.ColdUntil > 0)
+}
+
 func (cs *ClusterState) markRemoved(next *routing.View, id string, c Change, source string) {
 	s := next.Servers[id]
 	if s == nil {
@@ -334,6 +390,6 @@
 		removed.ExpiresAt = min(removed.ExpiresAt, s.ExpiresAt)
 	}
 	next.Servers[id] = &removed
-	level.Info(logAt(cs.logger, c.Position)).Log("msg", "backend server's entry is gone", "server", id, "leaving", s.Draining,
+	cs.logRecord("gone", c, "level", level.InfoValue(), "msg", "backend server's entry is gone", "server", id, "leaving", s.Draining,
 		"grace", removed.ExpiresAt.Sub(now), "source", source)
 }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -129,6 +129,9 @@
 	if view.Config == nil {
 		return &rejection{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: e.noConfigRetryAfter(c)}
 	}
+	if e.isTakenForServer(view, c) {
+		return &rejection{status: http.StatusMisdirectedRequest, reason: "an entry is registered as a backend server"}
+	}
 	if rej := e.authorize(view, c); rej != nil {
 		return rej
 	}
@@ -156,6 +159,12 @@
 	return e.rejectQuarantined(c)
 }
 
+// isTakenForServer reports whether another entry sent the request, since a registration names this entry's address.
+func (e *Entry) isTakenForServer(view *routing.View, c *call) bool {
+	s := view.Servers[c.ExpectedServer]
+	return s != nil && s.Address == e.settings.Load().Front
+}
+
 // timeout returns the time in ms that the request may take in all.
 func (c *call) timeout() clock.Span {
 	const maxTimeout = 10 * clock.Minute // upper bound, which also applies if neither the caller nor the route sets a timeout
--- a/internal/gateway/evidencesync.go
+++ b/internal/gateway/evidencesync.go
@@ -91,6 +91,7 @@
 	if err := getFromPeer(ctx, control, evidencePath, &v); err != nil {
 		return err
 	}
+	v.limit()
 	e.mergeEvidence(v, "peer "+control)
 	return nil
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 
@@ -27,24 +28,45 @@
 		Sets: config.LayerSets, Experts: config.ExpertsPerSet, SlotsPerRank: config.SlotsPerRank, MaxAdded: config.MaxAdded,
 		ExpertMB: config.ExpertMB, LinkMbps: config.LinkMbps,
 	}
-	members := make(map[int]*routing.Server) // by rank
+	members := make(map[int][]*routing.Server) // by rank
 	for _, s := range v.Servers {
-		if s.Group != own.Group || s.Service != own.Service || !isMember(v, s, now) {
-			continue
-		}
-		if m := members[s.Rank]; m == nil || hasPlaceOf(v, s, m, now) {
-			members[s.Rank] = s
+		if s.Group == own.Group && s.Service == own.Service && isMember(v, s, now) {
+			members[s.Rank] = append(members[s.Rank], s)
 		}
 	}
 	for _, rank := range slices.Sorted(maps.Keys(members)) {
-		s := members[rank]
-		if host, _, err := net.SplitHostPort(s.Address); err == nil {
-			r.Members = append(r.Members, engine.Member{Rank: s.Rank, IP: host, Engine: s.Address})
+		for _, s := range candidates(v, members[rank], now) {
+			if host, _, err := net.SplitHostPort(s.Address); err == nil {
+				r.Members = append(r.Members, engine.Member{Rank: s.Rank, IP: host, Engine: s.Address})
+			}
 		}
 	}
 	return r
 }
 
+// candidates returns the engines that may be the rank for which all of them are registered, the most probable one last: the
+// one that answered lately alone, or some of them. Those that are left out are in another list.
+func candidates(v *routing.View, registered []*routing.Server, now clock.Time) []*routing.Server {
+	rand.Shuffle(len(registered), func(i, j int) { registered[i], registered[j] = registered[j], registered[i] })
+	best := 0
+	for i, s := range registered {
+		if hasPlaceOf(v, s, registered[best], now) {
+			best = i
+		}
+	}
+	if v.Owners.Proved(registered[best], now) || isGone(registered, registered[best]) {
+		return registered[best : best+1]
+	}
+	last := len(registered) - 1
+	registered[best], registered[last] = registered[last], registered[best]
+	return registered[max(0, len(registered)-engine.MaxCandidates):]
+}
+
+// isGone reports whether all engines but one are in their grace.
+func isGone(registered []*routing.Server, one *routing.Server) bool {
+	return !slices.ContainsFunc(registered, func(s *routing.Server) bool { return s != one && s.ExpiresAt == 0 })
+}
+
 // isMember reports whether s may be a rank of a group: an engine whose address another backend server has is none.
 func isMember(v *routing.View, s *routing.Server, now clock.Time) bool {
 	return s.Group != "" && (s.ExpiresAt == 0 || now < s.ExpiresAt) && v.Contested[s.ID] != routing.Closed
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -130,3 +131,17 @@
 	requireServed(t, url, 100)
 	assert.LessOrEqual(t, rejecting.count(), 3+int(e.clock.Since(start)/400), "it is tried after pauses of 400 ms or more")
 }
+
+// TestEntryRegisteredAsServer guards against requests that go from entry to entry, since a registration names one of them.
+func TestEntryRegisteredAsServer(t *testing.T) {
+	b := newFakeBackend(t, servesAs("i0"))
+	e, url := newTestEntry(t, b)
+	s := *e.settings.Load()
+	s.Front = strings.TrimPrefix(url, "http://")
+	e.settings.Store(&s)
+	setServers(e, func(servers map[string]*routing.Server) {
+		servers["a"] = &routing.Server{ID: "a", Service: "s", Address: s.Front, Zone: "z", Slots: 100, SeenAt: -1}
+	})
+	requireServed(t, url, 20)
+	assert.Equal(t, routing.Closed, e.state.View().Contested["a"])
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,6 +18,7 @@
 	"carawaypick/internal/engine"
 	"carawaypick/internal/lifecycle"
 	"carawaypick/internal/store"
+	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
 
@@ -49,6 +50,7 @@
 type PeerSet struct {
 	clock      clock.Clock
 	logger     log.Logger
+	limited    *telemetry.RateLimitedLogger // for messages that can't be used, which may come as fast as the link carries them
 	loads      *LoadTracker
 	name       string
 	ip         string
@@ -88,7 +90,7 @@
 // NewPeerSet returns a peer set whose only targets are the seeds of s.
 func NewPeerSet(s Settings, c clock.Clock, logger log.Logger, loads *LoadTracker, self func() heartbeat, memberList func(string) engine.MemberList) *PeerSet {
 	p := &PeerSet{
-		clock: c, logger: logger, loads: loads, ip: s.IP, port: s.InternalPorts[0], self: self, memberList: memberList,
+		clock: c, logger: logger, limited: &telemetry.RateLimitedLogger{Logger: logger, Clock: c}, loads: loads, ip: s.IP, port: s.InternalPorts[0], self: self, memberList: memberList,
 		sendNow: make(chan struct{}, 1), Updates: make(chan struct{}, 1), Heard: make(chan struct{}, 1),
 		peers: make(map[string]*peerState), targets: make(map[string]clock.Time),
 		members: make(map[string]clock.Time), start: c.Now(), name: s.Name,
@@ -236,8 +238,11 @@
 			p.sendMemberList(conn, from, hb.Ask)
 			continue
 		}
-		if err != nil || hb.IP == "" {
-			level.Warn(p.logger).Log("msg", "peer message cannot be decoded, dropping it", "from", from, "bytes", n, "error", err)
+		if err == nil {
+			err = hb.limit()
+		}
+		if err != nil {
+			p.limited.Log("dropped", "level", level.WarnValue(), "msg", "peer message cannot be decoded, dropping it", "from", from, "bytes", n, "error", err)
 			continue
 		}
 		p.handleHeartbeat(hb)
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -47,6 +47,9 @@
 		return err
 	}
 	d := m.delta()
+	if err := d.limit(e.state.retentionTimes); err != nil {
+		return err
+	}
 	e.state.ApplyDelta(d, "peer "+control)
 	if d.Whole {
 		level.Info(logAt(e.limitedLogger.Logger, d.Position)).Log("msg", "belief taken from a peer", "peer", control, "items", len(d.Changes))
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -14,6 +14,7 @@
 	EraAge, RevisionAge, VersionAge clock.Span
 	Age                             clock.Span // ms since the state was known to be what the store holds
 	Retained                        int        // records in force that the store does not hold
+	Unusable                        int        // records that can't be decoded
 	Contested                       int        // registrations with the address of another one
 	Closed                          int        // registrations that get no requests, since another backend server is at their address
 }
@@ -26,7 +27,7 @@
 	era, revision := cs.position.Numbers()
 	contested, closed := cs.View().CountContested()
 	return Progress{
-		Contested: contested, Closed: closed,
+		Contested: contested, Closed: closed, Unusable: len(cs.unusable),
 		Era: era, Revision: revision, Version: version, Retained: len(cs.retained), Age: now.Sub(cs.confirmedAt),
 		EraAge: now.Sub(cs.eraAt), RevisionAge: now.Sub(cs.positionAt), VersionAge: now.Sub(cs.configAt),
 	}
@@ -39,6 +40,12 @@
 	level.Warn(logAt(cs.logger, position)).Log(append(line, more...)...)
 }
 
+// logRecord logs a line on a record of the store, within the budget of its kind: other writers write as often as they like.
+func (cs *ClusterState) logRecord(kind string, c Change, line ...any) {
+	era, revision := c.Position.Numbers()
+	cs.limitedLogger.Log(kind, append([]any{"era", era, "revision", revision}, line...)...)
+}
+
 // logAt returns a logger whose lines tell the position.
 func logAt(logger log.Logger, p store.Position) log.Logger {
 	era, revision := p.Numbers()
@@ -57,6 +64,7 @@
 		"state_age_ms":          func(p Progress) float64 { return float64(p.Age) },
 		"records_retained":      func(p Progress) float64 { return float64(p.Retained) },
 
+		"records_unusable":        func(p Progress) float64 { return float64(p.Unusable) },
 		"registrations_contested": func(p Progress) float64 { return float64(p.Contested) },
 		"registrations_closed":    func(p Progress) float64 { return float64(p.Closed) },
 	} {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -48,6 +48,7 @@
 	PromptTokens         int        // tokens of the prompt
 	MaxOutputTokens      int        // upper bound on the tokens of the response
 	ExpectedOutputTokens int        // the caller's estimate of the tokens of the response
+	ExpectedServer       string     // id of the backend server that the sender takes this entry for, empty from callers
 	ExpectsVersion       bool       // a backend server with another version of the weights rejects the request
 	SharedParts          []uint64   // hashes of the parts of the prompt that other requests may share, in order
 }
--- a/internal/gateway/retained.go
+++ b/internal/gateway/retained.go
@@ -113,9 +113,9 @@
 		cs.applyChange(next, c, source)
 	case !ours.Removed && ours.Fault == nil && c.Fault == nil && bytes.Equal(ours.Value, c.Value):
 		delete(cs.retained, c.Key)
-		cs.records[c.Key] = c
+		cs.setRecord(c)
 	case cs.serverOutdated(next, ours, c):
-		cs.records[c.Key] = c
+		cs.setRecord(c)
 		cs.retain(ours, c.Position, cs.retentionTimes.server)
 	default:
 		cs.applyChange(next, c, source)
@@ -141,10 +141,10 @@
 	update, err := cs.decode(ours)
 	switch {
 	case err == nil && !ours.Removed && update.Config != nil:
-		delete(cs.records, key)
+		cs.deleteRecord(key)
 		cs.retain(ours, position, 0)
 	case err == nil && !ours.Removed && update.Zone != "":
-		delete(cs.records, key)
+		cs.deleteRecord(key)
 		cs.retain(ours, position, cs.retentionTimes.evacuation)
 	default: // a backend server that lives registers again within its grace
 		cs.applyChange(next, Change{Key: key, Position: position, Removed: true}, source)
@@ -196,6 +196,9 @@
 		} else {
 			cs.applyUpdate(next, r.Change, source)
 		}
+		if r.Remaining == 0 && !cs.isConfig(r.Change) {
+			r.Remaining = cs.retentionTimes.server // only a configuration holds for good
+		}
 		cs.retain(r.Change, r.Over, r.Remaining)
 	}
 	if changed {
--- a/internal/routing/owner.go
+++ b/internal/routing/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"carawaypick/pkg/clock"
@@ -158,14 +159,19 @@
 	case w.id == s.ID:
 		return Open
 	}
-	for _, r := range rivals {
-		if r.ID != w.id || r.ExpiresAt != 0 || w.ended {
-			continue
-		}
-		if now.Sub(w.at) < trialDelay {
+	if w.id != "" && !w.ended {
+		registered := slices.ContainsFunc(rivals, func(r *Server) bool { return r.ID == w.id && r.ExpiresAt == 0 })
+		if registered && now.Sub(w.at) < trialDelay {
 			return Closed
 		}
-		return Trial
+		if registered || now.Sub(w.at) < o.memory {
+			return Trial
+		}
+	}
+	for _, at := range w.denied {
+		if now.Sub(at) < o.memory {
+			return Trial
+		}
 	}
 	for _, r := range rivals {
 		if now.Sub(s.SeenAt) < doubtTime && r != s && r.Service == s.Service && s.supersededBy(r) && v.Usable(r, now) && !refuted(r) {
