Carry no request on a connection on which it was rejected

A caller that sent a request with the same id again was told 503 "not run" though the server ran it: the server wrote its earlier rejection once more on the kept connection, and the id matched.

Cause: an answer is told apart by the id of its request alone, and a request may come to one connection twice. Evidence: within one request an entry never comes to a server again (five attempts, one server: one send), so only a repeated id meets it; rejections of other requests are skipped (TestLateCopyOfAnswer).

Change: a connection remembers the requests that were rejected on it and is not used for them; it is closed after 32 rejections.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -145,7 +145,7 @@
 	if x.conn != nil {
 		clean := x.outcome == outcomeAnswered
 		if x.outcome == outcomeNotExecuted && x.response != nil {
-			clean = drainBody(x.response) == nil
+			clean = drainBody(x.response) == nil && x.conn.addRejected(c.ID)
 		}
 		e.releaseConn(c, s, x, clean)
 	}
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -5,10 +5,12 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"carawaypick/pkg/clock"
@@ -36,6 +38,25 @@
 	usableUntil clock.Time // the connection carries no further request from this time on
 	lastUsed    clock.Time // end of the last exchange on the connection
 	reused      bool
+	rejected    []uint64 // hashes of the ids of the requests that were rejected on the connection
+}
+
+// maxRejectedIDs is the number of rejections after which a connection is closed.
+const maxRejectedIDs = 32
+
+// addRejected records that the request was rejected on the connection, and reports whether the connection may be used again. The
+// request must not come to it again: the rejection may be written once more, and would be taken for its answer.
+func (c *serverConn) addRejected(requestID string) (usable bool) {
+	if len(c.rejected) == maxRejectedIDs {
+		return false
+	}
+	c.rejected = append(c.rejected, xxhash.Sum64String(requestID))
+	return true
+}
+
+// hasRejected reports whether the request was rejected on the connection.
+func (c *serverConn) hasRejected(requestID string) bool {
+	return len(c.rejected) > 0 && slices.Contains(c.rejected, xxhash.Sum64String(requestID))
 }
 
 // Read implements net.Conn; it fails once a head is too long.
@@ -72,11 +93,11 @@
 	return &connPool{clock: c, idle: make(map[string][]*serverConn)}
 }
 
-// get returns an idle connection to the backend server or dials one; with fresh set, an idle connection must have been
-// used within maxFreshIdle.
-func (p *connPool) get(ctx context.Context, id, address string, fresh bool) (c *serverConn, err error) {
+// get returns an idle connection to the backend server on which the request was not rejected, or dials one; with fresh set, an
+// idle connection must have been used within maxFreshIdle.
+func (p *connPool) get(ctx context.Context, id, address, requestID string, fresh bool) (c *serverConn, err error) {
 	for {
-		c = p.pop(id)
+		c = p.pop(id, requestID)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -89,16 +110,17 @@
 	}
 }
 
-func (p *connPool) pop(id string) *serverConn {
+func (p *connPool) pop(id, requestID string) *serverConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[id]
-	if len(kept) == 0 {
-		return nil
+	for i, c := range slices.Backward(kept) {
+		if !c.hasRejected(requestID) {
+			p.idle[id] = slices.Delete(kept, i, i+1)
+			return c
+		}
 	}
-	c := kept[len(kept)-1]
-	p.idle[id] = kept[:len(kept)-1]
-	return c
+	return nil
 }
 
 func (p *connPool) dial(ctx context.Context, address string) (c *serverConn, err error) {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -386,8 +386,7 @@
 	if c.attempts >= c.route.MaxAttempts || e.clock.Now() >= c.deadline {
 		return false
 	}
-	repeatable := c.route.Kind == routing.Idempotent || (c.route.Kind == routing.Stream && c.route.Resumable)
-	if o != outcomeNotExecuted && !repeatable {
+	if o != outcomeNotExecuted && !c.route.Repeatable() {
 		return false
 	}
 	return e.retries.spend(c, e.clock.Now())
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -83,7 +83,7 @@
 // send writes the request to s and reads the response head; the end of ctx resets the connection. With fresh set, it
 // reuses only a connection that was idle for at most maxFreshIdle.
 func (e *Entry) send(ctx context.Context, s *routing.Server, request *http.Request, id string, fresh bool) (x exchange) {
-	conn, err := e.conns.get(ctx, s.ID, s.Address, fresh)
+	conn, err := e.conns.get(ctx, s.ID, s.Address, id, fresh)
 	if err != nil {
 		return exchange{outcome: outcomeNotExecuted, err: err, reason: "dial"}
 	}
--- a/internal/gateway/latecopy_test.go
+++ b/internal/gateway/latecopy_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +45,73 @@
 	}
 }
 
+// TestRejectionWrittenAgain guards against callers that are told "not run" of a request that runs, or such a request that runs at
+// a second server: a server writes its rejection of a request once more as the same request comes again on the connection.
+func TestRejectionWrittenAgain(t *testing.T) {
+	const rejection = "503 Service Unavailable\nId: $ID\nNotrun: 1\nContent-Length: 0\n\n"
+	// newFaulty returns a server that rejects each request on the connection on which it comes for the first time, and writes
+	// that once more before it runs the request.
+	newFaulty := func(t *testing.T) (b *fakeBackend, runs *atomic.Int64) {
+		rejected, runs := sync.Map{}, &atomic.Int64{}
+		return newFakeBackend(t, func(conn net.Conn, r *http.Request) {
+			before, again := rejected.LoadOrStore(r.Header.Get("Id"), conn)
+			if before == conn || !again {
+				respond(conn, r, rejection)
+			}
+			if again {
+				runs.Add(1)
+				respondOK(conn, r)
+			}
+		}), runs
+	}
+	t.Run("a caller sends it again", func(t *testing.T) {
+		b, runs := newFaulty(t)
+		_, url := newTestEntry(t, b)
+		for _, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+			response, err := doRequest(t, t.Context(), http.MethodPost, url+"/unsafe/", "x", "Id", "r1")
+			require.NoError(t, err)
+			assert.Equal(t, want, response.status)
+			time.Sleep(2 * minTurnAwayTest * time.Millisecond)
+		}
+		assert.EqualValues(t, 1, runs.Load())
+	})
+	t.Run("a request never comes to the server that rejected it", func(t *testing.T) {
+		b, runs := newFaulty(t)
+		e, url := newTestEntry(t, b)
+		for i := range e.state.View().Config.Routes {
+			e.state.View().Config.Routes[i].MaxAttempts = 5
+		}
+		response, err := doRequest(t, t.Context(), http.MethodPost, url+"/unsafe/", "x", "Id", "r1")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, response.status)
+		assert.Zero(t, runs.Load())
+		assert.Equal(t, 1, b.count())
+	})
+	t.Run("other requests use the connection", func(t *testing.T) {
+		b, _ := newFaulty(t)
+		e, url := newTestEntry(t, b)
+		for _, id := range []string{"r1", "r2"} {
+			_, err := doRequest(t, t.Context(), http.MethodPost, url+"/unsafe/", "x", "Id", id)
+			require.NoError(t, err)
+			time.Sleep(2 * minTurnAwayTest * time.Millisecond)
+		}
+		e.conns.mu.Lock()
+		defer e.conns.mu.Unlock()
+		require.Len(t, e.conns.idle["i0"], 1)
+		assert.Len(t, e.conns.idle["i0"][0].rejected, 2)
+	})
+	t.Run("a connection with many rejections is closed", func(t *testing.T) {
+		c := &serverConn{}
+		for range maxRejectedIDs {
+			assert.True(t, c.addRejected("r"))
+		}
+		assert.False(t, c.addRejected("r"))
+	})
+}
+
+// minTurnAwayTest is the time in ms for which a server is left alone after its first rejection.
+const minTurnAwayTest = 50
+
 // TestSlowStreams checks that a slow stream that makes progress is forwarded to its end, and that one that only sends bytes
 // is ended.
 func TestSlowStreams(t *testing.T) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -122,6 +122,11 @@
 	return nil
 }
 
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
+}
+
 // ChooseService returns the service for a request of the route; draw is a random number in [0, 1).
 func (r *Route) ChooseService(draw float64) string {
 	total := 0.0
