Read the lines of an event whole

An event with a line as long as the reader's buffer was read as two events, and bytes that began the next buffer could be taken for its id, which cuts the stream as "unexpected event id".

Cause: readEvent takes a line that doesn't fit the buffer in parts and looked at the last part as if it were the line. Evidence: the test with a buffer of 16 bytes. Change: the line is looked at once it is whole.

Red before: --- FAIL: TestLongLinesEndEvents/xxxxxxxxxx expected: "id: 1\ndata: xxxxxxxxxx\ndata: y\n\n", actual: "id: 1\ndata: xxxxxxxxxx\n" --- FAIL: TestLongLinesEndEvents/xxxxxxxxxxid:_7: expected: "1", actual: "7" After: passed.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,9 +27,10 @@
 // readEvent reads one event up to its empty line; it returns io.EOF if the stream ended between events and
 // io.ErrUnexpectedEOF if it ended within one.
 func readEvent(r *bufio.Reader) (v event, err error) {
+	start := 0 // of the line
 	for {
-		line, err := r.ReadSlice('\n')
-		v.raw = append(v.raw, line...)
+		part, err := r.ReadSlice('\n')
+		v.raw = append(v.raw, part...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(v.raw) < maxEventSize {
 			continue
 		}
@@ -42,7 +43,8 @@
 		if len(v.raw) > maxEventSize {
 			return v, errors.Newf("event exceeds %d bytes", maxEventSize)
 		}
-		field := bytes.TrimRight(line, "\r\n")
+		field := bytes.TrimRight(v.raw[start:], "\r\n")
+		start = len(v.raw)
 		if len(field) == 0 {
 			return v, nil
 		}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -102,6 +102,20 @@
 	require.Error(t, err)
 }
 
+// TestLongLinesEndEvents guards against a line of as many bytes as the reader's buffer that ends its event, and against bytes within
+// a line that are taken for an id.
+func TestLongLinesEndEvents(t *testing.T) {
+	for _, data := range []string{strings.Repeat("x", 10), strings.Repeat("x", 26), strings.Repeat("x", 10) + "id: 7", strings.Repeat("x", 10) + "id: 7890123456789"} {
+		t.Run(data, func(t *testing.T) {
+			text := "id: 1\ndata: " + data + "\ndata: y\n\n"
+			v, err := readEvent(bufio.NewReaderSize(strings.NewReader(text+"id: 2\n\n"), 16))
+			require.NoError(t, err)
+			assert.Equal(t, text, string(v.raw))
+			assert.Equal(t, "1", v.id)
+		})
+	}
+}
+
 func TestIsNextEvent(t *testing.T) {
 	assert.True(t, isNextEvent("", "7"))
 	assert.True(t, isNextEvent("7", "8"))
