Let only events that follow go on with another server's stream

A stream had begun and broke off; the next server answered with status 200 and a seal, and an error event, a head, HTML or nothing. Callers got that in the middle of their stream, or the stream ended as complete with events missing.

Evidence: answers with an earlier id are cut, the same bytes without one are not; framing and other statuses make no difference.

A stream that goes on takes events with the next id, others only after one of these and unless they are errors, of the same content type, and ends only after an event that follows.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,64 +14,12 @@
 	"carawaypick/pkg/clock"
 )
 
-// maxEventSize is the maximum size of one event in bytes. Many streams may have one in memory at the same time.
-const maxEventSize = 128 << 10
-
-// event is one server-sent event in its raw form.
-type event struct {
-	raw   []byte
-	id    string
-	hasID bool // the event has an id field
-}
-
-// readEvent reads one event up to its empty line; it returns io.EOF if the stream ended between events and
-// io.ErrUnexpectedEOF if it ended within one.
-func readEvent(r *bufio.Reader) (v event, err error) {
-	start := 0 // of the line
-	for {
-		part, err := r.ReadSlice('\n')
-		v.raw = append(v.raw, part...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(v.raw) < maxEventSize {
-			continue
-		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(v.raw) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
-			return v, err
-		}
-		if len(v.raw) > maxEventSize {
-			return v, errors.Newf("event exceeds %d bytes", maxEventSize)
-		}
-		field := bytes.TrimRight(v.raw[start:], "\r\n")
-		start = len(v.raw)
-		if len(field) == 0 {
-			return v, nil
-		}
-		if id, found := bytes.CutPrefix(field, []byte("id:")); found {
-			v.id, v.hasID = string(bytes.TrimSpace(id)), true
-		}
-	}
-}
-
-// isNextEvent reports whether the event id next may follow the event id last: numeric ids must be consecutive.
-func isNextEvent(last, next string) bool {
-	if last == "" {
-		return true
-	}
-	a, errA := strconv.ParseInt(last, 10, 64)
-	b, errB := strconv.ParseInt(next, 10, 64)
-	if errA != nil || errB != nil {
-		return last != next // non-numeric ids must only differ
-	}
-	return b == a+1
-}
-
 // callerStream is the event stream to a caller, which may span several attempts.
 type callerStream struct {
 	writer      http.ResponseWriter
 	control     *http.ResponseController
 	started     bool
+	contentType string // of the response that the stream started with
 	lastEventID string // id of the last event that was forwarded
 	events      int
 	resumed     int
@@ -101,7 +49,7 @@
 			e.logOutcome(c, "left", "events", cs.events)
 			return
 		}
-		if e.allowRetry(c, x.outcome) {
+		if cs.mayGoOn() && e.allowRetry(c, x.outcome) {
 			cs.resumed++
 			e.metrics.Resumes.Get(x.reason).Inc()
 			continue
@@ -115,6 +63,12 @@
 	}
 }
 
+// mayGoOn reports whether another attempt may go on with the stream: it has not started, or the events that follow the last one
+// can be told.
+func (cs *callerStream) mayGoOn() bool {
+	return !cs.started || isNumber(cs.lastEventID)
+}
+
 // abortStream ends a request that can't be resumed; a stream that has started must not look complete to the caller.
 func (e *Entry) abortStream(c *call, cs *callerStream, rej rejection) {
 	if !cs.started {
@@ -131,9 +85,12 @@
 		return e.forwardNonStream(c, cs, s, x)
 	}
 	err := error(nil)
-	if !x.headers.valid(c.ID, x.response.StatusCode) {
+	switch {
+	case !x.headers.valid(c.ID, x.response.StatusCode):
 		err = errors.New("stream has no valid seal")
-	} else {
+	case cs.started && mediaType(x.response) != cs.contentType:
+		err = errors.Newf("stream goes on as %.64q, not as %.64q", mediaType(x.response), cs.contentType)
+	default:
 		err = e.forwardEvents(c, cs, x)
 	}
 	if err == nil && !isFramed(x.response) && e.endedWithServer(c, s, x) {
@@ -173,19 +130,27 @@
 	return true
 }
 
+// mediaType returns the media type of a response in lower case, empty for none.
+func mediaType(response *http.Response) string {
+	media, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(media))
+}
+
 func (cs *callerStream) start(response *http.Response) {
 	copyHeaders(cs.writer.Header(), response.Header)
 	cs.writer.Header().Del("Content-Length")
 	cs.writer.WriteHeader(response.StatusCode)
-	cs.started = true
+	cs.started, cs.contentType = true, mediaType(response)
 }
 
-// forwardEvents forwards complete events until the stream ends; it returns nil if the stream ended between events.
+// forwardEvents forwards the events of one attempt until they end; it returns nil if they ended as a stream may end.
 func (e *Entry) forwardEvents(c *call, cs *callerStream, x *exchange) (err error) {
-	reader := bufio.NewReaderSize(x.response.Body, connBufferSize)
+	events := eventSequence{
+		reader: bufio.NewReaderSize(x.response.Body, connBufferSize), last: cs.lastEventID, continues: cs.started,
+	}
 	var times eventTimes
 	for size := 0; ; {
-		v, ended, err := readNumberedEvent(reader)
+		v, ended, err := events.next()
 		if err != nil {
 			return err
 		}
@@ -195,9 +160,6 @@
 		if size += len(v.raw); size > maxResponseBody {
 			return errors.Newf("stream exceeds %d bytes", maxResponseBody)
 		}
-		if v.hasID && !isNextEvent(cs.lastEventID, v.id) {
-			return errors.Newf("unexpected event id: got %s after %s", v.id, cs.lastEventID)
-		}
 		x.progressed = true
 		e.recordEvent(c, cs, x, &times)
 		if !cs.started {
@@ -214,26 +176,6 @@
 	}
 }
 
-// readNumberedEvent reads events up to one that has an id and returns them as one. Others are held back, so that a server
-// which sends nothing else is recognised as faulty before the caller gets any of it; at the end of the stream the event
-// has those that no other follows.
-func readNumberedEvent(r *bufio.Reader) (v event, ended bool, err error) {
-	for {
-		next, err := readEvent(r)
-		ended = errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
-		if err != nil && !ended {
-			return v, false, err
-		}
-		v.raw, v.id, v.hasID = append(v.raw, next.raw...), next.id, next.hasID
-		if len(v.raw) > maxEventSize {
-			return v, false, errors.Newf("%d bytes of events without an id", len(v.raw))
-		}
-		if v.hasID || ended {
-			return v, ended, nil
-		}
-	}
-}
-
 // eventTimes are the times of the first and the last event of an attempt.
 type eventTimes struct {
 	first, last clock.Time
