--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -341,7 +341,7 @@
 
 func (cs *ClusterState) setServer(next *routing.View, s *routing.Server, c Change, source string) {
 	old := next.Servers[s.ID]
-	if old != nil && (old.Address != s.Address || old.Service != s.Service) && cs.keepOverwritten(next, old, c, source) {
+	if old != nil && !samePlace(old, s) && cs.keepOverwritten(next, old, c, source) {
 		return
 	}
 	delete(cs.overwritten, s.ID)
@@ -360,6 +360,11 @@
 		"leaving", s.Draining, "slots", s.Slots, "cold", s.ColdUntil > 0, "source", source)
 }
 
+// samePlace reports whether two registrations of one id may be of one process.
+func samePlace(before, s *routing.Server) bool {
+	return before.Address == s.Address && before.Service == s.Service && before.Zone == s.Zone && before.Group == s.Group && before.Rank == s.Rank
+}
+
 // sameRegistration reports whether a registration that is in the store says what the one before said.
 func sameRegistration(before, s *routing.Server) bool {
 	o := *s
