Ask for a group by what the agent's engine reports

A member list was chosen by the engine's address alone. At an entry that no request had told who is there, another writer's later registration of the address, for another group or service, decided which group an agent got: TestForeignRanks/which_nothing_is_known_of had another group's shape. Agents send the group that their engine reports and the service of their settings; of registrations that match, one whose service has expert maps goes first. A registration that merely waits for a later one to answer (Waiting) stays a member; only an answer closes it (Closed). A rank out of the group's range no longer reads past the poll times.

Red before the standings were told apart: TestForeignRanks/which_nothing_is_known_of, expected 2 sets, actual 0.

--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -37,6 +37,7 @@
 	IP      string
 	Port    int
 	Engine  string   // address of the local engine
+	Service string   // service that it runs, empty if unknown
 	Entries []string // IP addresses of the entries that are asked for the group's members
 
 	LinkBytesPerMs float64 // throughput of the instance's link; 0 if unknown
@@ -167,7 +168,7 @@
 // one in turn.
 func (a *Agent) requestMembers() {
 	a.mu.Lock()
-	entries := a.settings.Entries
+	entries, request := a.settings.Entries, message{MembersOf: a.settings.Engine, Group: a.report.Group, Service: a.settings.Service}
 	if len(a.group.Members) > 0 && len(entries) > 0 {
 		a.nextEntry++
 		i := a.nextEntry % len(entries)
@@ -175,7 +176,7 @@
 	}
 	a.mu.Unlock()
 	for _, ip := range entries {
-		a.send(ip, message{MembersOf: a.settings.Engine})
+		a.send(ip, request)
 	}
 }
 
--- a/internal/engine/controller.go
+++ b/internal/engine/controller.go
@@ -365,6 +365,9 @@
 // responds reports whether the agent of the rank has answered a poll lately. The time in which the coordinator searched for a
 // plan and sent no polls does not count.
 func (c *mapController) responds(now clock.Time, rank int) bool {
+	if rank < 0 || rank >= len(c.receivedAt) {
+		return false
+	}
 	return min(now.Sub(c.receivedAt[rank]), now.Sub(c.plannedAt)) < c.budget.agentTimeout()
 }
 
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -5,8 +5,10 @@
 // message is a UDP message between the agents of a group, or between an agent and an entry; one field is set.
 // The field names of an encoded struct are part of the protocol, so a renamed field has a tag with its name on the wire.
 type message struct {
-	MembersOf    string      `msgpack:"Ask"`    // to an entry: address of the engine whose group is requested
-	Members      *MemberList `msgpack:"Roster"` // from an entry: the requested group
+	MembersOf    string      `msgpack:"Ask"`        // to an entry: address of the engine whose group is requested
+	Group        string      `msgpack:"AskGroup"`   // to an entry: group of the engine by its own report, empty if it was not read yet
+	Service      string      `msgpack:"AskService"` // to an entry: service of the engine by the agent's settings, empty if they don't tell
+	Members      *MemberList `msgpack:"Roster"`     // from an entry: the requested group
 	Poll         *poll
 	PollReply    *pollReply      `msgpack:"Answer"`
 	Command      *relayedCommand `msgpack:"Order"`
--- a/internal/gateway/agent.go
+++ b/internal/gateway/agent.go
@@ -28,7 +28,7 @@
 	}
 	level.Info(logger).Log("msg", "started", "engine", s.Engine, "zone", s.Zone, "fencing", s.Fencing)
 	agent := engine.New(engine.Settings{
-		IP: s.IP, Port: s.InternalPorts[0], Engine: s.Engine, Entries: s.seedAddresses(logger),
+		IP: s.IP, Port: s.InternalPorts[0], Engine: s.Engine, Service: s.EngineService, Entries: s.seedAddresses(logger),
 		LinkBytesPerMs: s.LinkMbps * 1000 / 8,
 	}, client, clock.New(), logger)
 	ended := lifecycle.Start(ctx, agent.Run)
--- a/internal/gateway/heartbeat.go
+++ b/internal/gateway/heartbeat.go
@@ -9,7 +9,8 @@
 	"carawaypick/pkg/clock"
 )
 
-// heartbeat is the UDP message in which an entry reports its state to the others; an agent's message sets only Ask.
+// heartbeat is the UDP message in which an entry reports its state to the others; an agent's message sets only the fields
+// that begin with Ask.
 type heartbeat struct {
 	Name     string
 	Zone     string
@@ -45,7 +46,9 @@
 	Cores  float64                    // processor cores that the sender may use; 0 if unknown
 	Full   bool                       // the sender is short of descriptors or memory
 
-	Ask string // address of the engine whose group an agent asks for
+	Ask        string // address of the engine whose group an agent asks for
+	AskGroup   string // group of the engine by its own report, empty if the agent doesn't know it
+	AskService string // service of the engine by the agent's settings, empty likewise
 }
 
 // position returns the position that a receiver must have reached to have the sender's state.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -11,16 +11,34 @@
 	"carawaypick/pkg/clock"
 )
 
+// memberQuery tells the engine for which an agent asks.
+type memberQuery struct {
+	address        string
+	group, service string // as the engine and the agent's settings tell; empty if unknown
+}
+
+// matches reports whether the registration may be that of the engine.
+func (q memberQuery) matches(s *routing.Server) bool {
+	return s.Address == q.address && (q.group == "" || s.Group == q.group) && (q.service == "" || s.Service == q.service)
+}
+
 // memberList returns the members and the shape of the engine's group, or an empty list if the view has no such group. A
 // rank whose registration is missing stays a member during its grace, unless another engine has its place.
-func memberList(v *routing.View, address string, now clock.Time) (r engine.MemberList) {
+func memberList(v *routing.View, query memberQuery, now clock.Time) (r engine.MemberList) {
+	if v.Config == nil {
+		return r
+	}
+	hasMaps := func(s *routing.Server) bool { return v.Config.Services[s.Service].Engine.LayerSets > 0 }
 	var own *routing.Server
 	for _, s := range v.Servers {
-		if s.Address == address && isMember(v, s, now) && (own == nil || hasPlaceOf(v, s, own, now)) {
+		if !query.matches(s) || !isMember(v, s, now) {
+			continue
+		}
+		if own == nil || (hasMaps(s) && !hasMaps(own)) || (hasMaps(s) == hasMaps(own) && hasPlaceOf(v, s, own, now)) {
 			own = s
 		}
 	}
-	if own == nil || v.Config == nil {
+	if own == nil {
 		return r
 	}
 	config := v.Config.Services[own.Service].Engine
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -55,9 +55,9 @@
 	name       string
 	ip         string
 	port       int
-	self       func() heartbeat                      // returns this entry's heartbeat
-	memberList func(engine string) engine.MemberList // returns the group of the engine at an address
-	sendNow    chan struct{}                         // requests a heartbeat before the interval ends
+	self       func() heartbeat                    // returns this entry's heartbeat
+	memberList func(memberQuery) engine.MemberList // returns the group of an engine
+	sendNow    chan struct{}                       // requests a heartbeat before the interval ends
 
 	Updates    chan struct{}   // signals that a peer has reached a later position
 	Heard      chan struct{}   // signals that a peer has started, become ready or taken another configuration
@@ -88,7 +88,7 @@
 }
 
 // NewPeerSet returns a peer set whose only targets are the seeds of s.
-func NewPeerSet(s Settings, c clock.Clock, logger log.Logger, loads *LoadTracker, self func() heartbeat, memberList func(string) engine.MemberList) *PeerSet {
+func NewPeerSet(s Settings, c clock.Clock, logger log.Logger, loads *LoadTracker, self func() heartbeat, memberList func(memberQuery) engine.MemberList) *PeerSet {
 	p := &PeerSet{
 		clock: c, logger: logger, limited: &telemetry.RateLimitedLogger{Logger: logger, Clock: c}, loads: loads, ip: s.IP, port: s.InternalPorts[0], self: self, memberList: memberList,
 		sendNow: make(chan struct{}, 1), Updates: make(chan struct{}, 1), Heard: make(chan struct{}, 1),
@@ -235,7 +235,7 @@
 		var hb heartbeat
 		err = datagram.Decode(buffer[:n], &hb)
 		if err == nil && hb.Ask != "" {
-			p.sendMemberList(conn, from, hb.Ask)
+			p.sendMemberList(conn, from, memberQuery{address: hb.Ask, group: hb.AskGroup, service: hb.AskService})
 			continue
 		}
 		if err == nil {
@@ -249,9 +249,9 @@
 	}
 }
 
-// sendMemberList sends an agent the group of the engine at address.
-func (p *PeerSet) sendMemberList(conn net.PacketConn, to net.Addr, address string) {
-	r := p.memberList(address)
+// sendMemberList sends an agent the group of its engine.
+func (p *PeerSet) sendMemberList(conn net.PacketConn, to net.Addr, query memberQuery) {
+	r := p.memberList(query)
 	content, err := datagram.Encode(struct{ Roster engine.MemberList }{r})
 	if err != nil {
 		level.Error(p.logger).Log("msg", "member list not encoded, sending none to the agent", "error", err)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,8 +90,8 @@
 			Demand: e.ownDemand(),
 			Cores:  s.Cores, Full: e.full.Load(),
 		}
-	}, func(address string) engine.MemberList {
-		list := memberList(e.state.View(), address, c.Now())
+	}, func(query memberQuery) engine.MemberList {
+		list := memberList(e.state.View(), query, c.Now())
 		list.Coordinated = len(list.Members) > 0 && e.coordinated()
 		return list
 	})
--- a/internal/routing/owner.go
+++ b/internal/routing/owner.go
@@ -13,21 +13,22 @@
 
 // Standings of a registration.
 const (
-	Open   Standing = iota // it gets requests
-	Trial                  // it gets one request at a time, whose answer tells whether the backend server is at the address
-	Closed                 // it gets none, since another backend server is at the address
+	Open    Standing = iota // it gets requests
+	Trial                   // it gets one request at a time, whose answer tells whether the backend server is at the address
+	Waiting                 // it gets none for a time, since another one gets them, whose answers will tell
+	Closed                  // it gets none, since another backend server answered at the address
 )
 
 // String returns the word for the standing in logs.
 func (s Standing) String() string {
-	return [...]string{"open", "trial", "closed"}[s]
+	return [...]string{"open", "trial", "waiting", "closed"}[s]
 }
 
 const (
 	// trialDelay is the time in ms since the last answer of a registered owner after which another registration is tried. One
 	// that answers more often closes the other by its next answer, and one that ended is found out by the requests for it.
 	trialDelay = clock.Second
-	// doubtTime is the time in ms for which a registration is closed in favour of a later incarnation, while no answer has told
+	// doubtTime is the time in ms for which a registration waits in favour of a later incarnation, while no answer has told
 	// which one is at the address: the later one may get no requests.
 	doubtTime = 2 * clock.Second
 )
@@ -162,7 +163,7 @@
 	if w.id != "" && !w.ended {
 		registered := slices.ContainsFunc(rivals, func(r *Server) bool { return r.ID == w.id && r.ExpiresAt == 0 })
 		if registered && now.Sub(w.at) < trialDelay {
-			return Closed
+			return Waiting
 		}
 		if registered || now.Sub(w.at) < o.memory {
 			return Trial
@@ -175,7 +176,7 @@
 	}
 	for _, r := range rivals {
 		if now.Sub(s.SeenAt) < doubtTime && r != s && r.Service == s.Service && s.supersededBy(r) && v.Usable(r, now) && !refuted(r) {
-			return Closed
+			return Waiting
 		}
 	}
 	return Open
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -48,7 +48,7 @@
 	v.indexAddresses(now)
 	v.Services = make(map[string][]*Server)
 	for id, s := range v.Servers {
-		if !v.Usable(s, now) || v.Contested[id] == Closed {
+		if !v.Usable(s, now) || v.Contested[id] >= Waiting {
 			continue
 		}
 		if standing, contested := v.Contested[id]; contested && !v.Owners.owns(s) {
@@ -103,13 +103,13 @@
 	return v.Owners.standing(v, s, rivals, now)
 }
 
-// CountContested returns the numbers of registrations with the address of another one, and of those that are closed.
+// CountContested returns the numbers of registrations with the address of another one, and of those that get no requests.
 func (v *View) CountContested() (contested, closed int) {
 	for id, standing := range v.Contested {
 		if s := v.Servers[id]; s != nil && len(v.rivals[s.Address]) > 0 {
 			contested++
 		}
-		if standing == Closed {
+		if standing >= Waiting {
 			closed++
 		}
 	}
