Keep what tells the owners of addresses in one file

Moves only, and one branch that never ran: recordOwner and isTakenForServer stood in entry.go, pollMembers in controller.go.

--- a/internal/engine/controller.go
+++ b/internal/engine/controller.go
@@ -307,19 +307,6 @@
 	}
 }
 
-// pollMembers polls the other ranks; mu is held.
-func (a *Agent) pollMembers(now clock.Time, ownRank int, pollFor func(rank int) poll) {
-	for _, m := range a.group.Members {
-		if m.Rank == ownRank {
-			continue
-		}
-		for _, candidate := range a.candidatesOf(now, m) {
-			p := pollFor(m.Rank)
-			a.send(candidate.IP, message{Poll: &p})
-		}
-	}
-}
-
 // logPlanError logs the first of a run of equal errors of the planner.
 func (a *Agent) logPlanError(err error) {
 	text := ""
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -106,3 +106,16 @@
 	a.group.Members[i] = Member{Rank: rank, IP: a.settings.IP, Engine: a.settings.Engine}
 	return true
 }
+
+// pollMembers polls the other ranks; mu is held.
+func (a *Agent) pollMembers(now clock.Time, ownRank int, pollFor func(rank int) poll) {
+	for _, m := range a.group.Members {
+		if m.Rank == ownRank {
+			continue
+		}
+		for _, candidate := range a.candidatesOf(now, m) {
+			p := pollFor(m.Rank)
+			a.send(candidate.IP, message{Poll: &p})
+		}
+	}
+}
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -73,11 +73,12 @@
 func NewClusterState(s Settings, decode func(Change) (Update, error), c clock.Clock, logger log.Logger, onUpdate func(*routing.View)) *ClusterState {
 	cs := &ClusterState{
 		decode: decode, clock: c, logger: logger, onUpdate: onUpdate, retentionTimes: newRetentionTimes(s),
-		records: make(map[string]Change), unusable: make(map[string]string), maxRecordBytes: s.Memory / recordMemoryDivisor, retained: make(map[string]retention), overwritten: make(map[string]Change), removed: make(map[string]store.Position),
+		maxRecordBytes: s.Memory / recordMemoryDivisor, owners: routing.NewOwners(newRetentionTimes(s).server),
+		records: make(map[string]Change), unusable: make(map[string]string), retained: make(map[string]retention),
+		overwritten: make(map[string]Change), removed: make(map[string]store.Position),
 		origin: rand.Uint64() | 1, adopted: make(map[uint64]uint64),
 	}
 	cs.limitedLogger = &telemetry.RateLimitedLogger{Logger: logger, Clock: c, RoutineKinds: map[string]bool{"undecodable": true, "contested": true, "overwritten": true}}
-	cs.owners = routing.NewOwners(cs.retentionTimes.server)
 	cs.view.Store(&routing.View{})
 	return cs
 }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -159,12 +159,6 @@
 	return e.rejectQuarantined(c)
 }
 
-// isTakenForServer reports whether another entry sent the request, since a registration names this entry's address.
-func (e *Entry) isTakenForServer(view *routing.View, c *call) bool {
-	s := view.Servers[c.ExpectedServer]
-	return s != nil && s.Address == e.settings.Load().Front
-}
-
 // timeout returns the time in ms that the request may take in all.
 func (c *call) timeout() clock.Span {
 	const maxTimeout = 10 * clock.Minute // upper bound, which also applies if neither the caller nor the route sets a timeout
@@ -309,21 +303,6 @@
 	return x
 }
 
-// recordOwner records which backend server is at the address of s, as an answer to a request for s tells.
-func (e *Entry) recordOwner(c *call, s *routing.Server, x *exchange, sentAt clock.Time) {
-	h := x.headers
-	switch {
-	case x.response == nil || h.RequestID != c.ID:
-	case h.Misdirected && h.ServerID == s.ID && !c.ExpectsVersion:
-		e.state.RecordAnswer(s, sentAt)
-		e.recordRejection(s)
-	case h.ServerID == s.ID, !h.Misdirected && h.Sealed: // a 421 of s itself is about the version
-		e.state.RecordAnswer(s, sentAt)
-	case h.Misdirected && (h.ServerID != "" || !c.ExpectsVersion):
-		e.state.RecordMisdirected(s, h.ServerID, sentAt)
-	}
-}
-
 // recordNamedRate records the rate of requests that s takes, as named in an answer, and tells the other entries of a change at
 // once.
 func (e *Entry) recordNamedRate(c *call, s *routing.Server, h ResponseHeaders, sentAt clock.Time) {
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -59,12 +59,8 @@
 // endOverwrite applies the record that was written over the expired registration of a backend server, if there is one; mu is
 // held.
 func (cs *ClusterState) endOverwrite(next *routing.View, id string) {
-	c, overwritten := cs.overwritten[id]
-	if !overwritten {
-		return
-	}
-	delete(cs.overwritten, id)
-	if !c.Removed {
+	if c, overwritten := cs.overwritten[id]; overwritten {
+		delete(cs.overwritten, id)
 		cs.applyUpdate(next, c, "store")
 	}
 }
@@ -89,3 +85,24 @@
 			"standing", standing.String(), "born", s.StartedAt)
 	}
 }
+
+// recordOwner records which backend server is at the address of s, as an answer to a request for s tells.
+func (e *Entry) recordOwner(c *call, s *routing.Server, x *exchange, sentAt clock.Time) {
+	h := x.headers
+	switch {
+	case x.response == nil || h.RequestID != c.ID:
+	case h.Misdirected && h.ServerID == s.ID && !c.ExpectsVersion:
+		e.state.RecordAnswer(s, sentAt)
+		e.recordRejection(s)
+	case h.ServerID == s.ID, !h.Misdirected && h.Sealed: // a 421 of s itself is about the version
+		e.state.RecordAnswer(s, sentAt)
+	case h.Misdirected && (h.ServerID != "" || !c.ExpectsVersion):
+		e.state.RecordMisdirected(s, h.ServerID, sentAt)
+	}
+}
+
+// isTakenForServer reports whether another entry sent the request, since a registration names this entry's address.
+func (e *Entry) isTakenForServer(view *routing.View, c *call) bool {
+	s := view.Servers[c.ExpectedServer]
+	return s != nil && s.Address == e.settings.Load().Front
+}
