--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -160,6 +159,6 @@
 	}
 	t.Run("but not an end within an event", func(t *testing.T) {
 		_, err := readSequence("", false, "id: 1\n\nid: 2")
-		assert.True(t, errors.Is(err, io.ErrUnexpectedEOF))
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	})
 }
