Bound the memory and connections that an entry holds for its callers

What callers saw: crowds of clients that stop just short of the end of a body, of large bodies, of chunks, of heads and of header lines that are a few bytes each ended entries; silent connections kept ordinary callers out for 10 s.

Cause: nothing counted what one process holds for others. A body was read to its end before the request had a place, in a slice that grows to twice its content; each port had the library's 1 MiB for heads; no time bounded a body and no number the connections.

Change: package memory owns all of it, in shares by port and for answers; bytes are taken before they are kept. Package intake stands between a port and its server: it counts heads with the cost of parsed lines, refuses by itself with 431 or 503, and lets connections give way. Of those, requests that are received slowly or not at all go first, then those of the team that holds most; whole requests never. A body with a length takes its memory before it is read, so that one without room is rejected at once with 503 and Retry-After; its pieces are kept as they came. The request's own deadline bounds its body (408). Callers that still send can read the answer before the connection is reset. Sockets are divided among the ports, and a quarter is left for the store, peers and backend servers.

The largest body is served at once, without a length and slowly.

--- a/internal/gateway/agent.go
+++ b/internal/gateway/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
@@ -17,7 +16,7 @@
 
 // RunAgent runs the agent beside one rank until ctx ends; it returns an error if the agent or its log output fails.
 func RunAgent(ctx context.Context, s Settings, client engine.Client, reload <-chan Reload, stdout io.Writer) (err error) {
-	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryLimitRatio))
+	limitMemory(s)
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	output := telemetry.NewBoundedWriter()
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"carawaypick/internal/balance"
+	"carawaypick/internal/memory"
 	"carawaypick/internal/routing"
 	"carawaypick/pkg/clock"
 )
@@ -73,7 +73,7 @@
 }
 
 // attemptBuffered makes one attempt and reads the whole response body.
-func (e *Entry) attemptBuffered(ctx context.Context, c *call, s *routing.Server) (x exchange, content []byte) {
+func (e *Entry) attemptBuffered(ctx context.Context, c *call, s *routing.Server) (x exchange, content bodyPieces) {
 	c.attempts++ // attemptDeadline needs the count with this attempt; restored below, since e.attempt increments it too
 	deadline := e.attemptDeadline(c)
 	c.attempts--
@@ -85,7 +85,7 @@
 		return x, nil
 	}
 	x.progressed = true
-	content, err := e.readBody(x.response.Body)
+	content, err := e.readBody(c, x.response)
 	if err == nil && !isFramed(x.response) && e.endedWithServer(c, s, &x) {
 		err = errors.Wrap(io.ErrUnexpectedEOF, "body ended with its backend server")
 	}
@@ -100,27 +100,29 @@
 	return x, content
 }
 
-// readBody reads a body to its end. It fails if the body is too long, or if all that are read at this time use too much
-// memory.
-func (e *Entry) readBody(body io.Reader) (content []byte, err error) {
-	var buffer bytes.Buffer
-	counted := int64(0)
-	defer func() { e.buffered.Add(-counted) }()
-	limit := e.settings.Load().Memory / bodyMemoryDivisor
-	for buffer.Len() <= maxResponseBody {
-		n, err := io.CopyN(&buffer, body, freeBodyBytes)
-		if errors.Is(err, io.EOF) {
-			return buffer.Bytes(), nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		counted += n
-		if all := e.buffered.Add(n); limit > 0 && all > limit {
-			return nil, errors.Newf("response bodies use %d bytes, which is more than %d", all, limit)
+// readBody reads the body of an answer to its end. It fails if the body is too long, or if there is no memory for it. The memory is
+// the request's until its next attempt or its end.
+func (e *Entry) readBody(c *call, response *http.Response) (content bodyPieces, err error) {
+	e.releaseAnswer(c)
+	length := response.ContentLength
+	if response.Body == http.NoBody {
+		length = 0
+	}
+	return readPieces(response.Body, length, maxResponseBody, func(n int64) error {
+		if err := e.memory.answers.Take(n); err != nil {
+			return errors.Wrapf(err, "answer of more than %d bytes", c.answerBytes)
 		}
+		c.answerBytes += n
+		return nil
+	})
+}
+
+// releaseAnswer gives back the memory of the request's answer.
+func (e *Entry) releaseAnswer(c *call) {
+	if c.answerBytes > 0 {
+		e.memory.answers.Release(c.answerBytes)
 	}
-	return nil, errors.Newf("response body exceeds %d bytes", maxResponseBody)
+	c.answerBytes = 0
 }
 
 // valid reports whether a response with the status may be forwarded as the answer to the request id.
@@ -139,7 +141,7 @@
 		signal = balance.Success
 	case x.reason == "dial":
 		signal = balance.Unreachable
-	case x.outcome == outcomeNotExecuted || x.reason == "left":
+	case x.outcome == outcomeNotExecuted || x.reason == "left" || errors.Is(x.err, memory.ErrFull):
 		signal = balance.Neutral
 	}
 	if x.conn != nil {
@@ -198,18 +200,20 @@
 
 // forwardResponse forwards the backend server's complete response to the caller. One that doesn't state that the request has not
 // run must not promise it to the caller, who would send a request again that must not run twice.
-func (e *Entry) forwardResponse(w http.ResponseWriter, c *call, response *http.Response, content []byte) {
+func (e *Entry) forwardResponse(w http.ResponseWriter, c *call, response *http.Response, content bodyPieces) {
 	if promisesNotRun(response.StatusCode) && !c.route.Repeatable() {
 		c.maybeExecuted = true
 		e.reject(w, c, rejection{status: http.StatusBadGateway, reason: "the backend server failed with a status that promises too much"})
 		return
 	}
 	copyHeaders(w.Header(), response.Header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	w.Header().Set("Content-Length", strconv.Itoa(content.size()))
 	w.WriteHeader(response.StatusCode)
-	if _, err := w.Write(content); err != nil {
-		e.logOutcome(c, "left", "error", err)
-		return
+	for _, piece := range content {
+		if _, err := w.Write(piece); err != nil {
+			e.logOutcome(c, "left", "error", err)
+			return
+		}
 	}
 	outcome := "whole"
 	if response.StatusCode >= http.StatusBadRequest {
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -490,7 +490,7 @@
 		return
 	}
 	failed := x.outcome != outcomeAnswered || x.response.StatusCode >= http.StatusInternalServerError
-	e.loads.RecordSample(s, sentRequest{target: c.route.LatencyTarget, at: sentAt, before: before, running: running, size: len(c.body), failed: failed})
+	e.loads.RecordSample(s, sentRequest{target: c.route.LatencyTarget, at: sentAt, before: before, running: running, size: c.body.size(), failed: failed})
 }
 
 // reportedLoad returns the requests at s by its answer, -1 if it does not tell them or tells those of another server.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -27,7 +27,7 @@
 
 // fingerprint identifies the content of a request: its team, path and body. A request that a caller sends again has the
 // same fingerprint, whatever its id and the entry that receives it.
-func fingerprint(team, uri string, body []byte) uint64 {
+func fingerprint(team, uri string, body ...[]byte) uint64 {
 	var lengths [16]byte // keep a team and a path apart from others with the same concatenation
 	binary.LittleEndian.PutUint64(lengths[:8], uint64(len(team)))
 	binary.LittleEndian.PutUint64(lengths[8:], uint64(len(uri)))
@@ -35,7 +35,9 @@
 	_, _ = digest.Write(lengths[:]) // a Digest never returns an error
 	_, _ = digest.WriteString(team)
 	_, _ = digest.WriteString(uri)
-	_, _ = digest.Write(body)
+	for _, piece := range body {
+		_, _ = digest.Write(piece)
+	}
 	return digest.Sum64()
 }
 
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -9,7 +9,7 @@
 	"carawaypick/internal/directory"
 )
 
-// fullDivisor and fullFactor make three quarters, the part of the descriptors or of the memory for bodies from which on an
+// fullDivisor and fullFactor make three quarters, the part of the descriptors, or of the memory for callers or answers, from which on an
 // entry is full.
 const (
 	fullFactor  = 3
@@ -50,7 +50,7 @@
 	return all
 }
 
-// updateFull records whether the entry uses more than three quarters of its descriptors or of the memory for bodies, where
+// updateFull records whether the entry uses more than three quarters of its descriptors or of the memory for callers or answers, where
 // the directory asks for it.
 func (e *Entry) updateFull() {
 	if e.peers.Entries().Known <= directory.MaxAddresses {
@@ -61,9 +61,9 @@
 	if s.Descriptors > 0 && (limit == 0 || s.Descriptors < limit) {
 		limit = s.Descriptors
 	}
-	full := exceedsThreeQuarters(int64(used), int64(limit)) || exceedsThreeQuarters(e.buffered.Load(), s.Memory/bodyMemoryDivisor)
+	full := exceedsThreeQuarters(int64(used), int64(limit)) || e.memory.isFull()
 	if e.full.Swap(full) != full {
-		e.limitedLogger.Log("full", "msg", "entry is full or has room again", "full", full, "descriptors", used, "limit", limit, "buffered", e.buffered.Load())
+		e.limitedLogger.Log("full", "msg", "entry is full or has room again", "full", full, "descriptors", used, "limit", limit, "front", e.memory.front.Usage().Used, "answers", e.memory.answers.Usage().Used)
 		e.peers.Notify()
 	}
 }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
 
-	"github.com/cockroachdb/errors"
-
 	"carawaypick/internal/balance"
+	"carawaypick/internal/intake"
 	"carawaypick/internal/routing"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
@@ -18,8 +16,6 @@
 
 const (
 	maxResponseBody    = 8 << 20                 // bytes of a response body that is buffered before it is forwarded, and of a stream
-	freeBodyBytes      = 64 << 10                // of each body that don't count towards the limit of all bodies
-	bodyMemoryDivisor  = 8                       // of the instance's memory: limit of all bodies that are buffered at one time
 	noConfigRetryAfter = 500 * clock.Millisecond // Retry-After before the first configuration is received
 	noServerRetryAfter = clock.Second            // Retry-After while the service has no usable backend server
 	askedSpread        = 200 * clock.Millisecond // by which Retry-After of callers differs after the backend servers asked for no requests
@@ -39,6 +35,8 @@
 	conns         *connPool
 	peers         *PeerSet
 	metrics       *telemetry.Metrics
+	memory        shares
+	stateSize     atomic.Int64 // bytes of the last answer with state to a peer
 	limitedLogger *telemetry.RateLimitedLogger
 	retries       *retryBudget
 	suspects      *suspectSet
@@ -50,16 +48,18 @@
 	joined            chan struct{} // closed when this entry knows what its peers know of the configuration
 	draining          atomic.Bool
 	active            atomic.Int64
-	buffered          atomic.Int64 // bytes of response bodies that are buffered, beyond freeBodyBytes of each
-	full              atomic.Bool  // short of descriptors or memory
+	full              atomic.Bool // short of descriptors or memory
 }
 
 // call is the state of one caller request.
 type call struct {
 	RequestHeaders
 	request       *http.Request
+	conn          *intake.Conn // nil for a request that comes from no connection of a port
 	path          string
-	body          []byte
+	body          bodyPieces
+	answerBytes   int64  // of memory that its answer takes
+	unread        bool   // the connection ends with the answer, as more of the request may come
 	content       uint64 // fingerprint of the request
 	start         clock.Time
 	route         *routing.Route
@@ -89,18 +89,19 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
-	c := &call{RequestHeaders: e.protocol.ParseRequest(r.Header), request: r, start: e.clock.Now()}
+	c := &call{RequestHeaders: e.protocol.ParseRequest(r.Header), request: r, conn: intake.FromContext(r.Context()), start: e.clock.Now()}
 	c.path, _, _ = strings.Cut(r.RequestURI, "?")
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if rej := e.validate(w, c); rej != nil {
+	if rej := e.receive(w, c); rej != nil {
 		e.reject(w, c, *rej)
 		return
 	}
 	ctx, cancel := withDeadline(r.Context(), e.clock, c.deadline)
 	defer cancel()
 	defer e.releaseReservation(c)
+	defer e.releaseAnswer(c)
 	if rej := e.waitForAdmission(ctx, c); rej != nil {
 		if r.Context().Err() != nil {
 			e.logOutcome(c, "left")
@@ -118,8 +119,8 @@
 	e.serveBuffered(ctx, w, c)
 }
 
-// validate authorizes the request, checks its size limits, reads its body and sets its deadline.
-func (e *Entry) validate(w http.ResponseWriter, c *call) *rejection {
+// validate authorizes the request, checks its limits and sets its deadline, all by its head; maxBody is the limit of its body.
+func (e *Entry) validate(c *call) (maxBody int, rej *rejection) {
 	select {
 	case <-e.joined: // takes a heartbeat of a peer, at most joinTimeout
 	case <-c.request.Context().Done():
@@ -127,46 +128,35 @@
 	e.waitForConfig(c)
 	view := e.state.View()
 	if view.Config == nil {
-		return &rejection{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: e.noConfigRetryAfter(c)}
+		return 0, &rejection{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: e.noConfigRetryAfter(c)}
 	}
 	if e.isTakenForServer(view, c) {
-		return &rejection{status: http.StatusMisdirectedRequest, reason: "an entry is registered as a backend server"}
+		return 0, &rejection{status: http.StatusMisdirectedRequest, reason: "an entry is registered as a backend server"}
 	}
 	if rej := e.authorize(view, c); rej != nil {
-		return rej
+		return 0, rej
 	}
 	if c.ID == "" {
-		return &rejection{status: http.StatusBadRequest, reason: "the request has no id"}
+		return 0, &rejection{status: http.StatusBadRequest, reason: "the request has no id"}
 	}
 	limits := view.Config.Limits
 	if limits.MaxHeaderBytes > 0 && headerSize(c.request) > limits.MaxHeaderBytes {
-		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too large"}
-	}
-	body := c.request.Body
-	if limits.MaxBodyBytes > 0 {
-		body = http.MaxBytesReader(w, body, int64(limits.MaxBodyBytes))
-	}
-	content, err := io.ReadAll(body)
-	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-		}
-		return &rejection{status: http.StatusBadRequest, reason: "the body can't be read: " + err.Error()}
+		return 0, &rejection{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too large"}
 	}
-	c.body, c.content = content, fingerprint(c.team.Name, c.request.RequestURI, content)
 	c.deadline = c.start.Add(c.timeout())
-	return e.rejectQuarantined(c)
+	return limits.MaxBodyBytes, nil
 }
 
+// maxTimeout is the time that a request may take if neither the caller nor the route sets a timeout.
+const maxTimeout = 10 * clock.Minute
+
 // timeout returns the time in ms that the request may take in all.
 func (c *call) timeout() clock.Span {
-	const maxTimeout = 10 * clock.Minute // upper bound, which also applies if neither the caller nor the route sets a timeout
 	limit := maxTimeout
 	if c.Timeout > 0 {
 		limit = min(limit, c.Timeout)
 	}
-	if c.route.Timeout > 0 {
+	if c.route != nil && c.route.Timeout > 0 {
 		limit = min(limit, c.route.Timeout)
 	}
 	return limit
@@ -381,7 +371,11 @@
 	}
 	e.protocol.SetRejectionHeaders(w.Header(), c.ID, rej.retryAfter)
 	w.Header().Set("Content-Length", "0")
+	if c.unread {
+		w.Header().Set("Connection", "close")
+	}
 	w.WriteHeader(rej.status)
+	e.endUnread(w, c)
 	e.metrics.Rejections.Get(rej.reason).Inc()
 	e.logOutcome(c, "refused", "status", rej.status, "reason", rej.reason, "after", rej.retryAfter, "last", c.lastFailure,
 		"crashes", strings.Join(rej.crashes, " "), "closed", c.closed)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -20,13 +20,19 @@
 }
 
 // readEvent reads one event up to its empty line; it returns io.EOF if the stream ended between events and
-// io.ErrUnexpectedEOF if it ended within one.
-func readEvent(r *bufio.Reader) (v event, err error) {
+// io.ErrUnexpectedEOF if it ended within one. The function large, nil for none, is called while the event is larger than the reader's
+// buffer.
+func readEvent(r *bufio.Reader, large func() error) (v event, err error) {
 	start := 0 // of the line
 	for {
 		part, err := r.ReadSlice('\n')
 		v.raw = append(v.raw, part...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(v.raw) < maxEventSize {
+			if large != nil {
+				if err := large(); err != nil {
+					return v, err
+				}
+			}
 			continue
 		}
 		if err != nil {
@@ -78,9 +84,10 @@
 // whether the other server had sent all of it can't be known.
 type eventSequence struct {
 	reader    *bufio.Reader
-	last      string // id of the last event that the caller has, empty for none
-	continues bool   // the caller's stream was begun by another attempt
-	numbered  bool   // this attempt sent an event with an id
+	last      string       // id of the last event that the caller has, empty for none
+	continues bool         // the caller's stream was begun by another attempt
+	numbered  bool         // this attempt sent an event with an id
+	large     func() error // takes the memory of a large event; nil for none
 }
 
 // next returns the next event that has an id together with those before it that have none. Others are held back, so that a
@@ -88,7 +95,7 @@
 // those that no other follows. It returns an error if the event doesn't belong to the stream, or if the stream can't end here.
 func (s *eventSequence) next() (v event, ended bool, err error) {
 	for {
-		part, err := readEvent(s.reader)
+		part, err := readEvent(s.reader, s.large)
 		ended = errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
 		if err != nil && !ended {
 			return v, false, err
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -12,13 +12,13 @@
 
 func TestReadEvent(t *testing.T) {
 	r := bufio.NewReaderSize(strings.NewReader("id: 1\ndata: "+strings.Repeat("x", 100)+"\n\n: comment\n\nid"), 16)
-	v, err := readEvent(r)
+	v, err := readEvent(r, nil)
 	require.NoError(t, err)
 	assert.Equal(t, "1", v.id)
-	v, err = readEvent(r)
+	v, err = readEvent(r, nil)
 	require.NoError(t, err)
 	assert.False(t, v.hasID)
-	_, err = readEvent(r)
+	_, err = readEvent(r, nil)
 	require.Error(t, err)
 }
 
@@ -28,7 +28,7 @@
 	for _, data := range []string{strings.Repeat("x", 10), strings.Repeat("x", 26), strings.Repeat("x", 10) + "id: 7", strings.Repeat("x", 10) + "id: 7890123456789"} {
 		t.Run(data, func(t *testing.T) {
 			text := "id: 1\ndata: " + data + "\ndata: y\n\n"
-			v, err := readEvent(bufio.NewReaderSize(strings.NewReader(text+"id: 2\n\n"), 16))
+			v, err := readEvent(bufio.NewReaderSize(strings.NewReader(text+"id: 2\n\n"), 16), nil)
 			require.NoError(t, err)
 			assert.Equal(t, text, string(v.raw))
 			assert.Equal(t, "1", v.id)
@@ -50,7 +50,7 @@
 		r := bufio.NewReaderSize(strings.NewReader(string(content)), 16)
 		read := 0
 		for {
-			v, err := readEvent(r)
+			v, err := readEvent(r, nil)
 			if err != nil {
 				return
 			}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -60,13 +59,13 @@
 }
 
 // outgoingRequest returns the request to send to a backend server.
-func outgoingRequest(in *http.Request, body []byte) *http.Request {
+func outgoingRequest(in *http.Request, body bodyPieces) *http.Request {
 	out := &http.Request{
 		Method:        in.Method,
 		URL:           &url.URL{Opaque: in.RequestURI},
 		Host:          in.Host,
 		Header:        endToEndHeaders(in.Header),
-		ContentLength: int64(len(body)),
+		ContentLength: int64(body.size()),
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
@@ -75,7 +74,7 @@
 		out.Header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
 	if len(body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(body))
+		out.Body = io.NopCloser(body.reader())
 	}
 	return out
 }
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -25,7 +25,12 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		if err := json.NewEncoder(w).Encode(newStateMessage(e.state.ChangesSince(after))); err != nil {
+		content, err := json.Marshal(newStateMessage(e.state.ChangesSince(after)))
+		if err == nil {
+			e.stateSize.Store(int64(len(content)))
+			_, err = w.Write(content)
+		}
+		if err != nil {
 			level.Warn(e.limitedLogger.Logger).Log("msg", "cluster state not sent to a peer", "error", err)
 		}
 	})
--- a/internal/gateway/route_test.go
+++ b/internal/gateway/route_test.go
@@ -160,7 +160,7 @@
 	l := e.loads
 	for _, part := range []any{
 		l.learning, l.servers, l.breakers, l.peerInFlight, l.peerTotals, l.namedRates, l.leaving, l.recovered, l.nextReport,
-		e.admission.services, e.admission.timeouts, len(e.retries.services), e.active.Load(), e.buffered.Load(), e.suspects.all(),
+		e.admission.services, e.admission.timeouts, len(e.retries.services), e.active.Load(), e.memory.budget.Usage(), e.suspects.all(),
 		metrics.String(), e.limitedLogger,
 	} {
 		var b strings.Builder
@@ -214,7 +214,7 @@
 	request := httptest.NewRequest(http.MethodPost, q.path, nil)
 	request.Host = q.host
 	c := &call{RequestHeaders: q.headers, request: request, path: q.path, start: now}
-	if rej := e.validate(httptest.NewRecorder(), c); rej != nil {
+	if rej := e.receive(httptest.NewRecorder(), c); rej != nil {
 		return nil, rej
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,17 +14,17 @@
 
 	"carawaypick/internal/engine"
 	"carawaypick/internal/lifecycle"
+	"carawaypick/internal/memory"
 	"carawaypick/internal/routing"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
 
 const (
-	cleanupInterval  = 250 * clock.Millisecond // between two removals of expired backend servers and idle connections
-	memoryLimitRatio = 0.6                     // of the instance's memory, as the Go runtime's soft limit
-	drainAcceptTime  = 3 * clock.Second        // maximum time after the stop signal for which new connections are accepted
-	exitMargin       = 700 * clock.Millisecond // between the drain deadline and the kill, to close the remaining connections
-	metricsRoute     = "/metrics"
+	cleanupInterval = 250 * clock.Millisecond // between two removals of expired backend servers and idle connections
+	drainAcceptTime = 3 * clock.Second        // maximum time after the stop signal for which new connections are accepted
+	exitMargin      = 700 * clock.Millisecond // between the drain deadline and the kill, to close the remaining connections
+	metricsRoute    = "/metrics"
 )
 
 // Run serves callers until ctx ends, then drains; it returns an error if a server or a loop fails.
@@ -35,7 +34,7 @@
 // only after a restart.
 func Run(ctx context.Context, s Settings, protocol Protocol, reload <-chan Reload, stdout io.Writer) (err error) {
 	defer func() { err = errors.Wrap(err, "run entry") }()
-	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryLimitRatio))
+	limitMemory(s)
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	output := telemetry.NewBoundedWriter()
@@ -68,6 +67,8 @@
 		joined:    make(chan struct{}),
 	}
 	e.suspects = newSuspectSet(c)
+	e.memory = newShares(s, c)
+	e.memory.budget.GaveWay = e.recordGaveWay
 	e.settings.Store(&s)
 	e.limitedLogger = &telemetry.RateLimitedLogger{Logger: logger, Clock: c, RoutineKinds: map[string]bool{"whole": true}}
 	e.state = NewClusterState(s, protocol.DecodeChange, c, logger, func(v *routing.View) {
@@ -108,6 +109,7 @@
 	e.reader.lost.Store(true) // until the store answers
 	e.retries = newRetryBudget(s, c.Now(), e.peers.Entries)
 	e.registerProgress()
+	e.registerMemory()
 	return e
 }
 
@@ -120,28 +122,27 @@
 		ended := lifecycle.Start(ctx, loop)
 		go func() { work <- errors.Wrap(<-ended, name) }()
 	}
-	handlers := []struct {
+	operators := func() int { return operatorMaxHead }
+	small := func() int64 { return 0 }
+	ports := []struct {
 		name, address string
+		share         *memory.Share
+		maxHead       func() int
 		handler       http.Handler
 	}{
-		{"front", s.Front, e},
-		{"ready", s.Ready, e.readyHandler()},
-		{"directory", s.Directory, e.directoryHandler()},
-		{"control", s.Control, e.peerHandler()},
-		{"metrics", net.JoinHostPort(s.IP, MetricsPort), e.metricsHandler()},
+		{"front", s.Front, e.memory.front, e.maxHead, e},
+		{"ready", s.Ready, e.memory.ready, operators, counted(small, e.readyHandler())},
+		{"directory", s.Directory, e.memory.directory, e.maxHead, counted(small, e.directoryHandler())},
+		{"control", s.Control, e.memory.control, operators, counted(e.stateCost, e.peerHandler())},
+		{"metrics", net.JoinHostPort(s.IP, MetricsPort), e.memory.metrics, operators, counted(func() int64 { return metricsCost }, e.metricsHandler())},
 	}
-	for _, h := range handlers {
-		listener, err := net.Listen("tcp", h.address)
+	for _, p := range ports {
+		listener, server, err := e.listen(ctx, p.address, p.share, p.maxHead, p.handler)
 		if err != nil {
-			return nil, nil, errors.Wrapf(err, "listen for %s", h.name)
-		}
-		server := &http.Server{
-			Handler:           h.handler,
-			ReadHeaderTimeout: readHeaderTimeout.Duration(),
-			IdleTimeout:       callerIdleTimeout.Duration(),
+			return nil, nil, err
 		}
 		servers = append(servers, server)
-		run(h.name, func(context.Context) error { return server.Serve(listener) })
+		run(p.name, func(context.Context) error { return server.Serve(listener) })
 	}
 	run("store", e.reader.Run)
 	run("store check", e.reader.CheckLoop)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -25,6 +25,8 @@
 	Store            string     // address of the metadata store
 	LinkMbps         float64    // throughput of the instance's link in Mbit/s; 0 if unknown
 	Memory           int64      // memory of the instance in bytes
+	HeldMemory       int64      // bytes that the process holds for others at most; 0 for a part of Memory
+	Sockets          int        // connections of clients that the process has open at most; 0 for a part of Descriptors
 	Cores            float64    // processor cores that the process may use; 0 if unknown
 	Descriptors      int        // file descriptors that the process may open; 0 if unknown
 	ShutdownGrace    clock.Span // ms from the stop signal until the process is killed
@@ -57,6 +59,12 @@
 	if s.Capacity.Least < 0 || !(s.Capacity.Factor >= 0) {
 		return errors.Newf("bounds of learned capacities can't be negative, got %d and %v", s.Capacity.Least, s.Capacity.Factor)
 	}
+	if s.HeldMemory < 0 || (s.Memory > 0 && s.HeldMemory > s.Memory) {
+		return errors.Newf("an instance with %d bytes can't hold %d for others", s.Memory, s.HeldMemory)
+	}
+	if s.Sockets < 0 || (s.Descriptors > 0 && s.Sockets > s.Descriptors) {
+		return errors.Newf("an instance with %d descriptors can't have %d connections of clients", s.Descriptors, s.Sockets)
+	}
 	named := []struct{ field, address string }{
 		{"front", s.Front},
 		{"ready", s.Ready},
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -116,7 +116,7 @@
 // forwardNonStream forwards a response with another status than 200 if the caller's stream has not started, and reports
 // whether it forwarded the response.
 func (e *Entry) forwardNonStream(c *call, cs *callerStream, s *routing.Server, x *exchange) (final bool) {
-	content, err := e.readBody(x.response.Body)
+	content, err := e.readBody(c, x.response)
 	if err != nil || !x.headers.valid(c.ID, x.response.StatusCode) || cs.started {
 		x.outcome, x.reason = outcomeUnknown, "status "+strconv.Itoa(x.response.StatusCode)
 		x.err = err
@@ -147,6 +147,7 @@
 func (e *Entry) forwardEvents(c *call, cs *callerStream, x *exchange) (err error) {
 	events := eventSequence{
 		reader: bufio.NewReaderSize(x.response.Body, connBufferSize), last: cs.lastEventID, continues: cs.started,
+		large: func() error { return e.takeLargeEvent(c) },
 	}
 	var times eventTimes
 	for size := 0; ; {
@@ -176,6 +177,19 @@
 	}
 }
 
+// takeLargeEvent takes the memory of the largest event, and of the buffer that it grows in, once for all events of the request.
+func (e *Entry) takeLargeEvent(c *call) error {
+	const cost = 2 * maxEventSize
+	if c.answerBytes > 0 {
+		return nil
+	}
+	if err := e.memory.answers.Take(cost); err != nil {
+		return errors.Wrap(err, "large event")
+	}
+	c.answerBytes = cost
+	return nil
+}
+
 // eventTimes are the times of the first and the last event of an attempt.
 type eventTimes struct {
 	first, last clock.Time
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -56,3 +56,8 @@
 func (c Clock) Since(t Time) Span {
 	return c.Now().Sub(t)
 }
+
+// Deadline returns the moment d milliseconds from now, for deadlines of connections.
+func Deadline(d Span) time.Time {
+	return time.Now().Add(d.Duration())
+}
