Don't hold a lack of descriptors or ports against backend servers

What callers saw: after an entry had run out of descriptors, ordinary requests got 503 although all backend servers were up.

Cause: a connection that fails for EMFILE counted as an unreachable backend server, which ejects it, and then all of them.

Change: such an attempt has the reason local. It was not sent, so its request may be tried again, and says nothing of the server.

--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -476,7 +476,7 @@
 // recordCapacity records how a server of a plain service served an attempt, and logs loads that can't be right. A server that
 // asks for a pause or is not the intended one tells nothing about its capacity.
 func (e *Entry) recordCapacity(c *call, s *routing.Server, x *exchange, sentAt clock.Time, before int) {
-	if !e.loads.coordinated() || x.reason == "left" || x.reason == "dial" {
+	if !e.loads.coordinated() || x.reason == "left" || x.reason == "dial" || x.reason == reasonLocal {
 		return
 	}
 	h, running := x.headers, -1
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -84,13 +84,14 @@
 // connPool keeps idle connections by backend server id.
 type connPool struct {
 	clock clock.Clock
+	open  func(ctx context.Context, address string) (net.Conn, error) // opens a connection
 
 	mu   sync.Mutex
 	idle map[string][]*serverConn
 }
 
 func newConnPool(c clock.Clock) *connPool {
-	return &connPool{clock: c, idle: make(map[string][]*serverConn)}
+	return &connPool{clock: c, open: openConn, idle: make(map[string][]*serverConn)}
 }
 
 // get returns an idle connection to the backend server on which the request was not rejected, or dials one; with fresh set, an
@@ -123,7 +124,8 @@
 	return nil
 }
 
-func (p *connPool) dial(ctx context.Context, address string) (c *serverConn, err error) {
+// openConn opens a connection to a backend server.
+func openConn(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout.Duration(),
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -133,7 +135,11 @@
 			Count:    keepAliveCount,
 		},
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+func (p *connPool) dial(ctx context.Context, address string) (c *serverConn, err error) {
+	conn, err := p.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -83,6 +84,9 @@
 // reuses only a connection that was idle for at most maxFreshIdle.
 func (e *Entry) send(ctx context.Context, s *routing.Server, request *http.Request, id string, fresh bool) (x exchange) {
 	conn, err := e.conns.get(ctx, s.ID, s.Address, id, fresh)
+	if isLocal(err) {
+		return exchange{outcome: outcomeNotExecuted, err: err, reason: reasonLocal}
+	}
 	if err != nil {
 		return exchange{outcome: outcomeNotExecuted, err: err, reason: "dial"}
 	}
@@ -121,6 +125,19 @@
 	return x
 }
 
+// reasonLocal is the reason of an attempt that failed for a lack of this instance, which says nothing about the backend server.
+const reasonLocal = "local"
+
+// isLocal reports whether a connection failed for a lack of this instance: of descriptors, ports or memory.
+func isLocal(err error) bool {
+	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, lack) {
+			return true
+		}
+	}
+	return false
+}
+
 // readFailureReason returns the reason word for a response that could not be read.
 func readFailureReason(ctx context.Context, err error) string {
 	if errors.Is(ctx.Err(), context.Canceled) {
