Bound the state of peers that an entry keeps

What was seen: heartbeats of 10,000 entries that don't exist, 50 KB each before they are compressed, ended an entry in 8 s. Each one stays for a minute, as an entry that was heard once may only be cut off.

Cause: the last heartbeat of each IP address that a heartbeat names is kept, without a bound on their number or size.

Change: heartbeats take memory from a share of their own, by their size once it is expanded. If it is full, peers that are silent are forgotten, the longest silent first; then heartbeats of further peers are dropped, so that those that are known stay. Relayed addresses are at most 4,096.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -61,17 +61,27 @@
 	return buffer.Bytes(), nil
 }
 
+// Expand returns the encoded message as it was before it was compressed, if it was, or an error. Its size tells the memory that the
+// decoded message takes.
+func Expand(content []byte) (expanded []byte, err error) {
+	defer func() { err = errors.Wrapf(err, "expand datagram of %d bytes", len(content)) }()
+	if len(content) == 0 || content[0] != compressedMark {
+		return content, nil
+	}
+	reader := flate.NewReader(bytes.NewReader(content[1:]))
+	if expanded, err = io.ReadAll(io.LimitReader(reader, MaxSize+1)); err != nil {
+		return nil, err
+	}
+	if len(expanded) > MaxSize {
+		return nil, errors.Newf("more than %d bytes", MaxSize)
+	}
+	return expanded, nil
+}
+
 // Decode decodes a message into the value that into points to, or returns an error.
 func Decode(content []byte, into any) (err error) {
-	defer func() { err = errors.Wrapf(err, "decode datagram of %d bytes", len(content)) }()
-	if len(content) > 0 && content[0] == compressedMark {
-		reader := flate.NewReader(bytes.NewReader(content[1:]))
-		if content, err = io.ReadAll(io.LimitReader(reader, MaxSize+1)); err != nil {
-			return err
-		}
-		if len(content) > MaxSize {
-			return errors.Newf("more than %d bytes", MaxSize)
-		}
+	if content, err = Expand(content); err != nil {
+		return err
 	}
-	return msgpack.Unmarshal(content, into)
+	return errors.Wrapf(msgpack.Unmarshal(content, into), "decode datagram of %d bytes", len(content))
 }
--- a/internal/gateway/heartbeat.go
+++ b/internal/gateway/heartbeat.go
@@ -46,6 +46,8 @@
 	Cores  float64                    // processor cores that the sender may use; 0 if unknown
 	Full   bool                       // the sender is short of descriptors or memory
 
+	size int // bytes of the message that it came in, not compressed
+
 	Ask        string // address of the engine whose group an agent asks for
 	AskGroup   string // group of the engine by its own report, empty if the agent doesn't know it
 	AskService string // service of the engine by the agent's settings, empty likewise
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,6 +17,7 @@
 	"carawaypick/internal/datagram"
 	"carawaypick/internal/engine"
 	"carawaypick/internal/lifecycle"
+	"carawaypick/internal/memory"
 	"carawaypick/internal/store"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
@@ -35,6 +36,7 @@
 	memberExpiry            = 10 * clock.Minute        // time without a sign of an entry after which no part of a server's rate is kept for it
 	settleTime              = clock.Second             // for an entry that starts to learn of all others
 	aloneTime               = 10 * clock.Second        // after which an entry that heard no other since its start counts as the only one
+	maxKnownPeers           = 4096                     // IP addresses that relayed heartbeats add, ten times the entries of the largest fleet
 	maxStoreReaders         = 3                        // entries that read the store, so that two of them may fail with hardly any effect
 )
 
@@ -44,6 +46,7 @@
 	lastSeen    clock.Time // last direct or relayed heartbeat
 	lastDirect  clock.Time // last heartbeat received from the peer itself
 	alive       bool
+	cost        int64 // bytes of memory
 }
 
 // PeerSet exchanges heartbeats with the other entries and tracks which of them are alive.
@@ -70,6 +73,8 @@
 
 	OnConfirmation func(changed store.Position, c confirmation) // receives how old the state of each sender is; nil for none
 
+	Memory *memory.Share // for the state of peers; nil for no limit
+
 	OnDemand func(heartbeat) // receives each heartbeat with the demand at its sender; nil for none
 
 	mu       sync.Mutex
@@ -233,7 +238,10 @@
 			continue
 		}
 		var hb heartbeat
-		err = datagram.Decode(buffer[:n], &hb)
+		content, err := datagram.Expand(buffer[:n])
+		if err == nil {
+			err = datagram.Decode(content, &hb)
+		}
 		if err == nil && hb.Ask != "" {
 			p.sendMemberList(conn, from, memberQuery{address: hb.Ask, group: hb.AskGroup, service: hb.AskService})
 			continue
@@ -241,6 +249,7 @@
 		if err == nil {
 			err = hb.limit()
 		}
+		hb.size = len(content)
 		if err != nil {
 			p.limited.Log("dropped", "level", level.WarnValue(), "msg", "peer message cannot be decoded, dropping it", "from", from, "bytes", n, "error", err)
 			continue
@@ -294,10 +303,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peer := p.peers[hb.IP]
+	if !p.takeMemory(peer, hb, now) {
+		return false
+	}
 	if peer == nil {
 		peer = &peerState{}
 		p.peers[hb.IP] = peer
 	}
+	peer.cost = hb.cost()
 	last := peer.lastMessage
 	if hb.Born < last.Born || (hb.Born == last.Born && hb.Number <= last.Number) {
 		if now.Sub(peer.lastDirect) < restartSilence {
@@ -344,6 +357,9 @@
 		return
 	}
 	if _, known := p.targets[relay.IP]; !known {
+		if len(p.targets) >= maxKnownPeers {
+			return
+		}
 		p.targets[relay.IP] = now
 	}
 	p.members[relay.IP] = now
@@ -367,7 +383,7 @@
 	for ip, lastSeen := range p.targets {
 		if len(p.targets) > 1 && now.Sub(lastSeen).Duration() > peerExpiry {
 			delete(p.targets, ip)
-			delete(p.peers, ip)
+			p.forget(ip)
 		}
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -101,6 +101,7 @@
 	e.loads.Bounds, e.loads.Coordinated, e.peers.OnCapacity = s.Capacity, e.coordinated, e.receiveCapacityReports
 	e.peers.OnConfirmation = e.state.AdoptConfirmation
 	e.peers.OnDemand = e.receiveDemand
+	e.peers.Memory = e.memory.peers
 	e.reader = &StoreReader{Protocol: protocol, State: e.state, Clock: c, Logger: logger, PeerSync: PeerSync{
 		ShouldRead: func(lost bool) bool { return e.peers.ShouldReadStore(lost, e.state.Position()) }, Pull: e.pullState, Updates: e.peers.Updates, Notify: e.peers.Notify,
 		Readers:  func(lost bool) (rank, count int) { return e.peers.StoreReaders(lost, e.state.Position()) },
