Bound the commands and messages that wait at an agent

What was seen: a flood of commands, while the engine answers none, gave a rank's agent 2,040 of 1,848 sockets and 156 of 152 MiB in 8 s.

Cause: each command or collection that another process sends starts a goroutine with a call to the engine, without a bound; 1,024 answers of up to 60 KiB could wait for the link.

Change: an agent carries out 64 commands and collections at a time and drops others with a log line; their sender sends them again, as after any lost datagram. At most 8 MiB wait for the link.

--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 
 	"carawaypick/internal/datagram"
 	"carawaypick/internal/lifecycle"
+	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 	"carawaypick/pkg/expert"
 )
@@ -29,6 +31,7 @@
 	takeoverDelay          = 500 * clock.Millisecond // multiplied by an agent's rank: time without a poll by a lower rank after which the agent coordinates the group
 	minAgentTimeout        = 250 * clock.Millisecond // time without a poll reply after which an agent is unresponsive and its engine is read remotely, at least
 	minRemoteReadAge       = 200 * clock.Millisecond // between two remote reads of one engine, which slow down its other requests
+	maxErrands             = 64                      // commands and collections of other agents that are carried out at a time, far above those of a switch
 	remoteReportAge        = 500 * clock.Millisecond // assumed age of a report that is read from another instance
 )
 
@@ -50,6 +53,7 @@
 	client   Client
 	clock    clock.Clock
 	logger   log.Logger
+	limited  *telemetry.RateLimitedLogger // for messages that can't be used, which may come as fast as the link carries them
 	conn     net.PacketConn
 
 	mu             sync.Mutex
@@ -63,7 +67,9 @@
 	collecting     *countSum             // counts that this agent collects for a coordinator, nil for none
 	nextEntry      int                   // number of requests for the group's members so far, which go to the entries in turn
 	maps           preparedMaps
+	errands        chan struct{}     // one for each command or collection of another agent that this agent carries out
 	large          chan largeMessage // messages that are sent at the pace of the link
+	largeBytes     atomic.Int64      // of the messages in large
 	replies        chan commandReply
 	statusReceived chan struct{} // signals a status that the coordinator waits for
 	firstEpoch     int64         // incarnation of the group in the first report that this process read, expert.None before
@@ -74,7 +80,7 @@
 
 // New returns an agent that is not running yet.
 func New(s Settings, client Client, c clock.Clock, logger log.Logger) *Agent {
-	return &Agent{settings: s, client: client, clock: c, logger: logger, polledByLower: c.Now(), sentCounts: make(map[int]countSnapshot), maps: make(preparedMaps), candidates: make(map[int][]Member), large: make(chan largeMessage, maxLargeMessages), replies: make(chan commandReply, 256), statusReceived: make(chan struct{}, 1), firstEpoch: expert.None, directedEpoch: expert.None}
+	return &Agent{settings: s, client: client, clock: c, logger: logger, limited: &telemetry.RateLimitedLogger{Logger: logger, Clock: c}, polledByLower: c.Now(), sentCounts: make(map[int]countSnapshot), maps: make(preparedMaps), candidates: make(map[int][]Member), large: make(chan largeMessage, maxLargeMessages), errands: make(chan struct{}, maxErrands), replies: make(chan commandReply, 256), statusReceived: make(chan struct{}, 1), firstEpoch: expert.None, directedEpoch: expert.None}
 }
 
 // Run listens for messages, polls the group and sends commands until ctx ends, or returns an error if it can't listen.
@@ -193,7 +199,7 @@
 		}
 		var m message
 		if err := datagram.Decode(buffer[:n], &m); err != nil {
-			level.Warn(a.logger).Log("msg", "message cannot be decoded; ignored", "from", from, "error", err)
+			a.limited.Log("decode", "level", level.WarnValue(), "msg", "message cannot be decoded; ignored", "from", from, "error", err)
 			continue
 		}
 		host, _, err := net.SplitHostPort(from.String())
@@ -204,6 +210,21 @@
 	}
 }
 
+// startErrand carries out work for another agent, unless too much of it waits for the engine already. The other agent asks again.
+func (a *Agent) startErrand(ctx context.Context, from, kind string, work func(context.Context)) {
+	select {
+	case a.errands <- struct{}{}:
+	default:
+		a.limited.Log("errands", "level", level.WarnValue(), "msg", "too many commands wait for the engine; message dropped", "from", from, "kind", kind)
+		return
+	}
+	lifecycle.Start(ctx, func(ctx context.Context) error {
+		defer func() { <-a.errands }()
+		work(ctx)
+		return nil
+	})
+}
+
 func (a *Agent) handleMessage(ctx context.Context, from string, m message) {
 	switch {
 	case m.Members != nil:
@@ -211,9 +232,9 @@
 	case m.Poll != nil:
 		a.answerPoll(ctx, from, *m.Poll)
 	case m.Command != nil:
-		a.relayCommand(ctx, *m.Command)
+		a.relayCommand(ctx, from, *m.Command)
 	case m.Collection != nil:
-		a.collect(ctx, *m.Collection)
+		a.collect(ctx, from, *m.Collection)
 	case m.CountRequest != nil:
 		a.answerCountRequest(ctx, from, *m.CountRequest)
 	case m.CountReply != nil:
--- a/internal/engine/collect.go
+++ b/internal/engine/collect.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"carawaypick/internal/lifecycle"
 	"carawaypick/pkg/clock"
 )
 
@@ -60,7 +59,7 @@
 }
 
 // collect collects the counts of the collection's ranks and sends their sum when all have arrived or collectTimeout is over.
-func (a *Agent) collect(ctx context.Context, c collection) {
+func (a *Agent) collect(ctx context.Context, from string, c collection) {
 	sum := &countSum{request: c, reply: countReply{Group: c.Group, Round: c.Round}, missing: len(c.Members) + 1}
 	a.mu.Lock()
 	if a.collecting != nil && a.collecting.request.Round == c.Round {
@@ -72,13 +71,12 @@
 	for _, ip := range c.Members {
 		a.send(ip, message{CountRequest: &countRequest{Group: c.Group, Rank: c.Rank, Round: c.Round}})
 	}
-	lifecycle.Start(ctx, func(ctx context.Context) error {
+	a.startErrand(ctx, from, "collect", func(ctx context.Context) {
 		own, ok := a.ownCounts(ctx, countRequest{Group: c.Group, Rank: c.Rank, Round: c.Round})
 		if !ok {
 			own = countReply{Group: c.Group, Round: c.Round}
 		}
 		a.receiveCounts(own)
-		return nil
 	})
 	time.AfterFunc(collectTimeout.Duration(), func() { a.finishCollection(sum) })
 }
--- a/internal/engine/commands.go
+++ b/internal/engine/commands.go
@@ -132,7 +132,7 @@
 }
 
 // relayCommand relays a command to its targets, sends it to the local engine and returns the reply to the coordinator.
-func (a *Agent) relayCommand(ctx context.Context, r relayedCommand) {
+func (a *Agent) relayCommand(ctx context.Context, from string, r relayedCommand) {
 	for _, target := range r.Targets {
 		a.sendRelay(relayedCommand{Command: r.Command, Map: r.Map, ReplyTo: r.ReplyTo, Targets: []relayTarget{target}})
 	}
@@ -140,10 +140,9 @@
 		a.send(r.ReplyTo, message{CommandReply: &commandReply{ID: r.Command.ID, Reply: expert.ReplyLost, UnknownBase: true}})
 		return
 	}
-	lifecycle.Start(ctx, func(ctx context.Context) error {
+	a.startErrand(ctx, from, r.Command.Op, func(ctx context.Context) {
 		result := a.sendCommand(ctx, a.settings.Engine, r.Command)
 		a.send(r.ReplyTo, message{CommandReply: &result})
-		return nil
 	})
 }
 
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -20,9 +20,15 @@
 		a.write(ip, content)
 		return
 	}
+	if a.largeBytes.Add(int64(len(content))) > maxLargeBytes {
+		a.largeBytes.Add(-int64(len(content)))
+		a.limited.Log("large", "level", level.WarnValue(), "msg", "too many bytes wait for the link; not sent", "to", ip, "bytes", len(content))
+		return
+	}
 	select {
 	case a.large <- largeMessage{to: ip, content: content}:
 	default:
+		a.largeBytes.Add(-int64(len(content)))
 		level.Warn(a.logger).Log("msg", "too many large messages wait; not sent", "to", ip, "bytes", len(content))
 	}
 }
@@ -37,6 +43,7 @@
 const (
 	minLargeMessage  = 1 << 10 // bytes from which messages are sent at the pace of the link, which drops what it can't queue
 	maxLargeMessages = 1024    // that wait to be sent
+	maxLargeBytes    = 8 << 20 // of messages that wait to be sent: seconds of the link, after which they are of no use
 )
 
 // largeMessage is an encoded message that waits to be sent.
@@ -53,6 +60,7 @@
 		case <-ctx.Done():
 			return
 		case m := <-a.large:
+			a.largeBytes.Add(-int64(len(m.content)))
 			a.write(m.to, m.content)
 			select {
 			case <-ctx.Done():
