Bound the bytes of log lines that wait for the output

Cause: 2,048 lines may wait while the output blocks, and a line holds what a caller sent as the id of its request, up to 16 KiB: 32 MiB.

Change: lines that wait have at most 4 MiB in all; further ones are dropped and counted, as before for their number.

--- a/internal/telemetry/ratelimit.go
+++ b/internal/telemetry/ratelimit.go
@@ -12,14 +12,16 @@
 )
 
 const (
-	maxQueuedLines        = 2048 // log lines buffered while the output blocks
-	routineLinesPerSecond = 40   // budget of a kind that reports success
-	otherLinesPerSecond   = 150  // budget of any other kind
+	maxQueuedLines        = 2048    // log lines buffered while the output blocks
+	maxQueuedBytes        = 4 << 20 // of these lines, which may hold what callers sent
+	routineLinesPerSecond = 40      // budget of a kind that reports success
+	otherLinesPerSecond   = 150     // budget of any other kind
 )
 
 // BoundedWriter is a non-blocking writer in front of one that may block: when its buffer is full, it drops lines and counts them.
 type BoundedWriter struct {
 	lines   chan []byte
+	queued  atomic.Int64 // bytes of the lines in the buffer
 	Dropped atomic.Uint64
 }
 
@@ -30,9 +32,16 @@
 
 // Write buffers a copy of one line, or drops the line when the buffer is full; it never fails.
 func (b *BoundedWriter) Write(line []byte) (n int, err error) {
+	size := int64(len(line))
+	if b.queued.Add(size) > maxQueuedBytes {
+		b.queued.Add(-size)
+		b.Dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case b.lines <- append([]byte(nil), line...):
 	default:
+		b.queued.Add(-size)
 		b.Dropped.Add(1)
 	}
 	return len(line), nil
@@ -43,6 +52,7 @@
 	for {
 		select {
 		case line := <-b.lines:
+			b.queued.Add(-int64(len(line)))
 			if _, err := w.Write(line); err != nil {
 				b.Dropped.Add(1)
 			}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -163,3 +164,17 @@
 		s.End()
 	}
 }
+
+// TestBoundedWriterBoundsBytes guards against long lines, which callers may cause, that fill the memory while the output blocks.
+func TestBoundedWriterBoundsBytes(t *testing.T) {
+	b := NewBoundedWriter()
+	line := bytes.Repeat([]byte("x"), 16<<10)
+	for range maxQueuedLines {
+		_, err := b.Write(line)
+		require.NoError(t, err)
+	}
+	held := int64(len(b.lines)) * int64(len(line))
+	assert.LessOrEqual(t, held, int64(maxQueuedBytes))
+	assert.Equal(t, uint64(maxQueuedLines-len(b.lines)), b.Dropped.Load())
+	assert.NoError(t, b.flush(io.Discard))
+}
