Bound the memory that entries and agents with tickets hold for others

What was seen: with default settings, 300 clients that stop one byte short of a body of 1 MiB ended an entry (330 MiB) and an agent (189 MiB, at its port for operators); 40 connections with a message of 8 MiB each but for its last byte ended either (176 to 230 MiB).

Cause: the HTTP server reads a whole body before a handler runs, for 4,096 connections; the gRPC server keeps up to 65,536 messages of 8 MiB on each of any number of connections.

Change: both ports of both roles take from one budget, limits.memory (64 MiB by default). All bytes of a request or message count, with the copies that the servers make; connections that send little while others need the room give way. A message that was received whole counts until its call ends. Servers keep no buffer of the last body on an idle connection.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -47,6 +47,7 @@
 	MaxCalls       int `json:"calls" jsonschema:"minimum=1,maximum=1000000" jsonschema_description:"Maximum number of calls in progress"`
 	MaxQueued      int `json:"queue" jsonschema:"minimum=1,maximum=100000" jsonschema_description:"Maximum number of requests waiting at an agent"`
 	MaxEventBytes  int `json:"event" jsonschema:"minimum=1024,maximum=4194304" jsonschema_description:"Largest event of a stream in bytes"`
+	Memory         int `json:"memory" jsonschema:"minimum=16,maximum=1048576" jsonschema_description:"Memory in MiB that the process holds for callers and other processes at most: connections, requests and messages"`
 	MaxConnections int `json:"connections" jsonschema:"minimum=1,maximum=1000000" jsonschema_description:"Maximum number of open HTTP connections"`
 }
 
@@ -79,7 +80,7 @@
 // Defaults returns the settings used where no source sets a value.
 func Defaults() Settings {
 	return Settings{
-		Limits: Limits{MaxBodyBytes: 1 << 20, MaxCalls: 4096, MaxQueued: 256, MaxEventBytes: 64 << 10, MaxConnections: 4096},
+		Limits: Limits{MaxBodyBytes: 1 << 20, MaxCalls: 4096, MaxQueued: 256, MaxEventBytes: 64 << 10, Memory: 64, MaxConnections: 4096},
 		Timing: Timing{
 			TTL:              5 * clock.Second,
 			BindingLifetime:  10 * clock.Second,
--- a/internal/intake/messages.go
+++ b/internal/intake/messages.go
@@ -1,8 +1,9 @@
 package intake
 
 const (
-	handledCost  = 256      // bytes of frames that a message comes with at most, beside its own
-	smallMessage = 16 << 10 // pending bytes up to which nothing is taken for a message that does not end
+	handledCost   = 256      // bytes of frames that a message comes with at most, beside its own
+	messageFactor = 2        // bytes of memory for each byte of a message: the one that was received and the one that is decoded
+	smallMessage  = 16 << 10 // pending bytes up to which nothing is taken for a message that does not end
 )
 
 // countMessage counts received bytes as pending until a message is handled.
@@ -14,23 +15,26 @@
 	if begins {
 		c.holder.Reopen()
 	}
-	if c.holder.Take(int64(received)) != nil {
+	if c.holder.Take(int64(received)*messageFactor) != nil {
 		return answerFull
 	}
 	return ""
 }
 
-// MessageHandled records that a message of so many bytes was received whole, or that something was sent in answer.
-func (c *Conn) MessageHandled(size int) {
+// MessageHandled records that a message of so many bytes was received whole, or with 0 that something was sent in answer. Of its memory
+// so many bytes stay taken; it returns how many the caller has to give back to the Holder.
+func (c *Conn) MessageHandled(size, keep int) (kept int64) {
 	c.mu.Lock()
-	freed := min(c.pending, int64(size+handledCost))
-	c.pending -= freed
+	handled := min(c.pending, int64(size+handledCost))
+	c.pending -= handled
 	done := c.pending <= smallMessage
 	c.mu.Unlock()
-	if freed > 0 {
+	kept = min(handled, int64(keep)) * messageFactor
+	if freed := handled*messageFactor - kept; freed > 0 {
 		c.holder.Release(freed)
 	}
 	if done {
 		c.holder.Keep() // one that gives way ends by itself
 	}
+	return kept
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +35,8 @@
 	Server    *grpc.Server
 	Views     operator.Views
 
+	limits     limits
+	stats      *peer.MessageStats
 	onUpdate   atomic.Pointer[func()]
 	stateTimer stateTimer
 }
@@ -66,12 +67,15 @@
 	}
 	c := clock.New()
 	pool := peer.NewPool(dial...)
+	messages := &peer.MessageStats{}
 	n = &Node{
 		Settings:  s,
 		Clock:     c,
 		Telemetry: t,
 		Pool:      pool,
-		Server:    grpc.NewServer(append(server, peer.ServerLimits()...)...),
+		Server:    grpc.NewServer(append(server, peer.ServerLimits(messages)...)...),
+		limits:    newLimits(s, c, t),
+		stats:     messages,
 	}
 	n.Member = newMember(n)
 	peerpb.RegisterPeerServer(n.Server, peerServer{node: n})
@@ -85,11 +89,11 @@
 			err = errors.Wrap(err, "run node")
 		}
 	}()
-	grpcListener, err := net.Listen("tcp", n.Settings.Peer)
+	grpcListener, err := n.limits.listenPeers(ctx, n.Settings.Peer, n.stats)
 	if err != nil {
 		return err
 	}
-	httpListener, err := net.Listen("tcp", n.Settings.Listen)
+	httpListener, err := n.limits.listenCallers(ctx, n.Settings.Listen, role.App)
 	if err != nil {
 		return errors.CombineErrors(err, grpcListener.Close())
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -8,6 +8,7 @@
 	"github.com/gofiber/fiber/v2/middleware/recover"
 
 	"carawaypick/internal/config"
+	"carawaypick/internal/intake"
 	"carawaypick/internal/telemetry"
 	"carawaypick/pkg/clock"
 )
@@ -123,6 +124,14 @@
 	return c.Send(content)
 }
 
+// KeepRequest is a handler that lets a request which was received whole stay in memory until it is answered.
+func KeepRequest(c *fiber.Ctx) error {
+	if conn, ok := c.Context().Conn().(*intake.Conn); ok {
+		conn.Holder().Keep() // one that gives way has lost its connection already
+	}
+	return c.Next()
+}
+
 // NewApp returns an HTTP server with the operator routes and the given limits.
 func NewApp(limits config.Limits, v Views) *fiber.App {
 	app := fiber.New(fiber.Config{
@@ -132,8 +141,10 @@
 		ReadBufferSize:        maxHeaderBytes,
 		ReadTimeout:           readTimeout.Duration(),
 		IdleTimeout:           idleTimeout.Duration(),
+		ReduceMemoryUsage:     true, // a connection without a request keeps no buffer of the last body
 	})
 	app.Use(recover.New())
+	app.Use(KeepRequest)
 	RegisterRoutes(app, v)
 	return app
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -14,6 +14,11 @@
 // maxMessageBytes is the maximum size in bytes of a gRPC message between the system's own processes.
 const maxMessageBytes = 8 << 20
 
+const (
+	maxHeaderBytes = 8 << 10 // of the metadata of a call
+	bufferBytes    = 8 << 10 // of a connection, for reading and for writing
+)
+
 // Limits of a connection between two of the system's own processes.
 const (
 	connectTimeout    = 1 * clock.Second        // minimum time before a connection attempt is given up
@@ -24,9 +29,13 @@
 	maxStreams        = 65536                   // concurrent calls on one connection
 )
 
-// ServerLimits returns the message, stream and keepalive limits of a gRPC server.
-func ServerLimits() []grpc.ServerOption {
+// ServerLimits returns the message, stream and keepalive limits of a gRPC server, which reports its messages to stats.
+func ServerLimits(messages *MessageStats) []grpc.ServerOption {
 	return []grpc.ServerOption{
+		grpc.StatsHandler(messages),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreams),
