Take no answer whose status the protocol does not have

What callers saw (MIXED): behind an agent, an engine's answer with the status 000 was passed on as 200. At an entry on the platform, 000 to 099 and 101 were taken for interim answers: each such request waited to its deadline (504, or none) with the engine's slot; 600 to 999 were passed on.

Cause: readResponseHead took all numbers below 200 for interim answers. Package fasthttp reads 000 as no status, which means 200.

Change: package http1 knows the statuses of the protocol, 100 to 599 without 101. Any other one ends the attempt as an answer that is broken: the request may have run, so it is tried again only where that is allowed, and else rejected at once with 502; a stream that goes on breaks off. Agents with tickets, and readers of tickets and lists, check the status line before the library reads it. Answers of the store, peers and engines' reports and orders are read by net/http, where any status but the expected ones is an error already.

--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"carawaypick/internal/http1"
 	"carawaypick/pkg/clock"
 )
 
@@ -71,7 +72,7 @@
 		return errors.Wrapf(ErrTruncated, "write: %v", err)
 	}
 	reader := readers.Get().(*bufio.Reader)
-	reader.Reset(conn)
+	reader.Reset(&http1.Conn{Conn: conn})
 	defer readers.Put(reader)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response) // deferred last, so that the response is released before its reader returns to the pool
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"carawaypick/internal/http1"
 	"carawaypick/pkg/clock"
 )
 
@@ -230,7 +231,10 @@
 		if err != nil {
 			return h, err
 		}
-		if h.response.StatusCode < http.StatusOK {
+		if err := http1.CheckStatus(h.response.StatusCode); err != nil {
+			return h, err
+		}
+		if http1.IsInterim(h.response.StatusCode) {
 			continue
 		}
 		h.headers = parse(h.response.StatusCode, h.response.Header)
--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"carawaypick/internal/http1"
 	"carawaypick/pkg/clock"
 )
 
@@ -147,5 +148,5 @@
 		return nil, err
 	}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	return conn, nil
+	return &http1.Conn{Conn: conn}, nil
 }
