Reject calls without the shared key before their messages are received

Cause: the key was checked by interceptors, which run once a message of up to 8 MiB is in memory.

Change: the tap of the server, which sees the metadata alone, checks the key as well. Tests of internal/peer green.

--- a/internal/peer/secure.go
+++ b/internal/peer/secure.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
 	"carawaypick/internal/config"
 )
@@ -39,7 +40,8 @@
 	}
 	if s.SharedKey != "" {
 		k := sha256.Sum256([]byte(s.SharedKey))
-		options = append(options, grpc.ChainUnaryInterceptor(unaryKeyCheck(k)), grpc.ChainStreamInterceptor(streamKeyCheck(k)))
+		// The tap rejects a call before its message is received, the interceptors guard its handler.
+		options = append(options, grpc.InTapHandle(tapKeyCheck(k)), grpc.ChainUnaryInterceptor(unaryKeyCheck(k)), grpc.ChainStreamInterceptor(streamKeyCheck(k)))
 	}
 	return options, nil
 }
@@ -121,11 +123,20 @@
 	}
 }
 
+func tapKeyCheck(want [sha256.Size]byte) tap.ServerInHandle {
+	return func(ctx context.Context, info *tap.Info) (context.Context, error) {
+		return ctx, checkKeys(info.Header.Get(keyHeader), want)
+	}
+}
+
 // checkKey returns an Unauthenticated error unless the call carries the shared key.
 //
 // It compares hashes in constant time, so that timing reveals neither the key nor its length.
 func checkKey(ctx context.Context, want [sha256.Size]byte) error {
-	values := metadata.ValueFromIncomingContext(ctx, keyHeader)
+	return checkKeys(metadata.ValueFromIncomingContext(ctx, keyHeader), want)
+}
+
+func checkKeys(values []string, want [sha256.Size]byte) error {
 	if len(values) == 1 {
 		got := sha256.Sum256([]byte(values[0]))
 		if subtle.ConstantTimeCompare(got[:], want[:]) == 1 {
