Give back a body's memory before its caller reads the rejection

What was seen: a body that gave way to another one kept its memory for the 300 ms in which its caller may read the answer, and the other one, which waits 200 ms for room, was rejected as well.

Cause: the memory of a request was given back with the end of its connection.

Change: it is given back once the answer is written. TestBodiesWithoutRoom, red before (503 for the other body), and tests of package intake and of reading bodies.

--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -184,7 +184,8 @@
 	return n, err
 }
 
-// endUnread lets the caller read the answer to a request of which more may come, and ends the connection for writing.
+// endUnread gives back the memory of a rejected request of which more may come, lets its caller read the answer, and ends the
+// connection for writing.
 func (e *Entry) endUnread(w http.ResponseWriter, c *call) {
 	if !c.unread || c.conn == nil {
 		return
@@ -192,6 +193,6 @@
 	if err := http.NewResponseController(w).Flush(); err != nil {
 		return // the caller has left
 	}
-	c.body = nil
+	c.conn.Holder().EndRequest()
 	c.conn.Linger()
 }
