Let a caller that sends its whole body first read that it was rejected

Cause: the connection was read for 0.3 s after a rejection, and ended 0.5 s later. A reset took the 503 away, and with it the promise that the request has not run, without which it is not tried again where it must not run twice.

Change: the rest of a rejected body is read and discarded as long as it comes, for 5 s at most, without memory; such a connection gives way like an idle one.

--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -17,6 +17,7 @@
 const (
 	firstPiece     = 4 << 10      // bytes of the first piece of a body without a length
 	bodyPiece      = 64 << 10     // bytes of a piece of a large body
+	maxDiscarded   = 64 << 20     // bytes of the rest of a rejected body that are read, so that its caller sees the rejection
 	activeCost     = 32 << 10     // bytes that a request takes beside head and body: what is received behind it and not read
 	roomRetryAfter = clock.Second // mean Retry-After of a request for which there is no memory
 	writeGrace     = clock.Second // beyond a request's deadline, for its caller to read the answer
@@ -194,5 +195,9 @@
 		return // the caller has left
 	}
 	c.conn.Holder().EndRequest()
-	c.conn.Linger()
+	rest := c.request.ContentLength
+	if rest < 0 {
+		rest = maxDiscarded
+	}
+	c.conn.Linger(min(rest, maxDiscarded))
 }
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -91,6 +91,16 @@
 		conn := begin(t, address, "large", bodyLimit, bodyLimit)
 		assertRejectedForMemory(t, answerTo(t, conn), "large")
 	})
+	t.Run("a caller on a slow link that reads nothing before it has sent all hears it", func(t *testing.T) {
+		_, _, address := startPort(t, 8)
+		conn := begin(t, address, "large", bodyLimit, 0)
+		for range 64 {
+			time.Sleep(30 * time.Millisecond)
+			_, err := io.WriteString(conn, strings.Repeat("x", bodyLimit/64))
+			require.NoError(t, err)
+		}
+		assertRejectedForMemory(t, answerTo(t, conn), "large")
+	})
 	t.Run("a body that is too large is not read", func(t *testing.T) {
 		_, b, address := startPort(t, 200)
 		assert.Equal(t, http.StatusRequestEntityTooLarge, answerTo(t, begin(t, address, "large", bodyLimit+1, 0)).StatusCode)
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -13,11 +13,13 @@
 )
 
 const (
-	lineCost      = 160                     // bytes of memory that a header line takes beside its own bytes once it is parsed
-	headSlack     = 4 << 10                 // bytes that a server may read beyond a head
-	lingerTime    = 300 * clock.Millisecond // for a client that still sends to read the answer, before its connection is reset
-	lingerBytes   = 8 << 20                 // bytes that are read and discarded meanwhile
-	answerTimeout = 50 * clock.Millisecond  // for an answer of its own, which fits into the socket's buffer
+	lineCost       = 160                     // bytes of memory that a header line takes beside its own bytes once it is parsed
+	headSlack      = 4 << 10                 // bytes that a server may read beyond a head
+	lingerTime     = 5 * clock.Second        // for a client that still sends to read the answer, before its connection is reset
+	lingerIdleTime = 500 * clock.Millisecond // without a byte, after which it has had the time to read it
+	lingerBuffer   = 4 << 10                 // bytes that are read at once meanwhile
+	lingerHead     = 256 << 10               // bytes that are read after a head that is refused
+	answerTimeout  = 50 * clock.Millisecond  // for an answer of its own, which fits into the socket's buffer
 )
 
 // Answers of a Conn to a request that it refuses. They don't name a request, as its head is not known.
@@ -112,30 +114,45 @@
 	if _, err := io.WriteString(c.Conn, answer); err != nil {
 		return // the client has gone
 	}
-	c.Linger()
+	c.Linger(lingerHead)
 }
 
-// Linger ends the connection for writing, and reads and discards what the client still sends for a moment. A connection that is closed
-// with unread bytes is reset, and the client may never see the answer.
-func (c *Conn) Linger() {
+// Linger ends the connection for writing, and reads and discards what the client still sends, at most so many bytes, as long as it does
+// send. A connection that is closed with unread bytes is reset, and a client that sends its whole request before it reads would never see
+// the answer. A connection that lingers holds no memory of a request, and gives way like an idle one.
+func (c *Conn) Linger(most int64) {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // fails if the client has gone, as does the read
 	}
-	_ = c.Conn.SetReadDeadline(clock.Deadline(lingerTime))
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
+	end := clock.Deadline(lingerTime)
+	buffer := make([]byte, lingerBuffer)
+	for most > 0 {
+		deadline := clock.Deadline(lingerIdleTime)
+		if end.Before(deadline) {
+			deadline = end
+		}
+		if c.SetReadDeadline(deadline) != nil {
+			return
+		}
+		n, err := c.Conn.Read(buffer[:min(most, lingerBuffer)])
+		if err != nil {
+			return
+		}
+		most -= int64(n)
+	}
 }
 
 // giveWay ends the request, or the connection if no handler has it yet.
 func (c *Conn) giveWay() {
 	c.mu.Lock()
-	handled, head := c.handled, c.head
+	handled, head, refused := c.handled, c.head, c.refused
 	c.gaveWay = true
 	c.mu.Unlock()
 	if handled {
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // the handler's read fails, and it answers
 		return
 	}
-	if head > 0 && !c.listener.port.Messages {
+	if head > 0 && !refused && !c.listener.port.Messages {
 		_ = c.SetWriteDeadline(clock.Deadline(answerTimeout))
 		_, _ = io.WriteString(c.Conn, answerFull) // the client may have gone
 	}
