--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -31,7 +31,6 @@
 	takeoverDelay          = 500 * clock.Millisecond // multiplied by an agent's rank: time without a poll by a lower rank after which the agent coordinates the group
 	minAgentTimeout        = 250 * clock.Millisecond // time without a poll reply after which an agent is unresponsive and its engine is read remotely, at least
 	minRemoteReadAge       = 200 * clock.Millisecond // between two remote reads of one engine, which slow down its other requests
-	maxErrands             = 64                      // commands and collections of other agents that are carried out at a time, far above those of a switch
 	remoteReportAge        = 500 * clock.Millisecond // assumed age of a report that is read from another instance
 )
 
@@ -210,21 +209,6 @@
 	}
 }
 
-// startErrand carries out work for another agent, unless too much of it waits for the engine already. The other agent asks again.
-func (a *Agent) startErrand(ctx context.Context, from, kind string, work func(context.Context)) {
-	select {
-	case a.errands <- struct{}{}:
-	default:
-		a.limited.Log("errands", "level", level.WarnValue(), "msg", "too many commands wait for the engine; message dropped", "from", from, "kind", kind)
-		return
-	}
-	lifecycle.Start(ctx, func(ctx context.Context) error {
-		defer func() { <-a.errands }()
-		work(ctx)
-		return nil
-	})
-}
-
 func (a *Agent) handleMessage(ctx context.Context, from string, m message) {
 	switch {
 	case m.Members != nil:
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -57,6 +57,9 @@
 	content, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
+	if response.Close {
+		response.Header.Set("Connection", "close") // which the library takes out
+	}
 	return callerResponse{status: response.StatusCode, header: response.Header, body: string(content)}
 }
 
