--- a/internal/caller/http.go
+++ b/internal/caller/http.go
@@ -49,7 +49,7 @@
 		ReduceMemoryUsage:     true, // a connection without a request keeps no buffer of the last body
 	})
 	app.Use(recover.New())
-	app.Use(operator.KeepRequest)
+	app.Use(operator.PinRequest)
 	app.Get("/v1/locate", e.locate)
 	app.All("/v1/call/:service/*", e.call)
 	app.All("/v1/call/:service", e.call)
--- a/internal/engine/agent.go
+++ b/internal/engine/agent.go
@@ -66,7 +66,7 @@
 	collecting     *countSum             // counts that this agent collects for a coordinator, nil for none
 	nextEntry      int                   // number of requests for the group's members so far, which go to the entries in turn
 	maps           preparedMaps
-	errands        chan struct{}     // one for each command or collection of another agent that this agent carries out
+	remoteWork     chan struct{}     // one for each command or collection of another agent that this agent carries out
 	large          chan largeMessage // messages that are sent at the pace of the link
 	largeBytes     atomic.Int64      // of the messages in large
 	replies        chan commandReply
@@ -79,7 +79,7 @@
 
 // New returns an agent that is not running yet.
 func New(s Settings, client Client, c clock.Clock, logger log.Logger) *Agent {
-	return &Agent{settings: s, client: client, clock: c, logger: logger, limited: &telemetry.RateLimitedLogger{Logger: logger, Clock: c}, polledByLower: c.Now(), sentCounts: make(map[int]countSnapshot), maps: make(preparedMaps), candidates: make(map[int][]Member), large: make(chan largeMessage, maxLargeMessages), errands: make(chan struct{}, maxErrands), replies: make(chan commandReply, 256), statusReceived: make(chan struct{}, 1), firstEpoch: expert.None, directedEpoch: expert.None}
+	return &Agent{settings: s, client: client, clock: c, logger: logger, limited: &telemetry.RateLimitedLogger{Logger: logger, Clock: c}, polledByLower: c.Now(), sentCounts: make(map[int]countSnapshot), maps: make(preparedMaps), candidates: make(map[int][]Member), large: make(chan largeMessage, maxLargeMessages), remoteWork: make(chan struct{}, maxRemoteWork), replies: make(chan commandReply, 256), statusReceived: make(chan struct{}, 1), firstEpoch: expert.None, directedEpoch: expert.None}
 }
 
 // Run listens for messages, polls the group and sends commands until ctx ends, or returns an error if it can't listen.
--- a/internal/engine/collect.go
+++ b/internal/engine/collect.go
@@ -71,7 +71,7 @@
 	for _, ip := range c.Members {
 		a.send(ip, message{CountRequest: &countRequest{Group: c.Group, Rank: c.Rank, Round: c.Round}})
 	}
-	a.startErrand(ctx, from, "collect", func(ctx context.Context) {
+	a.runForAgent(ctx, from, "collect", func(ctx context.Context) {
 		own, ok := a.ownCounts(ctx, countRequest{Group: c.Group, Rank: c.Rank, Round: c.Round})
 		if !ok {
 			own = countReply{Group: c.Group, Round: c.Round}
--- a/internal/engine/commands.go
+++ b/internal/engine/commands.go
@@ -140,7 +140,7 @@
 		a.send(r.ReplyTo, message{CommandReply: &commandReply{ID: r.Command.ID, Reply: expert.ReplyLost, UnknownBase: true}})
 		return
 	}
-	a.startErrand(ctx, from, r.Command.Op, func(ctx context.Context) {
+	a.runForAgent(ctx, from, r.Command.Op, func(ctx context.Context) {
 		result := a.sendCommand(ctx, a.settings.Engine, r.Command)
 		a.send(r.ReplyTo, message{CommandReply: &result})
 	})
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -126,7 +126,7 @@
 		_ = control.SetWriteDeadline(clock.Deadline(operatorTimeout))
 		if c := intake.FromContext(r.Context()); c != nil {
 			c.HeadRead()
-			if c.Holder().Take(cost()) != nil || !c.Holder().Keep() {
+			if c.Holder().Take(cost()) != nil || !c.Holder().Pin() {
 				w.Header().Set("Retry-After", "1")
 				w.Header().Set("Connection", "close")
 				w.WriteHeader(http.StatusServiceUnavailable)
@@ -156,10 +156,10 @@
 	}
 }
 
-// recordGaveWay counts and logs a connection or request that gave way; the budget is locked.
-func (e *Entry) recordGaveWay(share, reason string) {
-	e.metrics.GaveWay.Get(share + " " + reason).Inc()
-	e.limitedLogger.Log("memory", "msg", "a connection or request gave way, or found no memory", "port", share, "reason", reason)
+// recordPressure counts and logs an eviction or rejection; the budget is locked.
+func (e *Entry) recordPressure(share, reason string) {
+	e.metrics.MemoryPressure.Get(share + " " + reason).Inc()
+	e.limitedLogger.Log("memory", "msg", "no memory left, connection or request evicted or rejected", "port", share, "reason", reason)
 }
 
 // registerMemory adds gauges of the memory that is held for others.
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -76,7 +76,7 @@
 	if err := c.conn.Holder().Take(activeCost); err != nil {
 		return err
 	}
-	if !hasBody && !c.conn.Holder().Keep() {
+	if !hasBody && !c.conn.Holder().Pin() {
 		return memory.ErrFull
 	}
 	return nil
@@ -92,7 +92,7 @@
 	}
 	_ = control.SetReadDeadline(clock.Deadline(max(c.deadline.Sub(e.clock.Now()), 1)))
 	body, err := readPieces(c.request.Body, c.request.ContentLength, limit, c.take)
-	if err == nil && c.conn != nil && !c.conn.Holder().Keep() {
+	if err == nil && c.conn != nil && !c.conn.Holder().Pin() {
 		err = memory.ErrFull
 	}
 	if err == nil {
@@ -105,7 +105,7 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-	case errors.Is(err, memory.ErrFull) || (c.conn != nil && c.conn.Holder().GivesWay()):
+	case errors.Is(err, memory.ErrFull) || (c.conn != nil && c.conn.Holder().Evicted()):
 		return rejectionOfMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &rejection{status: http.StatusRequestTimeout, reason: "the body did not come in time"}
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -73,7 +73,7 @@
 
 // TestBodiesWithoutRoom guards against callers that don't hear in time, or not truthfully, that there is no room for their bodies.
 func TestBodiesWithoutRoom(t *testing.T) {
-	t.Run("a body that stopped gives way and was not run", func(t *testing.T) {
+	t.Run("a body that stopped is evicted and was not run", func(t *testing.T) {
 		_, b, address := startPort(t, 18)
 		stopped := begin(t, address, "stopped", bodyLimit, bodyLimit-1)
 		time.Sleep(4 * time.Second)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -68,7 +68,7 @@
 	}
 	e.suspects = newSuspectSet(c)
 	e.memory = newShares(s, c)
-	e.memory.budget.GaveWay = e.recordGaveWay
+	e.memory.budget.OnPressure = e.recordPressure
 	e.settings.Store(&s)
 	e.limitedLogger = &telemetry.RateLimitedLogger{Logger: logger, Clock: c, RoutineKinds: map[string]bool{"whole": true}}
 	e.state = NewClusterState(s, protocol.DecodeChange, c, logger, func(v *routing.View) {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -37,8 +37,9 @@
 	mu      sync.Mutex
 	head    int   // bytes received of the head
 	handled bool  // a handler counts what is read
-	gaveWay bool  // the request ends by a read error
+	evicted bool  // the request ends by a read error
 	refused bool  // an answer of its own was sent
+	lingers bool  // the answer is sent, and what comes is discarded
 	pending int64 // bytes of messages that were received and not handled yet
 }
 
@@ -101,7 +102,7 @@
 // refuse answers the request and lets the client read the answer.
 func (c *Conn) refuse(answer string) {
 	c.mu.Lock()
-	if c.refused || c.gaveWay {
+	if c.refused || c.evicted {
 		c.mu.Unlock()
 		return
 	}
@@ -119,8 +120,11 @@
 
 // Linger ends the connection for writing, and reads and discards what the client still sends, at most so many bytes, as long as it does
 // send. A connection that is closed with unread bytes is reset, and a client that sends its whole request before it reads would never see
-// the answer. A connection that lingers holds no memory of a request, and gives way like an idle one.
+// the answer. A connection that lingers holds no memory of a request, and is evicted like an idle one.
 func (c *Conn) Linger(most int64) {
+	c.mu.Lock()
+	c.lingers = true
+	c.mu.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // fails if the client has gone, as does the read
 	}
@@ -142,28 +146,28 @@
 	}
 }
 
-// giveWay ends the request, or the connection if no handler has it yet.
-func (c *Conn) giveWay() {
+// evict ends the request, or the connection if no handler reads from it.
+func (c *Conn) evict() {
 	c.mu.Lock()
-	handled, head, refused := c.handled, c.head, c.refused
-	c.gaveWay = true
+	handled, answers := c.handled && !c.lingers, c.head > 0 && !c.refused && !c.lingers && !c.listener.port.Messages
+	c.evicted = true
 	c.mu.Unlock()
 	if handled {
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // the handler's read fails, and it answers
 		return
 	}
-	if head > 0 && !refused && !c.listener.port.Messages {
+	if answers {
 		_ = c.SetWriteDeadline(clock.Deadline(answerTimeout))
 		_, _ = io.WriteString(c.Conn, answerFull) // the client may have gone
 	}
 	_ = c.Close() // whether or not the peer has gone
 }
 
-// SetReadDeadline implements net.Conn; it does not revive a request that gave way.
+// SetReadDeadline implements net.Conn; it does not revive an evicted request.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gaveWay {
+	if c.evicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -50,7 +50,7 @@
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			c := FromContext(r.Context())
 			c.HeadRead()
-			c.Holder().Keep()
+			c.Holder().Pin()
 			if r.URL.Path == "/wait" {
 				<-s.release
 			}
@@ -121,7 +121,7 @@
 	})
 }
 
-func TestConnectionsGiveWay(t *testing.T) {
+func TestIdleConnectionIsEvicted(t *testing.T) {
 	s := startServer(t, memory.Limits{Bytes: 1 << 20, Holders: 2})
 	first, second := s.dial(t), s.dial(t)
 	answered := make(chan int, 1)
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -58,7 +58,7 @@
 			return nil, err
 		}
 		c := &Conn{Conn: inner, listener: l}
-		c.holder, err = l.port.Share.Open(l.port.Cost, c.giveWay)
+		c.holder, err = l.port.Share.Open(l.port.Cost, c.evict)
 		if err != nil {
 			_ = inner.Close() // nothing was read from it
 			continue
--- a/internal/intake/messages.go
+++ b/internal/intake/messages.go
@@ -13,7 +13,7 @@
 	c.pending += int64(received)
 	c.mu.Unlock()
 	if begins {
-		c.holder.Reopen()
+		c.holder.Unpin()
 	}
 	if c.holder.Take(int64(received)*messageFactor) != nil {
 		return answerFull
@@ -34,7 +34,7 @@
 		c.holder.Release(freed)
 	}
 	if done {
-		c.holder.Keep() // one that gives way ends by itself
+		c.holder.Pin() // an evicted one ends by itself
 	}
 	return kept
 }
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -8,13 +8,13 @@
 	"carawaypick/pkg/clock"
 )
 
-// ErrFull is returned for memory or a connection that a share does not have, even if others give way.
+// ErrFull is returned for memory or a connection that a share does not have, even after evictions.
 var ErrFull = errors.New("no memory is left for it")
 
 // Budget is all memory that a process holds for others.
 type Budget struct {
-	Clock   clock.Clock
-	GaveWay func(share, reason string) // counts a holder that gave way, or that got nothing; nil for none
+	Clock      clock.Clock
+	OnPressure func(share, reason string) // called for each eviction and each rejection, with mu held; nil for none
 
 	mu     sync.Mutex
 	shares []*Share
@@ -94,12 +94,12 @@
 	return Usage{Name: s.Name, Used: s.used, Limit: s.Limits.Bytes, Peak: s.peak, Holders: len(s.holders)}
 }
 
-// Take takes bytes that belong to no holder, or returns ErrFull. Nobody gives way for them.
+// Take takes bytes that belong to no holder, or returns ErrFull. No holder is evicted for them.
 func (s *Share) Take(n int64) error {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
 	if !s.fits(n, 0) {
-		s.gaveWay(ReasonFull)
+		s.reportPressure(ReasonFull)
 		return ErrFull
 	}
 	s.add(n, 0)
@@ -137,8 +137,8 @@
 	s.freed = make(chan struct{})
 }
 
-func (s *Share) gaveWay(reason string) {
-	if s.budget.GaveWay != nil {
-		s.budget.GaveWay(s.Name, reason)
+func (s *Share) reportPressure(reason string) {
+	if s.budget.OnPressure != nil {
+		s.budget.OnPressure(s.Name, reason)
 	}
 }
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -13,7 +13,7 @@
 
 const kilobyte = 1 << 10
 
-// rig is a budget with one share on a clock that the test advances. Holders that have to give way close at once.
+// rig is a budget with one share on a clock that the test advances. Evicted holders close at once.
 type rig struct {
 	t     require.TestingT
 	now   clock.Time
@@ -24,7 +24,7 @@
 
 func newRig(t require.TestingT, limits Limits) *rig {
 	r := &rig{t: t, now: 1, gone: make(map[*Holder]bool)}
-	budget := &Budget{Clock: clock.Manual(&r.now), GaveWay: func(_, reason string) { r.why = append(r.why, reason) }}
+	budget := &Budget{Clock: clock.Manual(&r.now), OnPressure: func(_, reason string) { r.why = append(r.why, reason) }}
 	r.share = budget.Share("front", limits)
 	return r
 }
@@ -101,7 +101,7 @@
 	t.Run("whole requests stay", func(t *testing.T) {
 		r := newRig(t, Limits{Bytes: 1000 * kilobyte})
 		h := r.taken("a", 800*kilobyte, 800*kilobyte)
-		require.True(t, h.Keep())
+		require.True(t, h.Pin())
 		r.now = r.now.Add(clock.Minute)
 		_, err := r.request("b", 400*kilobyte, 1)
 		assert.ErrorIs(t, err, ErrFull)
@@ -111,8 +111,8 @@
 		r := newRig(t, Limits{Bytes: 1000 * kilobyte})
 		h := r.taken("a", 800*kilobyte, 1)
 		r.now = r.now.Add(clock.Minute)
-		assert.False(t, h.GivesWay())
-		assert.True(t, h.Keep())
+		assert.False(t, h.Evicted())
+		assert.True(t, h.Pin())
 	})
 }
 
@@ -129,7 +129,7 @@
 	t.Run("for another team", func(t *testing.T) {
 		r.taken("other", 200*kilobyte, 1)
 		assert.NotEmpty(t, r.gone)
-		assert.Contains(t, r.why, ReasonCrowd)
+		assert.Contains(t, r.why, ReasonTeam)
 	})
 	t.Run("but not for its own requests", func(t *testing.T) {
 		before := len(r.gone)
@@ -140,7 +140,7 @@
 }
 
 func TestConnections(t *testing.T) {
-	t.Run("an idle one gives way to a new one", func(t *testing.T) {
+	t.Run("an idle one is evicted for a new one", func(t *testing.T) {
 		r := newRig(t, Limits{Bytes: 1000 * kilobyte, Holders: 2})
 		first, err := r.open()
 		require.NoError(t, err)
@@ -157,7 +157,7 @@
 	t.Run("a new one finds no room beside whole requests", func(t *testing.T) {
 		r := newRig(t, Limits{Bytes: 1000 * kilobyte, Holders: 1})
 		h := r.taken("a", kilobyte, 1)
-		require.True(t, h.Keep())
+		require.True(t, h.Pin())
 		r.now = r.now.Add(clock.Minute)
 		_, err := r.open()
 		assert.ErrorIs(t, err, ErrFull)
@@ -206,7 +206,7 @@
 				open[i].EndRequest()
 				kept[open[i]] = false
 			case action == 3:
-				kept[open[i]] = open[i].Keep()
+				kept[open[i]] = open[i].Pin()
 			default:
 				open[i].Received(rapid.IntRange(1, 100*kilobyte).Draw(t, "received"))
 				open[i].SetTeam(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"))
@@ -223,7 +223,7 @@
 			assert.LessOrEqual(t, r.share.bulk, limits.Bulk)
 			assert.LessOrEqual(t, len(r.share.holders), limits.Holders)
 			for h, whole := range kept {
-				assert.False(t, whole && h.leaving, "a whole request gave way")
+				assert.False(t, whole && h.evicted, "a pinned holder was evicted")
 			}
 		}
 	})
@@ -237,7 +237,7 @@
 		h.Received(500)
 		_ = h.Take(1000)
 		h.SetTeam("a")
-		h.Keep()
+		h.Pin()
 		h.EndRequest()
 	}
 }
--- a/internal/memory/holder.go
+++ b/internal/memory/holder.go
@@ -13,15 +13,15 @@
 type phase int
 
 const (
-	idle    phase = iota // no request, or nothing of one yet
-	partial              // a request is being received
-	whole                // the request was received whole and is answered; its holder never gives way
+	idle      phase = iota // no request, or nothing of one yet
+	receiving              // a request is being received
+	pinned                 // the request was received whole and is answered; its holder is never evicted
 )
 
 const (
 	largePiece  = 64 << 10                // bytes of a request beyond which its memory counts as bulk
 	paceHalf    = 500 * clock.Millisecond // half-life of the bytes by which a holder's pace is judged
-	roomTimeout = 200 * clock.Millisecond // longest wait for memory of holders that give way
+	roomTimeout = 200 * clock.Millisecond // longest wait for the memory of evicted holders
 )
 
 // Holder is one connection, with the request on it.
@@ -34,7 +34,7 @@
 	bulk    int64 // bytes of held in large pieces
 	phase   phase
 	team    string
-	leaving bool
+	evicted bool
 
 	received   float64 // bytes, halved each paceHalf since receivedAt
 	receivedAt clock.Time
@@ -42,7 +42,7 @@
 }
 
 // Open adds the holder of a connection that takes so many bytes, or returns ErrFull. The function evict is called, at most once and
-// without locks, if the holder has to give way; it must lead to Close or EndRequest soon.
+// without locks, if the holder is evicted; it must lead to Close or EndRequest soon.
 func (s *Share) Open(cost int64, evict func()) (h *Holder, err error) {
 	now := s.budget.Clock.Now()
 	h = &Holder{share: s, evict: evict, receivedAt: now, since: now}
@@ -52,7 +52,7 @@
 	return h, nil
 }
 
-// Take takes bytes for the request, or returns ErrFull. Others may have to give way.
+// Take takes bytes for the request, or returns ErrFull. Others may be evicted.
 func (h *Holder) Take(n int64) error {
 	return h.share.makeRoom(h, n, false)
 }
@@ -70,7 +70,7 @@
 	h.share.budget.mu.Lock()
 	defer h.share.budget.mu.Unlock()
 	if h.phase == idle {
-		h.phase, h.since = partial, now
+		h.phase, h.since = receiving, now
 	}
 	h.received = h.recent(now) + float64(n)
 	h.receivedAt = now
@@ -83,31 +83,31 @@
 	h.team = team
 }
 
-// Keep records that the request was received whole, so that its holder never gives way; it returns false if it has to already.
-func (h *Holder) Keep() bool {
+// Pin records that the request was received whole, so that its holder is not evicted; it returns false if it was already.
+func (h *Holder) Pin() bool {
 	h.share.budget.mu.Lock()
 	defer h.share.budget.mu.Unlock()
-	if !h.leaving {
-		h.phase = whole
+	if !h.evicted {
+		h.phase = pinned
 	}
-	return !h.leaving
+	return !h.evicted
 }
 
-// Reopen records that more is received after a request that was kept.
-func (h *Holder) Reopen() {
+// Unpin records that more is received after a request that was kept.
+func (h *Holder) Unpin() {
 	now := h.share.budget.Clock.Now()
 	h.share.budget.mu.Lock()
 	defer h.share.budget.mu.Unlock()
-	if h.phase != partial {
-		h.phase, h.since, h.received = partial, now, 0
+	if h.phase != receiving {
+		h.phase, h.since, h.received = receiving, now, 0
 	}
 }
 
-// GivesWay reports whether the holder has to give way.
-func (h *Holder) GivesWay() bool {
+// Evicted reports whether the holder was evicted.
+func (h *Holder) Evicted() bool {
 	h.share.budget.mu.Lock()
 	defer h.share.budget.mu.Unlock()
-	return h.leaving
+	return h.evicted
 }
 
 // EndRequest gives back the memory of the request; the connection stays.
@@ -144,8 +144,8 @@
 	return h.received * math.Exp2(-float64(now.Sub(h.receivedAt))/float64(paceHalf))
 }
 
-// makeRoom takes n bytes for the holder, a new one if open is set. If the share is full, it makes others give way and waits until they
-// have; ErrFull means that no other one has to, or that they didn't in time.
+// makeRoom takes n bytes for the holder, a new one if open is set. If the share is full, it evicts others and waits for their
+// memory; ErrFull means that none may be evicted, or that they took too long.
 func (s *Share) makeRoom(h *Holder, n int64, open bool) error {
 	freed, err := s.tryRoom(h, n, open)
 	if freed == nil {
@@ -157,7 +157,7 @@
 		select {
 		case <-freed:
 		case <-timeout.C:
-			err = errors.Wrap(ErrFull, "others did not give way in time")
+			err = errors.Wrap(ErrFull, "evicted holders did not release it in time")
 		}
 		s.budget.mu.Lock()
 		s.waiting--
@@ -171,13 +171,13 @@
 	}
 }
 
-// tryRoom takes n bytes for the holder, or makes others give way: then it returns a channel that is closed when memory is given back,
+// tryRoom takes n bytes for the holder, or evicts others: then it returns a channel that is closed when memory is given back,
 // and counts the caller as waiting.
 func (s *Share) tryRoom(h *Holder, n int64, open bool) (freed <-chan struct{}, err error) {
 	s.budget.mu.Lock()
-	if h.leaving {
+	if h.evicted {
 		s.budget.mu.Unlock()
-		return nil, errors.Wrap(ErrFull, "gave way")
+		return nil, errors.Wrap(ErrFull, "evicted")
 	}
 	if s.takeNow(h, n, open) {
 		s.budget.mu.Unlock()
@@ -185,13 +185,13 @@
 	}
 	victims, enough := s.victims(h, n, open)
 	if !enough {
-		s.gaveWay(ReasonFull)
+		s.reportPressure(ReasonFull)
 		s.budget.mu.Unlock()
 		return nil, ErrFull
 	}
 	for _, v := range victims {
-		v.leaving = true
-		s.gaveWay(v.reason())
+		v.evicted = true
+		s.reportPressure(v.reason())
 	}
 	s.waiting++
 	freed = s.freed
--- a/internal/memory/pressure.go
+++ b/internal/memory/pressure.go
@@ -7,38 +7,38 @@
 	"carawaypick/pkg/clock"
 )
 
-// Reasons for which a holder gives way, or gets nothing.
+// Reasons for evictions and rejections.
 const (
-	ReasonFull  = "full"  // nobody had to give way for it
-	ReasonIdle  = "idle"  // an idle connection, for which others need the room
-	ReasonSlow  = "slow"  // a request that comes in slowly or not at all
-	ReasonCrowd = "crowd" // a request of the team that holds most
+	ReasonFull = "full"  // rejected, as nobody may be evicted
+	ReasonIdle = "idle"  // an idle connection, for which others need the room
+	ReasonSlow = "slow"  // a request that comes in slowly or not at all
+	ReasonTeam = "crowd" // a request of the team that holds most
 )
 
 const (
-	minIdleTime  = 100 * clock.Millisecond // for which a connection may send nothing before it gives way
+	minIdleTime  = 100 * clock.Millisecond // for which a connection may send nothing before it may be evicted
 	startTime    = 500 * clock.Millisecond // for a request to come in before its pace counts
 	slowReceived = 32 << 10                // bytes received lately below which a request comes in slowly: 44 KiB a second
 )
 
-// candidate is a holder that may have to give way.
+// candidate is a holder that may be evicted.
 type candidate struct {
 	*Holder
 	received float64 // bytes received lately
 }
 
-// victims returns the holders that have to give way for n bytes of h, or for its connection; enough is false if that is not possible.
+// victims returns the holders to evict for n bytes of h, or for its connection; enough is false if that is not possible.
 // These are, until there is room: those that receive hardly anything, first the one that holds most for what it has received lately;
-// then requests of the team that holds most, if the team of h holds less. Whole requests never give way. mu is held.
+// then requests of the team that holds most, if the team of h holds less. Pinned holders are never evicted. mu is held.
 func (s *Share) victims(h *Holder, n int64, open bool) (victims []*Holder, enough bool) {
 	now := s.budget.Clock.Now()
 	need := s.need(h, n, open)
 	var slow, others []candidate
 	for other := range s.holders {
-		if other == h || other.phase == whole {
+		if other == h || other.phase == pinned {
 			continue
 		}
-		if other.leaving {
+		if other.evicted {
 			need.subtract(other)
 			continue
 		}
@@ -133,10 +133,10 @@
 	if largest == h.team || held[h.team]+n >= held[largest]-n {
 		return nil
 	}
-	return slices.DeleteFunc(candidates, func(c candidate) bool { return c.team != largest || c.phase != partial })
+	return slices.DeleteFunc(candidates, func(c candidate) bool { return c.team != largest || c.phase != receiving })
 }
 
-// reason returns why the holder gives way; mu is held.
+// reason returns why the holder is evicted; mu is held.
 func (h *Holder) reason() string {
 	switch {
 	case h.phase == idle:
@@ -144,5 +144,5 @@
 	case h.recent(h.share.budget.Clock.Now()) < slowReceived:
 		return ReasonSlow
 	}
-	return ReasonCrowd
+	return ReasonTeam
 }
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -39,9 +39,9 @@
 	total := int64(s.Limits.Memory) * bytesOfMegabyte
 	debug.SetMemoryLimit(total * memoryRatio)
 	limited := &telemetry.RateLimitedLogger{Logger: t.Logger, Clock: c}
-	budget := &memory.Budget{Clock: c, GaveWay: func(share, reason string) {
-		t.Metrics.GaveWay.Get(share + " " + reason).Inc()
-		limited.Log("memory", "level", level.WarnValue(), "msg", "a connection or request gave way, or found no memory", "port", share, "reason", reason)
+	budget := &memory.Budget{Clock: c, OnPressure: func(share, reason string) {
+		t.Metrics.MemoryPressure.Get(share + " " + reason).Inc()
+		limited.Log("memory", "level", level.WarnValue(), "msg", "no memory left, connection or request evicted or rejected", "port", share, "reason", reason)
 	}}
 	callers := int64(float64(total) * callerRatio)
 	l := limits{
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -124,10 +124,10 @@
 	return c.Send(content)
 }
 
-// KeepRequest is a handler that lets a request which was received whole stay in memory until it is answered.
-func KeepRequest(c *fiber.Ctx) error {
+// PinRequest is a handler that lets a request which was received whole stay in memory until it is answered.
+func PinRequest(c *fiber.Ctx) error {
 	if conn, ok := c.Context().Conn().(*intake.Conn); ok {
-		conn.Holder().Keep() // one that gives way has lost its connection already
+		conn.Holder().Pin() // an evicted one has lost its connection already
 	}
 	return c.Next()
 }
@@ -144,7 +144,7 @@
 		ReduceMemoryUsage:     true, // a connection without a request keeps no buffer of the last body
 	})
 	app.Use(recover.New())
-	app.Use(KeepRequest)
+	app.Use(PinRequest)
 	RegisterRoutes(app, v)
 	return app
 }
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -26,7 +26,7 @@
 	}
 	conn := listener.Find(info.RemoteAddr.String())
 	if conn == nil {
-		return ctx // it gave way
+		return ctx // it was evicted
 	}
 	return intake.WithConn(ctx, conn)
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -21,7 +21,7 @@
 	LimitedSends      Counters   // requests sent to backend servers with a limited rate, by service
 	ChoiceLoad        Histograms // requests in flight at the chosen backend server, by service
 	Retries           Counters   // attempts after the first, by reason; reason budget counts retries that the retry budget denied
-	GaveWay           Counters   // connections and requests that gave way, or found no memory, by port and reason
+	MemoryPressure    Counters   // connections and requests that were evicted, or rejected for a lack of memory, by port and reason
 	Rejections        Counters   // requests rejected or not completed, by reason
 	Resumes           Counters   // streams resumed at another backend server, by reason
 	OverloadWait      Gauges     // expected wait in ms of the least urgent requests on time, with coordinated admission, by service
@@ -69,7 +69,7 @@
 	m.ChoiceLoad = m.histograms("choice_load", "service")
 	m.Retries = m.counters("retries_total", "reason")
 	m.Rejections = m.counters("refusals_total", "reason")
-	m.GaveWay = m.counters("gave_way_total", "reason")
+	m.MemoryPressure = m.counters("memory_pressure_total", "reason")
 	m.Resumes = m.counters("resumes_total", "reason")
 	m.OverloadWait = m.gauges("overload_wait_ms", "service")
 	m.DroppedAnswers = m.counters("dropped_answers_total", "reason")
