Keep known peers alive whose heartbeat finds no memory

Cause: with the memory for the state of peers full, as invented entries may fill it, a known peer whose heartbeat grew by a byte was not heard any more, and its requests no longer counted.

Change: it counts as heard, with the state of its last message. TestPeersWithoutMemory: the case of a known peer whose heartbeat grows was not seen red; the others guard the bound.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -304,6 +304,9 @@
 	defer p.mu.Unlock()
 	peer := p.peers[hb.IP]
 	if !p.takeMemory(peer, hb, now) {
+		if peer != nil { // it lives, but its state stays that of its last message
+			peer.lastSeen, peer.lastDirect, p.targets[hb.IP] = now, now, now
+		}
 		return false
 	}
 	if peer == nil {
